--- /dev/null
+++ b/src/attempt/attempt_func.cpp
@@ -0,0 +1,253 @@
+// The attempt machine; see attempt_type.hpp for its states.
+#include "attempt/attempt_func.hpp"
+
+#include <algorithm>
+
+namespace jasminetray {
+
+namespace {
+
+using actions = std::vector<attempt_action>;
+
+bool is_open(const attempt_track& t)
+{
+    return t.phase == attempt_phase::open || t.phase == attempt_phase::revoking;
+}
+
+bool any_open(const request_state& r)
+{
+    return std::any_of(r.tracks.begin(), r.tracks.end(), is_open);
+}
+
+bool all_not_run(const request_state& r)
+{
+    return std::all_of(r.tracks.begin(), r.tracks.end(), [](const auto& t) {
+        return t.phase == attempt_phase::not_run;
+    });
+}
+
+void cancel_open(request_state& r, std::uint32_t except, actions& out)
+{
+    for (std::uint32_t n = 1; n <= r.tracks.size(); ++n) {
+        if (n != except && is_open(r.tracks[n - 1]))
+            out.push_back({attempt_action_kind::cancel, n});
+    }
+}
+
+void deliver(request_state& r, std::uint32_t count, actions& out)
+{
+    r.outcome = final_outcome::answer;
+    out.push_back({attempt_action_kind::deliver, count});
+    cancel_open(r, count, out);
+}
+
+void refuse(request_state& r, final_outcome outcome, actions& out)
+{
+    r.outcome = outcome;
+    out.push_back({attempt_action_kind::refuse, 0});
+    cancel_open(r, 0, out);
+}
+
+/// Sends the next attempt.
+void send(request_state& r, attempt_action_kind kind, mono_us now, actions& out)
+{
+    attempt_track t;
+    t.sent_at = now;
+    r.tracks.push_back(t);
+    out.push_back({kind, static_cast<std::uint32_t>(r.tracks.size())});
+}
+
+bool may_send_more(const request_state& r, mono_us now)
+{
+    return r.tracks.size() < r.policy.most_attempts && !r.out_of_workers &&
+           now + r.policy.least_left < r.deadline;
+}
+
+/// Ends a request of which no attempt is open any more.
+void settle(request_state& r, actions& out, const attempt_safeguards& on)
+{
+    for (std::uint32_t n = 1; n <= r.tracks.size(); ++n) {
+        if (r.tracks[n - 1].has_failed_answer)
+            return deliver(r, n, out);
+    }
+    const bool proven = all_not_run(r) || !on.unknown_when_unproven;
+    refuse(r, proven ? final_outcome::not_run : final_outcome::unknown, out);
+}
+
+/// Tries again if that is safe and allowed; else ends the request unless
+/// another attempt is still open.
+void retry_or_settle(request_state& r, retry_budget& budget, mono_us now,
+                     actions& out, const attempt_safeguards& on)
+{
+    if (any_open(r))
+        return;
+    // Another attempt at non-idempotent work is only safe when every former
+    // one is proven not to have run; else it could run twice.
+    const bool safe =
+        r.policy.idempotent || all_not_run(r) || !on.retry_only_proven;
+    if (safe && may_send_more(r, now) && spend_retry(budget)) {
+        ++r.retries;
+        return send(r, attempt_action_kind::send_fresh, now, out);
+    }
+    settle(r, out, on);
+}
+
+void ask(request_state& r, std::uint32_t count, actions& out)
+{
+    auto& t = r.tracks[count - 1];
+    t.phase = attempt_phase::revoking;
+    t.asked = true;
+    out.push_back({attempt_action_kind::revoke, count});
+}
+
+void on_lost(request_state& r, std::uint32_t count, retry_budget& budget,
+             mono_us now, actions& out, const attempt_safeguards& on)
+{
+    auto& t = r.tracks[count - 1];
+    t.connected = false;
+    if (t.phase == attempt_phase::revoking)
+        return; // the reply decides
+    if (!r.policy.idempotent && on.ask_before_not_run) {
+        // Bytes may be on their way still. Only the exit node can say
+        // whether they started anything, and make sure they never will.
+        if (!t.asked)
+            return ask(r, count, out);
+        // It was asked and said "started": the answer is lost for good.
+        t.phase = attempt_phase::unknown;
+        return settle(r, out, on);
+    }
+    t.phase =
+        on.ask_before_not_run ? attempt_phase::unknown : attempt_phase::not_run;
+    retry_or_settle(r, budget, now, out, on);
+}
+
+void on_revoke_reply(request_state& r, const attempt_event& e,
+                     retry_budget& budget, mono_us now, actions& out,
+                     const attempt_safeguards& on)
+{
+    auto& t = r.tracks[e.count - 1];
+    if (t.phase != attempt_phase::revoking)
+        return;
+    if (e.kind == attempt_event_kind::revoke_not_run) {
+        t.phase = attempt_phase::not_run;
+        if (t.connected)
+            out.push_back({attempt_action_kind::cancel, e.count});
+        return retry_or_settle(r, budget, now, out, on);
+    }
+    // Started, finished or nobody knows: an answer may still come, but only
+    // on the connection that the attempt was sent on.
+    t.phase = t.connected ? attempt_phase::open : attempt_phase::unknown;
+    if (!t.connected)
+        settle(r, out, on);
+}
+
+void on_timer(request_state& r, retry_budget& budget, mono_us now, actions& out,
+              const attempt_safeguards& on)
+{
+    if (now >= r.deadline) {
+        if (r.reason.empty())
+            r.reason = "deadline";
+        return settle(r, out, on);
+    }
+    const bool margin = now >= r.deadline - r.policy.revoke_margin;
+    for (std::uint32_t n = 1; n <= r.tracks.size(); ++n) {
+        auto& t = r.tracks[n - 1];
+        const bool silent = now - t.sent_at >= r.policy.silence;
+        if (t.phase != attempt_phase::open || t.asked || !(silent || margin))
+            continue;
+        if (!r.policy.idempotent) {
+            ask(r, n, out);
+        } else if (silent && n == r.tracks.size() && may_send_more(r, now) &&
+                   spend_retry(budget)) {
+            // Something between the two ends may have lost track of the
+            // connection: it stays silent for good while new ones work.
+            t.asked = true;
+            ++r.retries;
+            return send(r, attempt_action_kind::send_fresh, now, out);
+        }
+    }
+}
+
+mono_us next_wake(const request_state& r, mono_us now)
+{
+    mono_us at = r.deadline;
+    for (const auto& t : r.tracks) {
+        if (t.phase != attempt_phase::open || t.asked)
+            continue;
+        const auto silent = t.sent_at + r.policy.silence;
+        const auto margin = r.deadline - r.policy.revoke_margin;
+        if (silent > now)
+            at = std::min(at, silent);
+        if (!r.policy.idempotent && margin > now)
+            at = std::min(at, margin);
+    }
+    return at;
+}
+
+void on_attempt(request_state& r, const attempt_event& e, retry_budget& budget,
+                mono_us now, actions& out, const attempt_safeguards& on)
+{
+    auto& t = r.tracks[e.count - 1];
+    if (!is_open(t))
+        return; // decided already; late news changes nothing
+    switch (e.kind) {
+    case attempt_event_kind::answer:
+        return deliver(r, e.count, out);
+    case attempt_event_kind::failed_answer:
+        t.has_failed_answer = true;
+        t.phase = attempt_phase::unknown; // it ran
+        return retry_or_settle(r, budget, now, out, on);
+    case attempt_event_kind::not_run:
+    case attempt_event_kind::unsent:
+        t.phase = attempt_phase::not_run;
+        return retry_or_settle(r, budget, now, out, on);
+    case attempt_event_kind::unknown:
+        t.phase = attempt_phase::unknown;
+        return retry_or_settle(r, budget, now, out, on);
+    case attempt_event_kind::lost:
+        return on_lost(r, e.count, budget, now, out, on);
+    case attempt_event_kind::no_worker:
+        t.phase = attempt_phase::not_run;
+        r.out_of_workers = true;
+        return retry_or_settle(r, budget, now, out, on);
+    default:
+        return on_revoke_reply(r, e, budget, now, out, on);
+    }
+}
+
+} // namespace
+
+request_state make_request(const attempt_policy& policy, mono_us deadline)
+{
+    request_state r;
+    r.policy = policy;
+    r.deadline = deadline;
+    return r;
+}
+
+std::vector<attempt_action> attempt_step(request_state& r,
+                                         const attempt_event& e,
+                                         retry_budget& budget, mono_us now,
+                                         const attempt_safeguards& on)
+{
+    actions out;
+    if (r.outcome != final_outcome::open)
+        return out;
+    if (!e.reason.empty())
+        r.reason = e.reason;
+    if (e.kind == attempt_event_kind::begin) {
+        send(r, attempt_action_kind::send, now, out);
+    } else if (e.kind == attempt_event_kind::timer) {
+        on_timer(r, budget, now, out, on);
+    } else if (e.kind == attempt_event_kind::caller_gone) {
+        r.outcome = final_outcome::gone;
+        cancel_open(r, 0, out);
+    } else if (e.count >= 1 && e.count <= r.tracks.size()) {
+        on_attempt(r, e, budget, now, out, on);
+    }
+    r.wake_at =
+        r.outcome == final_outcome::open ? next_wake(r, now) : mono_never;
+    return out;
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/attempt/attempt_func.hpp
@@ -0,0 +1,25 @@
+// The step function of the attempt machine.
+#pragma once
+
+#include "attempt/attempt_type.hpp"
+#include "limit/limit_type.hpp"
+
+namespace jasminetray {
+
+/// A new request.
+/// @param policy from route and service
+/// @param deadline moment of the final answer at the latest
+request_state make_request(const attempt_policy& policy, mono_us deadline);
+
+/// Feeds one event and returns what to do, in order.
+/// @param r the request
+/// @param e what happened
+/// @param budget retries of the service; taken from for each new attempt
+/// @param now this process's clock
+/// @param on safeguards; all on outside of tests
+std::vector<attempt_action> attempt_step(request_state& r,
+                                         const attempt_event& e,
+                                         retry_budget& budget, mono_us now,
+                                         const attempt_safeguards& on = {});
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/balance/balance_func.cpp
@@ -0,0 +1,111 @@
+// Choosing a backend server; see balance_type.hpp.
+#include "balance/balance_type.hpp"
+
+#include <algorithm>
+
+namespace jasminetray {
+
+namespace {
+
+bool was_tried(const std::vector<worker_id>& tried, worker_id id)
+{
+    return std::find(tried.begin(), tried.end(), id) != tried.end();
+}
+
+/// Weights of the usable candidates; all zero when none is.
+std::vector<double> usable_weights(const std::vector<candidate>& all,
+                                   const balance_policy& p, bool idempotent,
+                                   const std::vector<worker_id>& tried,
+                                   mono_us now)
+{
+    std::vector<double> weights(all.size(), 0);
+    for (std::size_t n = 0; n < all.size(); ++n) {
+        const auto& c = all[n];
+        const bool usable =
+            (!c.trickle || idempotent) && !was_tried(tried, c.id);
+        if (usable)
+            weights[n] = ramped_weight(c, p, now) * c.slots;
+    }
+    return weights;
+}
+
+std::size_t draw(const std::vector<double>& weights, double sum,
+                 random_state& rng)
+{
+    double at = random_unit(rng) * sum;
+    std::size_t last = 0;
+    for (std::size_t n = 0; n < weights.size(); ++n) {
+        if (weights[n] <= 0)
+            continue;
+        last = n;
+        at -= weights[n];
+        if (at < 0)
+            break;
+    }
+    return last;
+}
+
+} // namespace
+
+double ramped_weight(const candidate& c, const balance_policy& p, mono_us now)
+{
+    const auto age = now - c.born_at;
+    if (age >= p.ramp)
+        return c.weight;
+    const double share = static_cast<double>(age) / static_cast<double>(p.ramp);
+    return c.weight * (p.ramp_start + (1 - p.ramp_start) * share);
+}
+
+double cost_of(const candidate& c, const balance_policy& p, mono_us now)
+{
+    const double age = static_cast<double>(now - c.load_at) /
+                       static_cast<double>(p.load_memory);
+    const double load = age < 1 ? c.load * (1 - age) : 0;
+    const double own = c.in_flight / c.slots;
+    return std::max(load, own) + (c.near ? 0 : p.far_cost);
+}
+
+std::optional<choice> choose_worker(const std::vector<candidate>& all,
+                                    const balance_policy& p, bool idempotent,
+                                    const std::vector<worker_id>& tried,
+                                    random_state& rng, mono_us now)
+{
+    auto weights = usable_weights(all, p, idempotent, tried, now);
+    double sum = 0;
+    for (const double w : weights)
+        sum += w;
+    if (sum <= 0)
+        return std::nullopt;
+    const auto first = draw(weights, sum, rng);
+    const double first_cost = cost_of(all[first], p, now);
+    // An ejected one that was drawn is fed its trickle: compared by load it
+    // would always win, because it is idle, or lose, and never be judged.
+    const double rest = sum - weights[first];
+    if (all[first].trickle || rest <= 0)
+        return choice{first, first_cost, first_cost};
+    weights[first] = 0;
+    const auto second = draw(weights, rest, rng);
+    const double second_cost = cost_of(all[second], p, now);
+    if (all[second].trickle || first_cost <= second_cost)
+        return choice{first, first_cost, second_cost};
+    return choice{second, second_cost, first_cost};
+}
+
+std::optional<std::size_t> home_worker(const std::vector<candidate>& all,
+                                       std::uint64_t key)
+{
+    std::optional<std::size_t> best;
+    std::uint64_t best_rank = 0;
+    for (std::size_t n = 0; n < all.size(); ++n) {
+        if (all[n].weight <= 0 || all[n].trickle)
+            continue;
+        const auto rank = mix_hash(key, static_cast<std::uint64_t>(all[n].id));
+        if (!best || rank > best_rank) {
+            best = n;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/balance/view_func.cpp
@@ -0,0 +1,184 @@
+// Keeping the view up to date; see view_type.hpp.
+#include "balance/view_type.hpp"
+
+#include "base/text_func.hpp"
+#include "config/config_query.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace jasminetray {
+
+namespace {
+
+constexpr span_us spoken_memory = 2 * us_per_s; // then the record counts
+constexpr span_us good_memory = 5 * us_per_s;   // a path that just worked
+
+std::size_t place_of(const service_view& s, worker_id id)
+{
+    const auto it =
+        std::find_if(s.candidates.begin(), s.candidates.end(),
+                     [id](const candidate& c) { return c.id == id; });
+    return static_cast<std::size_t>(it - s.candidates.begin());
+}
+
+void erase_at(service_view& s, std::size_t n)
+{
+    const auto at = static_cast<std::ptrdiff_t>(n);
+    s.total -= s.claims[n].slots;
+    s.candidates.erase(s.candidates.begin() + at);
+    s.claims.erase(s.claims.begin() + at);
+    s.spoken.erase(s.spoken.begin() + at);
+}
+
+/// Drops backend servers of a node that are not in `keep`.
+void drop_others(fleet_view& v, const node_record& old,
+                 const std::set<worker_id>& keep)
+{
+    for (const auto& w : old.workers) {
+        const auto it = v.services.find(w.service);
+        if (keep.count(w.id) != 0 || it == v.services.end())
+            continue;
+        const auto n = place_of(it->second, w.id);
+        if (n < it->second.candidates.size())
+            erase_at(it->second, n);
+        if (it->second.candidates.empty())
+            v.services.erase(it);
+    }
+}
+
+void put_worker(fleet_view& v, const node_record& r, const worker_record& w,
+                mono_us now)
+{
+    auto& s = v.services[w.service];
+    const auto n = place_of(s, w.id);
+    if (n == s.candidates.size()) {
+        s.candidates.emplace_back();
+        s.claims.emplace_back();
+        s.spoken.emplace_back();
+        s.candidates[n].id = w.id;
+        s.candidates[n].born_at = now;
+    }
+    auto& c = s.candidates[n];
+    c.exit = r.id;
+    c.near = r.centre == v.centre;
+    c.slots = std::max<double>(1, w.slots);
+    s.total += c.slots - s.claims[n].slots;
+    s.claims[n].id = w.id;
+    s.claims[n].slots = c.slots;
+}
+
+const worker_record* find_worker(const node_record& r, worker_id id)
+{
+    const auto it =
+        std::find_if(r.workers.begin(), r.workers.end(),
+                     [id](const worker_record& w) { return w.id == id; });
+    return it == r.workers.end() ? nullptr : &*it;
+}
+
+bool is_doubted(const fleet_view& v, node_id id)
+{
+    return std::find(v.doubted.begin(), v.doubted.end(), id) != v.doubted.end();
+}
+
+void fill_claim(fleet_view& v, const view_node& node, const worker_record& w,
+                claim& c, const spoken_claim& spoken, const path_table& paths,
+                mono_us now)
+{
+    // Others may call a node dead that this one still reaches: a one-way
+    // partition is no death, and its capacity stays in use here.
+    const bool reached = node.good_at != 0 && now - node.good_at < good_memory;
+    c.alive = (node.state != liveness::dead || reached) &&
+              !node.record.leaving && !w.draining;
+    const bool scoped = w.scope != centre_id{} && w.scope != v.centre;
+    c.severity = scoped ? 0 : w.severity;
+    if (spoken.at != 0 && now - spoken.at < spoken_memory)
+        c.severity = spoken.severity;
+    if (is_doubted(v, node.record.id))
+        c.severity = std::max(c.severity, claim_severity);
+    c.path_bad = !path_usable(paths, node.record.id);
+    c.forced = c.severity >= forced_severity;
+}
+
+} // namespace
+
+service_id service_of(const std::string& name)
+{
+    return static_cast<service_id>(text_hash(name));
+}
+
+centre_id centre_of(const std::string& name)
+{
+    return static_cast<centre_id>(text_hash(name) & 0xffffffff);
+}
+
+void view_update(fleet_view& v, const node_record& r, liveness state,
+                 mono_us now)
+{
+    std::set<worker_id> keep;
+    for (const auto& w : r.workers)
+        keep.insert(w.id);
+    auto& node = v.nodes[r.id];
+    drop_others(v, node.record, keep);
+    node.record = r;
+    node.state = state;
+    for (const auto& w : r.workers)
+        put_worker(v, r, w, now);
+}
+
+void view_remove(fleet_view& v, node_id id, mono_us now)
+{
+    const auto it = v.nodes.find(id);
+    if (it == v.nodes.end())
+        return;
+    node_record empty;
+    empty.id = id;
+    view_update(v, empty, liveness::dead, now);
+    v.nodes.erase(id);
+}
+
+std::vector<standing_change> view_apply(fleet_view& v, service_id id,
+                                        const service_config& c,
+                                        const path_table& paths, mono_us now)
+{
+    std::vector<standing_change> changes;
+    const auto it = v.services.find(id);
+    if (it == v.services.end())
+        return changes;
+    auto& s = it->second;
+    for (std::size_t n = 0; n < s.candidates.size(); ++n) {
+        const auto node = v.nodes.find(s.candidates[n].exit);
+        const auto* w = node == v.nodes.end()
+                            ? nullptr
+                            : find_worker(node->second.record, s.claims[n].id);
+        if (w != nullptr)
+            fill_claim(v, node->second, *w, s.claims[n], s.spoken[n], paths,
+                       now);
+    }
+    const auto applied = apply_claims(s.claims, floor_slots(c, s.total));
+    s.at_floor = false;
+    for (std::size_t n = 0; n < applied.size(); ++n) {
+        auto& x = s.candidates[n];
+        const bool was_held = x.held;
+        const bool was_ejected = x.trickle;
+        x.weight = applied[n].weight;
+        x.trickle = applied[n].ejected;
+        x.held = applied[n].held;
+        s.at_floor = s.at_floor || applied[n].held;
+        if (was_held != x.held || was_ejected != x.trickle)
+            changes.push_back({x.id, x.trickle, x.held});
+    }
+    return changes;
+}
+
+candidate* view_candidate(fleet_view& v, service_id service, worker_id id)
+{
+    const auto it = v.services.find(service);
+    if (it == v.services.end())
+        return nullptr;
+    const auto n = place_of(it->second, id);
+    return n < it->second.candidates.size() ? &it->second.candidates[n]
+                                            : nullptr;
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/config/config_check.hpp
@@ -0,0 +1,29 @@
+// Turns a set of files into the configuration of one site, or says what is
+// wrong with file and line. Submitting checks every site; a node builds its
+// own.
+#pragma once
+
+#include "config/config_type.hpp"
+
+#include <optional>
+
+namespace jasminetray {
+
+/// Name of the base file within a set.
+inline constexpr std::string_view base_file_name = "base.ini";
+
+/// Configuration of one site, or nothing with `last` filled in.
+/// @param files base.ini and any overlays
+/// @param site overlay to apply: "SITE.ini"; a site without one has the base
+/// @param version number that the result carries
+/// @param last first thing that is wrong
+std::optional<fleet_config> build_config(const std::vector<config_file>& files,
+                                         const std::string& site,
+                                         std::uint64_t version,
+                                         config_error& last);
+
+/// Checks the base with every overlay of a set.
+/// @return false with `last` filled in
+bool check_files(const std::vector<config_file>& files, config_error& last);
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/config/config_query.cpp
@@ -0,0 +1,63 @@
+// Questions to a configuration; see config_query.hpp.
+#include "config/config_query.hpp"
+
+#include "base/text_func.hpp"
+
+#include <algorithm>
+
+namespace jasminetray {
+
+namespace {
+
+const route_config* find_under(const fleet_config& c, const std::string& host,
+                               std::string_view path)
+{
+    // Each shorter prefix is one hash lookup, so the cost is the depth of
+    // the path and not the number of routes.
+    std::string_view prefix = path;
+    while (!prefix.empty()) {
+        const auto it = c.route_index.find(host + "\n" + std::string(prefix));
+        if (it != c.route_index.end())
+            return &c.routes[it->second];
+        const auto slash = prefix.rfind('/');
+        if (slash == std::string_view::npos)
+            break;
+        // "/a/b" is followed by "/a/", then "/a", then "/".
+        prefix =
+            prefix.substr(0, slash + 1 < prefix.size() ? slash + 1 : slash);
+    }
+    return nullptr;
+}
+
+} // namespace
+
+const route_config* find_route(const fleet_config& c, std::string_view host,
+                               std::string_view path)
+{
+    if (!host.empty()) {
+        if (const auto* r = find_under(c, std::string(host), path))
+            return r;
+    }
+    return find_under(c, "", path);
+}
+
+const service_config* find_service(const fleet_config& c,
+                                   const std::string& name)
+{
+    const auto it = c.service_index.find(name);
+    return it == c.service_index.end() ? nullptr : &c.services[it->second];
+}
+
+bool is_idempotent(const route_config& r, std::string_view method)
+{
+    const auto methods = split(r.idempotent, ',');
+    return std::find(methods.begin(), methods.end(), method) != methods.end();
+}
+
+double floor_slots(const service_config& s, double total)
+{
+    return s.floor_kind == floor_unit::slots ? s.floor_value
+                                             : total * s.floor_value / 100;
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/config/config_store.cpp
@@ -0,0 +1,319 @@
+// Configuration in the platform's store; see config_store.hpp.
+#include "config/config_store.hpp"
+
+#include "base/text_func.hpp"
+#include "config/config_check.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace jasminetray {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr char head_key[] = "config-head";
+constexpr std::uint64_t chunk_share = 64; // one section in 64 starts a chunk
+constexpr std::size_t most_chunk = 65536; // bytes; cut at a line anyway
+
+std::string history_key(std::uint64_t version)
+{
+    return "config-history-" + std::to_string(version);
+}
+
+std::string text_at(const json::object& o, const char* key)
+{
+    const auto* v = o.if_contains(key);
+    return v && v->is_string() ? std::string(v->as_string()) : std::string();
+}
+
+std::optional<json::object> parse_object(const std::string& text)
+{
+    json::error_code ec;
+    auto v = json::parse(text, ec);
+    if (ec || !v.is_object())
+        return std::nullopt;
+    return v.as_object();
+}
+
+std::uint64_t whole_at(const json::object& o, const char* key)
+{
+    const auto* v = o.if_contains(key);
+    return v && v->is_int64() ? static_cast<std::uint64_t>(v->as_int64()) : 0;
+}
+
+/// Writes chunks and manifest; gives the manifest's hash.
+std::optional<std::uint64_t> put_objects(const platform_api& p,
+                                         const std::vector<config_file>& files,
+                                         platform_error& last)
+{
+    config_manifest m;
+    for (const auto& f : files) {
+        manifest_file entry{f.name, {}};
+        for (const auto& c : cut_chunks(f.content)) {
+            const auto hash = text_hash(c);
+            if (!p.put_object(chunk_name(hash), c, last))
+                return std::nullopt;
+            entry.chunks.push_back(hash);
+        }
+        m.files.push_back(std::move(entry));
+    }
+    const auto text = to_text(m);
+    const auto hash = text_hash(text);
+    if (!p.put_object(manifest_name(hash), text, last))
+        return std::nullopt;
+    return hash;
+}
+
+submit_result not_accepted(platform_error e, const std::string& step)
+{
+    submit_result r;
+    r.outcome = submit_outcome::not_accepted;
+    r.reason = "store " + std::string(name_of(platform_error_names, e)) +
+               " while " + step + "; nothing is in force";
+    return r;
+}
+
+std::vector<std::string> differing_files(const platform_api& p,
+                                         const config_head& winner,
+                                         const std::vector<config_file>& ours)
+{
+    std::string why;
+    platform_error last{};
+    const auto theirs = load_files(
+        winner.manifest,
+        [&](const std::string& name) { return p.get_object(name, last); }, why);
+    std::vector<std::string> differ;
+    if (!theirs)
+        return differ;
+    for (const auto& f : ours) {
+        const bool same =
+            std::any_of(theirs->begin(), theirs->end(), [&](const auto& t) {
+                return t.name == f.name && t.content == f.content;
+            });
+        if (!same)
+            differ.push_back(f.name);
+    }
+    return differ;
+}
+
+/// Whose write became a version, by its history row. The row is written in
+/// the head's transaction and never changed, so it tells for certain.
+submit_result settle(const platform_api& p, const submission& s,
+                     const config_head& ours, bool was_refused)
+{
+    for (int n = 0; n < s.settle_tries; ++n) {
+        platform_error last{};
+        const auto row = read_history(p, ours.version, last);
+        if (row && row->submission == s.id)
+            return {submit_outcome::accepted, *row, "", {}};
+        if (row) {
+            return {submit_outcome::lost_race, *row,
+                    "version " + std::to_string(row->version) +
+                        " was submitted by " + row->author + " first",
+                    differing_files(p, *row, s.files)};
+        }
+        // The row is absent and the write was refused, or it is absent and
+        // the caller must try the same conditional write again.
+        if (last == platform_error::missing && was_refused)
+            return not_accepted(platform_error::conflict, "moving the head");
+        if (last == platform_error::missing) {
+            submit_result r;
+            r.outcome = submit_outcome::unsettled;
+            r.reason = "again";
+            return r;
+        }
+        if (s.pause)
+            s.pause();
+    }
+    submit_result r;
+    r.outcome = submit_outcome::unsettled;
+    r.reason = "the store went out after the write was sent; ask `config "
+               "history` for submission " +
+               s.id + " when it is back";
+    return r;
+}
+
+} // namespace
+
+std::vector<std::string> cut_chunks(const std::string& text)
+{
+    std::vector<std::string> chunks;
+    std::string chunk;
+    std::size_t at = 0;
+    while (at < text.size()) {
+        const auto end = std::min(text.find('\n', at), text.size() - 1) + 1;
+        const auto line = std::string_view(text).substr(at, end - at);
+        const bool section =
+            line.front() == '[' && text_hash(line) % chunk_share == 0;
+        if (!chunk.empty() && (section || chunk.size() >= most_chunk)) {
+            chunks.push_back(std::move(chunk));
+            chunk.clear();
+        }
+        chunk += line;
+        at = end;
+    }
+    if (!chunk.empty() || chunks.empty())
+        chunks.push_back(std::move(chunk));
+    return chunks;
+}
+
+std::string to_text(const config_manifest& m)
+{
+    json::array files;
+    for (const auto& f : m.files) {
+        json::array chunks;
+        for (const auto hash : f.chunks)
+            chunks.push_back(json::string(to_hex(hash)));
+        files.push_back(json::object{{"name", f.name}, {"chunks", chunks}});
+    }
+    return json::serialize(json::object{{"files", files}});
+}
+
+std::optional<config_manifest> parse_manifest(const std::string& text)
+{
+    const auto o = parse_object(text);
+    const auto* files = o ? o->if_contains("files") : nullptr;
+    if (!files || !files->is_array())
+        return std::nullopt;
+    config_manifest m;
+    for (const auto& f : files->as_array()) {
+        if (!f.is_object() || !f.as_object().contains("chunks"))
+            return std::nullopt;
+        manifest_file entry{text_at(f.as_object(), "name"), {}};
+        const auto* chunks = f.at("chunks").if_array();
+        for (const auto& c : chunks ? *chunks : json::array()) {
+            const auto hash =
+                c.is_string() ? parse_hex(c.as_string()) : std::nullopt;
+            if (!hash)
+                return std::nullopt;
+            entry.chunks.push_back(*hash);
+        }
+        m.files.push_back(std::move(entry));
+    }
+    return m;
+}
+
+std::string to_text(const config_head& h)
+{
+    return json::serialize(json::object{
+        {"version", static_cast<std::int64_t>(h.version)},
+        {"manifest", to_hex(h.manifest)},
+        {"author", h.author},
+        {"submission", h.submission},
+        {"rolled_back_to", static_cast<std::int64_t>(h.rolled_back_to)}});
+}
+
+std::optional<config_head> parse_head(const std::string& text)
+{
+    const auto o = parse_object(text);
+    const auto hash = o ? parse_hex(text_at(*o, "manifest")) : std::nullopt;
+    if (!hash)
+        return std::nullopt;
+    return config_head{whole_at(*o, "version"), *hash, text_at(*o, "author"),
+                       text_at(*o, "submission"),
+                       whole_at(*o, "rolled_back_to")};
+}
+
+std::string chunk_name(std::uint64_t hash)
+{
+    return "chunk-" + to_hex(hash);
+}
+
+std::string manifest_name(std::uint64_t hash)
+{
+    return "manifest-" + to_hex(hash);
+}
+
+std::optional<config_head> read_head(const platform_api& p,
+                                     platform_error& last)
+{
+    const auto row = p.read_row(head_key, last);
+    if (!row && last == platform_error::missing) {
+        last = platform_error::none;
+        return config_head{};
+    }
+    return row ? parse_head(row->value) : std::nullopt;
+}
+
+std::optional<config_head>
+read_history(const platform_api& p, std::uint64_t version, platform_error& last)
+{
+    const auto row = p.read_row(history_key(version), last);
+    return row ? parse_head(row->value) : std::nullopt;
+}
+
+submit_result submit_config(const platform_api& p, const submission& s)
+{
+    config_error wrong;
+    if (!check_files(s.files, wrong))
+        return {submit_outcome::invalid, {}, wrong.text(), {}};
+    platform_error last{};
+    const auto head = read_head(p, last);
+    if (!head)
+        return not_accepted(last, "reading the head");
+    if (s.expected != 0 && head->version != s.expected) {
+        return {submit_outcome::lost_race, *head,
+                "based on version " + std::to_string(s.expected) +
+                    ", but version " + std::to_string(head->version) + " by " +
+                    head->author + " is in force",
+                differing_files(p, *head, s.files)};
+    }
+    const auto manifest = put_objects(p, s.files, last);
+    if (!manifest)
+        return not_accepted(last, "storing the files");
+    const config_head ours{head->version + 1, *manifest, s.author, s.id,
+                           s.rolled_back_to};
+    // The row's version equals the configuration's: each moves by one.
+    const std::vector<table_write> writes = {
+        {head_key, head->version, to_text(ours)},
+        {history_key(ours.version), 0, to_text(ours)}};
+    for (int n = 0; n < s.settle_tries; ++n) {
+        if (p.write_rows(writes, last))
+            return {submit_outcome::accepted, ours, "", {}};
+        if (last == platform_error::unreachable && n == 0)
+            return not_accepted(last, "moving the head");
+        auto r = settle(p, s, ours, last == platform_error::conflict);
+        if (r.reason != "again")
+            return r;
+    }
+    submit_result r;
+    r.outcome = submit_outcome::unsettled;
+    r.reason = "the store answered none of " + std::to_string(s.settle_tries) +
+               " writes";
+    return r;
+}
+
+std::optional<std::vector<config_file>> load_files(
+    std::uint64_t hash,
+    const std::function<std::optional<std::string>(const std::string&)>& get,
+    std::string& why)
+{
+    const auto text = get(manifest_name(hash));
+    if (!text || text_hash(*text) != hash) {
+        why = "manifest " + to_hex(hash) + (text ? " is damaged" : " missing");
+        return std::nullopt;
+    }
+    const auto m = parse_manifest(*text);
+    if (!m) {
+        why = "manifest " + to_hex(hash) + " is malformed";
+        return std::nullopt;
+    }
+    std::vector<config_file> files;
+    for (const auto& f : m->files) {
+        files.push_back({f.name, ""});
+        for (const auto c : f.chunks) {
+            const auto part = get(chunk_name(c));
+            if (!part || text_hash(*part) != c) {
+                why =
+                    "chunk " + to_hex(c) + (part ? " is damaged" : " missing");
+                return std::nullopt;
+            }
+            files.back().content += *part;
+        }
+    }
+    return files;
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/config/node_settings.cpp
@@ -0,0 +1,77 @@
+// Reading a node's settings; see node_settings.hpp.
+#include "config/node_settings.hpp"
+
+#include "config/ini_reader.hpp"
+#include "table/settings_table.hpp"
+
+#include <fstream>
+#include <sstream>
+
+namespace jasminetray {
+
+namespace {
+
+bool set_entry(node_settings& s, const std::string& file, const ini_entry& e,
+               config_error& last)
+{
+    for (const auto& x : settings_table) {
+        if (x.section != e.section || x.row.key != e.key)
+            continue;
+        if (x.row.set(s, e.value))
+            return true;
+        last = {file, e.line,
+                "bad value '" + e.value + "' for " + e.key + ": expected " +
+                    std::string(x.row.expects)};
+        return false;
+    }
+    last = {file, e.line, "unknown key '" + e.key + "' in [" + e.section + "]"};
+    return false;
+}
+
+} // namespace
+
+std::optional<node_settings> read_settings(const std::string& file,
+                                           config_error& last)
+{
+    std::ifstream in(file);
+    if (!in) {
+        last = {file, 0, "cannot be read"};
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    const auto entries = read_ini({file, text.str()}, last);
+    if (!entries)
+        return std::nullopt;
+    node_settings s;
+    for (const auto& e : *entries) {
+        if (!set_entry(s, file, e, last))
+            return std::nullopt;
+    }
+    return s;
+}
+
+bool check_settings(const node_settings& s, const std::string& file,
+                    config_error& last)
+{
+    const auto need = [&](const std::string& value, const char* key) {
+        if (value.empty())
+            last = {file, 0, std::string(key) + " is missing"};
+        return !value.empty();
+    };
+    return need(s.name, "[node] name") &&
+           need(s.centre, "[node] data_centre") && need(s.key, "[cluster] key");
+}
+
+std::string settings_reference()
+{
+    std::ostringstream out;
+    out << "| section | key | value | meaning |\n|---|---|---|---|\n";
+    for (const auto& x : settings_table) {
+        out << "| " << x.section << " | " << x.row.key << " | " << x.row.expects
+            << " | " << x.row.meaning << " |\n";
+    }
+    return out.str();
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/config/node_settings.hpp
@@ -0,0 +1,59 @@
+// Settings of one node: an INI file, overridden by flags. A process learns
+// its addresses and its data centre from here and from nowhere else.
+#pragma once
+
+#include "base/text_func.hpp"
+#include "base/time_type.hpp"
+#include "config/config_type.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jasminetray {
+
+/// Everything a node is told when it starts.
+struct node_settings
+{
+    std::string name;             ///< unique in the fleet; kept over restarts
+    std::string centre;           ///< data centre; also the site of its overlay
+    std::string ip = "127.0.0.1"; ///< address that others reach it at
+    std::string admin_ip = "127.0.0.1"; ///< where operators reach it
+    int entry_port = 0;
+    int exit_port = 0;
+    int gossip_port = 0;
+    int rpc_port = 0;
+    int admin_port = 0;
+    std::string ready_file; ///< written with the real ports when serving
+    std::string platform;   ///< "ip:port" of the store; empty for none
+    std::vector<std::string> seeds; ///< "ip:port" of gossip first contacts
+    std::string cluster = "jasminetray";
+    std::string key;         ///< shared by the fleet; signs datagrams
+    std::string second_key;  ///< also accepted; for changing keys
+    std::string admin_token; ///< for changes over the API; empty: loopback
+    span_us stamp_bound = 5 * us_per_s;
+    span_us silence = 200 * us_per_ms;
+    span_us quiet = us_per_s;     ///< a quiet connection is pinged after it
+    span_us drain = 2 * us_per_s; ///< between "leaving" and closing doors
+    span_us stop_bound = 30 * us_per_s; ///< for work in flight at the end
+    int hold_bytes = 65536;             ///< answers up to this are held whole
+    int most_body = 1048576;            ///< of a caller's request
+    int most_attempts = 3;
+    int most_in_flight = 4096;    ///< requests at the entry side
+    int service_in_flight = 1024; ///< of one service at the entry side
+    int log_lines = 20000;        ///< a second, of one event
+    std::string safeguards_off;   ///< test hook; names with commas
+};
+
+/// Reads settings from a file, or says what is wrong with file and line.
+std::optional<node_settings> read_settings(const std::string& file,
+                                           config_error& last);
+
+/// Checks what only the whole can show; flags are applied by then.
+bool check_settings(const node_settings& s, const std::string& file,
+                    config_error& last);
+
+/// Reference of all settings as markdown.
+std::string settings_reference();
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/event/event_log.cpp
@@ -0,0 +1,132 @@
+// Rings, log lines and the catalogue page; see event_log.hpp.
+#include "event/event_log.hpp"
+
+#include "table/event_table.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <glog/logging.h>
+#include <sstream>
+
+namespace jasminetray {
+
+namespace {
+
+constexpr int family_size = 1000; // numbers per family
+
+std::int64_t wall_now_ms()
+{
+    const auto t = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(t).count();
+}
+
+} // namespace
+
+const event_row& row_of(event_id id)
+{
+    const auto it =
+        std::find_if(event_table.begin(), event_table.end(),
+                     [id](const event_row& r) { return r.id == id; });
+    return it == event_table.end() ? event_table.back() : *it;
+}
+
+event_family family_of(event_id id)
+{
+    return static_cast<event_family>(number_of(id) / family_size - 1);
+}
+
+event_log::event_log(event_limits limits) : limits_(limits)
+{
+}
+
+bool event_log::may_write_line(event_id id, std::int64_t wall_ms)
+{
+    auto& budget = budgets_[id];
+    const auto second = wall_ms / 1000;
+    if (budget.second != second) {
+        if (budget.dropped > 0) {
+            LOG(INFO) << number_of(event_id::log_lines_dropped)
+                      << " log_lines_dropped event=" << number_of(id)
+                      << " count=" << budget.dropped;
+        }
+        budget = line_budget{second, 0, 0};
+    }
+    if (budget.lines >= limits_.lines_per_second) {
+        ++budget.dropped;
+        ++dropped_;
+        return false;
+    }
+    ++budget.lines;
+    return true;
+}
+
+void event_log::write(event_id id, std::string subject, std::string detail)
+{
+    const auto wall_ms = wall_now_ms();
+    const auto n = static_cast<std::size_t>(family_of(id));
+    const std::lock_guard lock(mutex_);
+    if (may_write_line(id, wall_ms)) {
+        LOG(INFO) << number_of(id) << ' ' << row_of(id).name << ' ' << subject
+                  << " config=" << config_version_ << ' ' << detail;
+    }
+    const auto limit = family_of(id) == event_family::routing
+                           ? limits_.routing_records
+                           : limits_.other_records;
+    if (rings_[n].size() >= limit) {
+        overwritten_[n] = rings_[n].front().serial;
+        rings_[n].pop_front();
+    }
+    rings_[n].push_back({++serial_, id, wall_ms, config_version_,
+                         std::move(subject), std::move(detail)});
+}
+
+void event_log::set_config_version(std::uint64_t version)
+{
+    const std::lock_guard lock(mutex_);
+    config_version_ = version;
+}
+
+std::vector<event_record> event_log::find(event_family family,
+                                          const std::string& part,
+                                          std::size_t most) const
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<event_record> found;
+    const auto& ring = rings_[static_cast<std::size_t>(family)];
+    for (auto it = ring.rbegin(); it != ring.rend(); ++it) {
+        if (found.size() >= most)
+            break;
+        if (part.empty() || it->subject.find(part) != std::string::npos)
+            found.push_back(*it);
+    }
+    std::reverse(found.begin(), found.end());
+    return found;
+}
+
+std::uint64_t event_log::overwritten(event_family family) const
+{
+    const std::lock_guard lock(mutex_);
+    return overwritten_[static_cast<std::size_t>(family)];
+}
+
+std::uint64_t event_log::dropped_lines() const
+{
+    const std::lock_guard lock(mutex_);
+    return dropped_;
+}
+
+std::string event_catalogue()
+{
+    std::ostringstream out;
+    out << "# Events\n\n"
+           "Printed from `src/table/event_table.hpp` by `jasminetray-ctl "
+           "events`; a test compares the two.\n\n"
+           "| number | name | meaning | what to do |\n|---|---|---|---|\n";
+    for (const auto& r : event_table) {
+        out << "| " << number_of(r.id) << " | " << r.name << " | " << r.meaning
+            << " | " << r.action << " |\n";
+    }
+    return out.str();
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/gate/gate_cmd.cpp
@@ -0,0 +1,285 @@
+// Commands of the gate; see gate_cmd.hpp.
+#include "gate/gate_cmd.hpp"
+
+#include <algorithm>
+
+namespace jasminetray {
+
+namespace {
+
+constexpr double lower_factor = 0.7; // of the limit after a shed
+constexpr span_us usual_weight = 16; // samples in the moving mean
+
+bool room(const gate_worker& w)
+{
+    return w.in_flight + w.foreign < static_cast<int>(w.limit);
+}
+
+void remember(gate& g, const attempt_id& a, gate_state state, mono_us now)
+{
+    const mono_us forget_at = now + g.limits.keep();
+    g.records[a] = gate_record{state, forget_at};
+    g.forgetting.emplace_back(forget_at, a);
+}
+
+gate_error refuse_as_seen(const gate& g, const gate_request& r,
+                          const gate_safeguards& on)
+{
+    const auto it = g.records.find(r.attempt);
+    if (it == g.records.end())
+        return gate_error::none;
+    if (it->second.state == gate_state::revoked)
+        return on.check_revoked ? gate_error::revoked : gate_error::none;
+    return on.check_duplicate ? gate_error::duplicate : gate_error::none;
+}
+
+/// Checks that concern only non-idempotent work.
+gate_error refuse_identity(const gate& g, const gate_request& r, mono_us now,
+                           const gate_safeguards& on)
+{
+    // A former process may have started this; its records are gone. Without
+    // this check a copy that was sent to it would run a second time here.
+    if (on.check_boot && r.boot != g.boot)
+        return gate_error::wrong_boot;
+    // A copy that outlived the note of its own revoke would run after the
+    // caller was told "not run". Notes are kept for longer than this bound.
+    if (on.check_stamp && now - r.stamp > g.limits.stamp_bound)
+        return gate_error::stale_stamp;
+    const auto seen = refuse_as_seen(g, r, on);
+    if (seen != gate_error::none)
+        return seen;
+    // Records are never dropped early to make room: the attempt that was
+    // forgotten could then run twice. New work is refused instead.
+    if (g.records.size() >= g.limits.records)
+        return gate_error::records_full;
+    return gate_error::none;
+}
+
+gate_error refuse_capacity(const gate& g, const gate_worker& w,
+                           const gate_request& r, mono_us now)
+{
+    if (g.draining || w.draining)
+        return gate_error::draining;
+    if (room(w) && w.queue.empty())
+        return r.deadline > now ? gate_error::none : gate_error::deadline_short;
+    if (w.queue.size() >= g.limits.queue)
+        return gate_error::queue_full;
+    // Work that would only time out in the queue is refused while there is
+    // still time to try another backend server.
+    const auto ahead = static_cast<span_us>(w.queue.size()) + 1;
+    const auto wait =
+        ahead * w.usual / std::max<span_us>(1, static_cast<span_us>(w.limit));
+    return now + wait < r.deadline ? gate_error::none
+                                   : gate_error::deadline_short;
+}
+
+void take_slot(gate& g, gate_worker& w, const attempt_id& a, bool idempotent,
+               mono_us now)
+{
+    ++w.in_flight;
+    if (!idempotent)
+        remember(g, a, gate_state::started, now);
+}
+
+void adapt_limit(gate_worker& w, work_end end, span_us took, mono_us now)
+{
+    if (end == work_end::answered) {
+        w.usual += (took - w.usual) / usual_weight;
+        if (w.in_flight + 1 >= static_cast<int>(w.limit))
+            w.limit = std::min(w.slots, w.limit + 1 / w.limit);
+    }
+    // The backend server's own count of load lags or misleads; a shed is the
+    // one signal that it cannot get wrong. One step per burst of sheds.
+    if (end == work_end::shed && now - w.lowered_at > w.usual) {
+        w.limit = std::max(1.0, w.limit * lower_factor);
+        w.lowered_at = now;
+    }
+}
+
+} // namespace
+
+std::optional<admission> gate_admit(command_mode mode, gate& g,
+                                    const gate_request& r, mono_us now,
+                                    gate_error& last, const gate_safeguards& on)
+{
+    const auto it = g.workers.find(r.worker);
+    last = r.idempotent ? gate_error::none : refuse_identity(g, r, now, on);
+    if (last == gate_error::none && it == g.workers.end())
+        last = gate_error::no_worker;
+    if (last == gate_error::none)
+        last = refuse_capacity(g, it->second, r, now);
+    if (last != gate_error::none)
+        return std::nullopt;
+    auto& w = it->second;
+    const bool start = room(w) && w.queue.empty();
+    if (mode == command_mode::apply && start)
+        take_slot(g, w, r.attempt, r.idempotent, now);
+    if (mode == command_mode::apply && !start) {
+        w.queue.push_back(
+            {r.attempt, r.idempotent, r.priority, r.deadline, ++g.serial});
+        if (!r.idempotent)
+            remember(g, r.attempt, gate_state::queued, now);
+    }
+    return start ? admission::started : admission::queued;
+}
+
+std::vector<gate_decision> gate_advance(gate& g, worker_id id, mono_us now)
+{
+    std::vector<gate_decision> decisions;
+    const auto it = g.workers.find(id);
+    if (it == g.workers.end())
+        return decisions;
+    auto& w = it->second;
+    auto& q = w.queue;
+    std::sort(q.begin(), q.end(), [](const auto& a, const auto& b) {
+        return a.priority != b.priority ? a.priority < b.priority
+                                        : a.serial < b.serial;
+    });
+    std::vector<gate_waiting> left;
+    for (const auto& x : q) {
+        if (x.deadline <= now) {
+            if (!x.idempotent)
+                remember(g, x.attempt, gate_state::revoked, now);
+            decisions.push_back({x.attempt, false, gate_error::deadline_short});
+        } else if (room(w)) {
+            take_slot(g, w, x.attempt, x.idempotent, now);
+            decisions.push_back({x.attempt, true, gate_error::none});
+        } else {
+            left.push_back(x);
+        }
+    }
+    q = std::move(left);
+    return decisions;
+}
+
+void gate_finish(gate& g, const gate_request& r, work_end end, span_us took,
+                 mono_us now)
+{
+    const auto it = g.workers.find(r.worker);
+    if (it != g.workers.end()) {
+        adapt_limit(it->second, end, took, now);
+        it->second.in_flight = std::max(0, it->second.in_flight - 1);
+    }
+    if (r.idempotent)
+        return;
+    switch (end) {
+    case work_end::answered:
+        remember(g, r.attempt, gate_state::finished, now);
+        break;
+    case work_end::shed:
+    case work_end::unsent:
+        remember(g, r.attempt, gate_state::revoked, now);
+        break;
+    case work_end::lost:
+        remember(g, r.attempt, gate_state::ended, now);
+        break;
+    }
+}
+
+bool gate_abandon(gate& g, const gate_request& r, mono_us now)
+{
+    const auto it = g.workers.find(r.worker);
+    if (it == g.workers.end())
+        return false;
+    auto& q = it->second.queue;
+    const auto place =
+        std::find_if(q.begin(), q.end(), [&](const gate_waiting& x) {
+            return x.attempt == r.attempt;
+        });
+    if (place == q.end())
+        return false;
+    q.erase(place);
+    if (!r.idempotent)
+        remember(g, r.attempt, gate_state::revoked, now);
+    return true;
+}
+
+revoke_reply gate_revoke(gate& g, const attempt_id& a, boot_id boot,
+                         mono_us now, const gate_safeguards& on)
+{
+    // This process cannot know what a former one started.
+    if (on.check_boot && boot != g.boot)
+        return revoke_reply::wrong_boot;
+    const auto it = g.records.find(a);
+    const auto state =
+        it == g.records.end() ? gate_state::revoked : it->second.state;
+    switch (state) {
+    case gate_state::started:
+        return revoke_reply::started;
+    case gate_state::finished:
+        return revoke_reply::finished;
+    case gate_state::ended:
+        return revoke_reply::ended;
+    case gate_state::queued:
+        for (auto& [id, w] : g.workers) {
+            auto& q = w.queue;
+            q.erase(
+                std::remove_if(q.begin(), q.end(),
+                               [&](const auto& x) { return x.attempt == a; }),
+                q.end());
+        }
+        break;
+    case gate_state::revoked:
+        break;
+    }
+    // With no room for the note, a late copy could still run: say the truth.
+    if (it == g.records.end() && g.records.size() >= g.limits.records)
+        return revoke_reply::ended;
+    if (on.remember_revoked)
+        remember(g, a, gate_state::revoked, now);
+    return revoke_reply::not_run;
+}
+
+void gate_set_worker(gate& g, worker_id id, int slots, int busy)
+{
+    auto [it, fresh] = g.workers.try_emplace(id);
+    auto& w = it->second;
+    w.id = id;
+    const double n = std::max(1, slots);
+    if (fresh) {
+        // Only when this process meets the backend server does it take over
+        // its count; later counts include this gate's own work.
+        w.foreign = std::clamp(busy, 0, std::max(1, slots));
+        w.limit = n;
+    } else {
+        w.foreign = std::min(w.foreign, std::max(0, busy - w.in_flight));
+    }
+    w.slots = n;
+    w.limit = std::min(w.limit, n);
+}
+
+void gate_drain_worker(gate& g, worker_id id, bool draining)
+{
+    const auto it = g.workers.find(id);
+    if (it != g.workers.end())
+        it->second.draining = draining;
+}
+
+std::vector<gate_decision> gate_remove_worker(gate& g, worker_id id,
+                                              mono_us now)
+{
+    std::vector<gate_decision> decisions;
+    const auto it = g.workers.find(id);
+    if (it == g.workers.end())
+        return decisions;
+    for (const auto& x : it->second.queue) {
+        if (!x.idempotent)
+            remember(g, x.attempt, gate_state::revoked, now);
+        decisions.push_back({x.attempt, false, gate_error::no_worker});
+    }
+    g.workers.erase(it);
+    return decisions;
+}
+
+void gate_forget(gate& g, mono_us now)
+{
+    while (!g.forgetting.empty() && g.forgetting.front().first <= now) {
+        const auto it = g.records.find(g.forgetting.front().second);
+        // A record that changed since has a later entry in the deque.
+        if (it != g.records.end() && it->second.forget_at <= now)
+            g.records.erase(it);
+        g.forgetting.pop_front();
+    }
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/gate/gate_query.cpp
@@ -0,0 +1,42 @@
+// Questions to the gate; see gate_query.hpp.
+#include "gate/gate_query.hpp"
+
+#include <algorithm>
+
+namespace jasminetray {
+
+const gate_record* gate_find(const gate& g, const attempt_id& a)
+{
+    const auto it = g.records.find(a);
+    return it == g.records.end() ? nullptr : &it->second;
+}
+
+double gate_load(const gate& g, worker_id w)
+{
+    const auto it = g.workers.find(w);
+    if (it == g.workers.end())
+        return 0;
+    const auto& x = it->second;
+    const auto busy = static_cast<double>(x.in_flight + x.foreign) +
+                      static_cast<double>(x.queue.size());
+    return busy / x.limit;
+}
+
+span_us gate_retry_after(const gate& g, worker_id w)
+{
+    const auto it = g.workers.find(w);
+    if (it == g.workers.end())
+        return us_per_s;
+    const double load = std::max(gate_load(g, w), 1.0);
+    return static_cast<span_us>(load * static_cast<double>(it->second.usual));
+}
+
+std::size_t gate_open(const gate& g)
+{
+    std::size_t n = 0;
+    for (const auto& [id, x] : g.workers)
+        n += static_cast<std::size_t>(x.in_flight) + x.queue.size();
+    return n;
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/member/member_query.cpp
@@ -0,0 +1,87 @@
+// Questions to a membership table; see member_query.hpp.
+#include "member/member_query.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace jasminetray {
+
+bool is_newer(const record_summary& a, const record_summary& b)
+{
+    return a.generation != b.generation ? a.generation > b.generation
+                                        : a.sequence > b.sequence;
+}
+
+record_summary summary_of(const node_record& r)
+{
+    return {r.id, r.generation, r.sequence};
+}
+
+std::size_t bucket_of(node_id id)
+{
+    return mix_hash(static_cast<std::uint64_t>(id), 1) % digest_buckets;
+}
+
+std::uint64_t digest_hash(const record_summary& s)
+{
+    return mix_hash(mix_hash(static_cast<std::uint64_t>(s.id), s.generation),
+                    s.sequence);
+}
+
+std::vector<node_id> ranked_nodes(const member_table& t, std::uint64_t purpose,
+                                  std::size_t most)
+{
+    std::vector<std::pair<std::uint64_t, node_id>> ranks;
+    const auto add = [&](node_id id) {
+        ranks.emplace_back(mix_hash(purpose, static_cast<std::uint64_t>(id)),
+                           id);
+    };
+    if (!t.self.leaving)
+        add(t.self.id);
+    for (const auto* m : alive_members(t, t.self.centre)) {
+        if (!m->record.leaving)
+            add(m->record.id);
+    }
+    const auto n = std::min(most, ranks.size());
+    std::partial_sort(ranks.begin(),
+                      ranks.begin() + static_cast<std::ptrdiff_t>(n),
+                      ranks.end(), std::greater<>());
+    std::vector<node_id> best;
+    for (std::size_t k = 0; k < n; ++k)
+        best.push_back(ranks[k].second);
+    return best;
+}
+
+bool is_ranked(const member_table& t, std::uint64_t purpose, std::size_t most)
+{
+    const auto best = ranked_nodes(t, purpose, most);
+    return std::find(best.begin(), best.end(), t.self.id) != best.end();
+}
+
+std::vector<const member*> alive_members(const member_table& t,
+                                         centre_id centre)
+{
+    std::vector<const member*> found;
+    for (const auto& [id, m] : t.members) {
+        if (m.state != liveness::dead &&
+            (centre == centre_id{} || m.record.centre == centre))
+            found.push_back(&m);
+    }
+    // The order of a hash table differs between nodes and runs; the same
+    // seed must give the same peers.
+    std::sort(found.begin(), found.end(), [](const auto* a, const auto* b) {
+        return a->record.id < b->record.id;
+    });
+    return found;
+}
+
+std::vector<centre_id> foreign_centres(const member_table& t)
+{
+    std::set<centre_id> centres;
+    for (const auto& [id, m] : t.members)
+        centres.insert(m.record.centre);
+    centres.erase(t.self.centre);
+    return {centres.begin(), centres.end()};
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/member/member_query.hpp
@@ -0,0 +1,40 @@
+// Questions to a membership table.
+#pragma once
+
+#include "member/member_type.hpp"
+
+#include <functional>
+
+namespace jasminetray {
+
+/// True when `a` is newer than `b` for the same node.
+bool is_newer(const record_summary& a, const record_summary& b);
+
+/// Summary of a record.
+record_summary summary_of(const node_record& r);
+
+/// Bucket of a node in digests.
+std::size_t bucket_of(node_id id);
+
+/// Hash of a record's version for digests.
+std::uint64_t digest_hash(const record_summary& s);
+
+/// The `most` best-ranked alive nodes of this node's data centre for a
+/// purpose, self included: who relays to a data centre, who polls the store.
+/// All that know the same members compute the same; two at once are
+/// harmless.
+/// @param purpose hash that tells one task from another
+std::vector<node_id> ranked_nodes(const member_table& t, std::uint64_t purpose,
+                                  std::size_t most);
+
+/// Whether this node is among the ranked ones.
+bool is_ranked(const member_table& t, std::uint64_t purpose, std::size_t most);
+
+/// Other alive nodes, of one data centre or, with 0, of all.
+std::vector<const member*> alive_members(const member_table& t,
+                                         centre_id centre);
+
+/// Data centres that are known, own one left out.
+std::vector<centre_id> foreign_centres(const member_table& t);
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/member/member_type.hpp
@@ -0,0 +1,259 @@
+// Membership without a list: every record has one writer, the node itself.
+// News is pushed to a few peers at once, digests repair what was lost, and
+// probes tell who is alive. Liveness is kept apart from sickness (severity)
+// and from draining. Plain data; member_cmd.cpp changes it.
+#pragma once
+
+#include "base/id_type.hpp"
+#include "base/names_type.hpp"
+#include "base/random_func.hpp"
+#include "base/time_type.hpp"
+
+#include <array>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace jasminetray {
+
+/// Where a node listens. Plain IPv4 numbers; there are no names to resolve.
+struct node_address
+{
+    std::uint32_t ip = 0;          ///< host byte order
+    std::uint16_t gossip_port = 0; ///< UDP
+    std::uint16_t entry_port = 0;  ///< callers
+    std::uint16_t exit_port = 0;   ///< other nodes' work
+    std::uint16_t rpc_port = 0;    ///< questions
+    std::uint16_t admin_port = 0;  ///< operators
+};
+
+/// Hash of a data centre's name.
+enum class centre_id : std::uint32_t
+{
+};
+
+/// Hash of a service's name.
+enum class service_id : std::uint64_t
+{
+};
+
+/// A backend server, as its node announces it.
+struct worker_record
+{
+    worker_id id{};
+    service_id service{};
+    std::uint16_t slots = 0;
+    std::uint8_t severity = 0; ///< 100 and more claims an ejection
+    bool draining = false;
+    centre_id scope{}; ///< whose callers the claim is for; 0 for all
+};
+
+/// A node, as it describes itself.
+struct node_record
+{
+    node_id id{};
+    boot_id boot{};
+    std::uint64_t generation = 0; ///< rises with every start of the process
+    std::uint32_t sequence = 0;   ///< rises with every change of the record
+    std::string name;
+    centre_id centre{};
+    node_address address;
+    bool leaving = false;
+    std::vector<worker_record> workers; ///< invariant: <= most_workers
+    std::vector<node_id> complaints;    ///< nodes whose path it avoids
+};
+
+constexpr std::size_t most_workers = 48;   ///< in a record
+constexpr std::size_t most_complaints = 8; ///< in a record
+
+/// Whether a node answers.
+enum class liveness : std::uint8_t
+{
+    alive,
+    suspected, ///< neither direct nor indirect probes were answered
+    dead,      ///< stayed silent while suspected
+};
+
+inline constexpr std::array<std::string_view, 3> liveness_names = {
+    "alive", "suspected", "dead"};
+
+/// What one node says about another's liveness. A record of the accused
+/// with a higher generation or sequence refutes it.
+struct rumour
+{
+    node_id about{};
+    std::uint64_t generation = 0;
+    std::uint32_t sequence = 0;
+    liveness state = liveness::alive;
+};
+
+/// Which record somebody has.
+struct record_summary
+{
+    node_id id{};
+    std::uint64_t generation = 0;
+    std::uint32_t sequence = 0;
+};
+
+constexpr std::size_t digest_buckets = 64; ///< of the membership
+
+/// What a datagram is for.
+enum class gossip_kind : std::uint8_t
+{
+    ping,       ///< answer with an ack
+    ack,        ///< answer to a ping
+    ping_for,   ///< ping `target` and tell me when it answers
+    news,       ///< records and rumours only
+    digest,     ///< hashes of all buckets
+    summaries,  ///< what the sender has in the buckets that differ
+    want,       ///< send me these records
+    ask_usual,  ///< how does your backend server of a service look?
+    tell_usual, ///< answer to ask_usual
+};
+
+constexpr std::size_t gossip_kinds = 9; ///< number of kinds
+
+/// A question about a service's backend servers and its answer.
+struct usual_question
+{
+    std::uint64_t ticket = 0; ///< of the asker
+    service_id service{};
+    span_us back = 0; ///< how far back to look
+    struct report
+    {
+        double seen = 0;
+        double failed = 0;
+        double above = 0;
+    };
+    std::vector<report> reports; ///< one per backend server; in the answer
+};
+
+/// One datagram.
+struct gossip_message
+{
+    gossip_kind kind{};
+    record_summary sender;            ///< who sends, and its newest record
+    centre_id centre{};               ///< data centre of the sender
+    std::uint64_t config_version = 0; ///< highest that the sender heard of
+    std::uint64_t config_hash = 0;    ///< of that version's manifest
+    std::uint64_t probe = 0;          ///< ping, ack and ping_for: which probe
+    node_id target{};                 ///< ping_for: whom to ping
+    node_address target_address;      ///< ping_for: where it is
+    std::vector<node_record> records;
+    std::vector<rumour> rumours;
+    std::vector<std::uint64_t> digest; ///< digest_buckets hashes
+    std::uint64_t buckets = 0;         ///< summaries: which, as bits
+    std::vector<record_summary> summaries;
+    std::vector<node_id> want;
+    usual_question usual;
+};
+
+/// A datagram to send.
+struct outgoing
+{
+    std::uint32_t ip = 0;
+    std::uint16_t port = 0;
+    gossip_message message;
+};
+
+/// Times and sizes of the protocol.
+struct member_policy
+{
+    span_us flush_every = 100 * us_per_ms; ///< news is sent this often
+    span_us probe_every = us_per_s;        ///< one member is probed
+    span_us probe_wait = 500 * us_per_ms;  ///< for an ack, each stage
+    span_us suspect_wait = 3 * us_per_s;   ///< until a suspect is dead
+    span_us digest_every = 4 * us_per_s;   ///< with one peer
+    span_us refresh_centre = us_per_s;     ///< relays greet other centres
+    span_us forget_after = 600 * us_per_s; ///< a dead member
+    std::size_t fanout = 2;                ///< peers per flush
+    std::size_t rounds = 2;                ///< flushes that repeat news
+    std::size_t relays = 2;                ///< per foreign data centre
+    std::size_t helpers = 3;               ///< asked to probe for us
+    std::size_t datagram_bytes = 1200;     ///< room for records
+    std::size_t most_members = 8192;       ///< more are not taken in
+    std::size_t most_wanted = 24;          ///< records asked for at once
+};
+
+/// One known node.
+struct member
+{
+    node_record record;
+    liveness state = liveness::alive;
+    mono_us state_at = 0; ///< when state last changed
+};
+
+/// News that waits to be pushed.
+struct pending_news
+{
+    node_id about{};
+    std::size_t rounds = 0; ///< flushes left
+};
+
+/// A probe that waits for its ack.
+struct open_probe
+{
+    node_id target{};
+    mono_us sent_at = 0;
+    bool helped = false; ///< helpers were asked
+    std::uint64_t number = 0;
+};
+
+/// A ping sent for another node.
+struct relayed_probe
+{
+    std::uint64_t number = 0; ///< of our ping
+    std::uint64_t their_number = 0;
+    std::uint32_t ip = 0; ///< who asked
+    std::uint16_t port = 0;
+    mono_us sent_at = 0;
+};
+
+/// What changed, for the owner of the table to act on and to log.
+enum class member_change_kind : std::uint8_t
+{
+    joined,  ///< new, or back after death
+    updated, ///< a newer record
+    suspected,
+    dead,
+    clash,  ///< another process speaks under our name
+    config, ///< a higher configuration version was heard of
+};
+
+struct member_change
+{
+    member_change_kind kind{};
+    node_id about{};
+};
+
+/// Membership as one node knows it.
+struct member_table
+{
+    member_policy policy;
+    node_record self;
+    std::vector<node_address> seeds; ///< first contacts; gossip address used
+    // Invariant: holds every other node that was heard of and not forgotten;
+    // never self; at most policy.most_members.
+    std::unordered_map<node_id, member> members;
+    // Invariant: the XOR of the hashes of self and all members per bucket.
+    std::array<std::uint64_t, digest_buckets> digest{};
+    std::uint64_t config_version = 0; ///< highest that was heard of
+    std::uint64_t config_hash = 0;
+    std::size_t config_rounds = 0; ///< flushes that still carry its number
+    std::deque<pending_news> news;
+    std::vector<open_probe> probes;
+    std::vector<relayed_probe> relayed; ///< invariant: <= 64
+    std::vector<node_id> probe_order;   ///< shuffled; each turn ends a round
+    std::size_t probe_next = 0;
+    std::uint64_t probe_count = 0;
+    int own_trouble = 0; ///< 0..8; failed probes make us doubt ourselves
+    bool behind = true;  ///< the last digest differed: repair soon
+    mono_us flush_at = 0;
+    mono_us probe_at = 0;
+    mono_us digest_at = 0;
+    mono_us greet_at = 0;
+    std::vector<member_change> changes; ///< taken by the owner
+};
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/admin_cmd.cpp
@@ -0,0 +1,146 @@
+// Commands of the administration API. Each is checked first and leaves an
+// audit event with who asked and why.
+#include "base/text_func.hpp"
+#include "node/admin_api.hpp"
+#include "node/announce.hpp"
+#include "verdict/floor_type.hpp"
+
+#include <boost/json.hpp>
+#include <sodium.h>
+
+namespace jasminetray {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::int64_t default_seconds = 600;
+constexpr std::int64_t most_seconds = 86400;
+
+/// A command after parsing.
+struct command
+{
+    std::string name;
+    worker_id worker{};
+    std::string reason;
+    std::int64_t seconds = default_seconds;
+    bool force = false;
+};
+
+api_answer refuse(unsigned status, const std::string& why)
+{
+    return {status, json::serialize(json::object{{"error", why}})};
+}
+
+std::optional<command> parse_command(const std::string& request,
+                                     std::string& why)
+{
+    json::error_code ec;
+    const auto v = json::parse(request, ec);
+    if (ec || !v.is_object()) {
+        why = "expected a JSON object";
+        return std::nullopt;
+    }
+    const auto& o = v.as_object();
+    const auto words = [&](const char* key) {
+        const auto* x = o.if_contains(key);
+        return x && x->is_string() ? std::string(x->as_string()) : "";
+    };
+    command c;
+    c.name = words("command");
+    c.reason = words("reason");
+    const auto worker = parse_hex(words("worker"));
+    const auto* seconds = o.if_contains("seconds");
+    if (seconds && seconds->is_int64())
+        c.seconds = seconds->as_int64();
+    const auto* force = o.if_contains("force");
+    c.force = force && force->is_bool() && force->as_bool();
+    if (!worker)
+        why = "worker must be a backend server's id in hex";
+    else if (c.reason.empty())
+        why = "a reason is needed";
+    else if (c.seconds < 1 || c.seconds > most_seconds)
+        why = "seconds must be 1 to 86400";
+    if (!why.empty())
+        return std::nullopt;
+    c.worker = static_cast<worker_id>(*worker);
+    return c;
+}
+
+bool may_command(const node_state& n, const api_caller& who)
+{
+    const auto& token = n.settings.admin_token;
+    if (token.empty())
+        return who.loopback;
+    return who.token.size() == token.size() &&
+           sodium_memcmp(who.token.data(), token.data(), token.size()) == 0;
+}
+
+/// Says which node guards a backend server that is not on this VM.
+api_answer point_elsewhere(const node_state& n, worker_id id)
+{
+    for (const auto& [node, v] : n.view.nodes) {
+        for (const auto& w : v.record.workers) {
+            if (w.id != id)
+                continue;
+            const auto& a = v.record.address;
+            return {421, json::serialize(json::object{
+                             {"ask", asio::ip::address_v4(a.ip).to_string() +
+                                         ":" + std::to_string(a.rpc_port)},
+                             {"node", v.record.name}})};
+        }
+    }
+    return refuse(404, "no such backend server");
+}
+
+void audit(node_state& n, event_id id, const command& c, const api_caller& who)
+{
+    n.events.write(id, n.workers[c.worker].name,
+                   "command=" + c.name + " by=" + who.name +
+                       " seconds=" + std::to_string(c.seconds) + " force=" +
+                       (c.force ? "1" : "0") + " reason=" + c.reason);
+}
+
+} // namespace
+
+bool is_command(const std::string& request)
+{
+    json::error_code ec;
+    const auto v = json::parse(request, ec);
+    return !ec && v.is_object() && v.as_object().contains("command");
+}
+
+api_answer carry_out_command(node_state& n, const std::string& request,
+                             const api_caller& who)
+{
+    if (!may_command(n, who)) {
+        n.events.write(event_id::operator_denied, who.name, "");
+        return refuse(403, "a valid token is needed");
+    }
+    std::string why;
+    const auto c = parse_command(request, why);
+    if (!c)
+        return refuse(400, why);
+    const auto it = n.workers.find(c->worker);
+    if (it == n.workers.end())
+        return point_elsewhere(n, c->worker);
+    auto& w = it->second;
+    if (c->name == "drain" || c->name == "undrain") {
+        audit(n, event_id::operator_drain, *c, who);
+        drain_worker(n, c->worker, c->name == "drain");
+    } else if (c->name == "eject") {
+        audit(n, event_id::operator_eject, *c, who);
+        w.by_operator = c->force ? forced_severity : operator_severity;
+        w.operator_until = mono_now() + c->seconds * us_per_s;
+        publish_self(n);
+    } else if (c->name == "readmit") {
+        audit(n, event_id::operator_readmit, *c, who);
+        w.by_operator = 0;
+        publish_self(n);
+    } else {
+        return refuse(400, "unknown command '" + c->name + "'");
+    }
+    return {200, R"({"done":true})"};
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/admin_query.cpp
@@ -0,0 +1,190 @@
+// Questions of the administration API; nothing here changes state.
+#include "base/text_func.hpp"
+#include "config/config_query.hpp"
+#include "gate/gate_query.hpp"
+#include "node/admin_api.hpp"
+#include "table/event_table.hpp"
+#include "verdict/verdict_query.hpp"
+
+#include <boost/json.hpp>
+
+namespace jasminetray {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::size_t most_records = 200;
+
+inline constexpr std::array<std::string_view, event_families> family_names = {
+    "routing", "health", "membership", "configuration", "operation", "process"};
+
+std::string hex(worker_id id)
+{
+    return to_hex(static_cast<std::uint64_t>(id));
+}
+
+std::string text_at(const json::object& o, const char* key)
+{
+    const auto* v = o.if_contains(key);
+    return v && v->is_string() ? std::string(v->as_string()) : std::string();
+}
+
+json::object service_json(const node_state& n, const std::string& name,
+                          const service_view& s)
+{
+    json::array workers;
+    for (std::size_t k = 0; k < s.candidates.size(); ++k) {
+        const auto& c = s.candidates[k];
+        const auto node = n.view.nodes.find(c.exit);
+        workers.push_back(json::object{{"worker", hex(c.id)},
+                                       {"node", node == n.view.nodes.end()
+                                                    ? ""
+                                                    : node->second.record.name},
+                                       {"slots", c.slots},
+                                       {"weight", c.weight},
+                                       {"severity", s.claims[k].severity},
+                                       {"alive", s.claims[k].alive},
+                                       {"ejected", c.trickle},
+                                       {"held_by_floor", c.held},
+                                       {"load", c.load},
+                                       {"in_flight_here", c.in_flight}});
+    }
+    const auto* c = n.config ? find_service(*n.config, name) : nullptr;
+    return {{"service", name},
+            {"slots", s.total},
+            {"floor_slots", c ? floor_slots(*c, s.total) : 0},
+            {"at_floor", s.at_floor},
+            {"workers", workers}};
+}
+
+json::object status_json(const node_state& n)
+{
+    json::array workers;
+    const auto now = mono_now();
+    for (const auto& [id, w] : n.workers) {
+        workers.push_back(json::object{
+            {"worker", hex(id)},
+            {"name", w.name},
+            {"service", w.service},
+            {"slots", w.slots},
+            {"draining", w.draining || w.drained_here},
+            {"standing", name_of(standing_names, w.health.state)},
+            {"evidence", health_score(w.health, w.policy, now)},
+            {"threshold", health_threshold(w.health, w.policy, now)},
+            {"load", gate_load(n.door, id)}});
+    }
+    return {{"node", n.settings.name},
+            {"data_centre", n.settings.centre},
+            {"boot", to_hex(static_cast<std::uint64_t>(n.door.boot))},
+            {"stopping", n.stopping},
+            {"config_version",
+             n.config ? static_cast<std::int64_t>(n.config->version) : 0},
+            {"config_age_s", n.config ? (now - n.config_at) / us_per_s : 0},
+            {"store_reachable", n.store_reachable},
+            {"members", n.view.nodes.size()},
+            {"self_doubt", n.paths.self_doubt},
+            {"in_flight", n.in_flight},
+            {"gate_records", n.door.records.size()},
+            {"workers", workers}};
+}
+
+json::object fleet_json(const node_state& n)
+{
+    json::array nodes;
+    for (const auto& [id, v] : n.view.nodes) {
+        const auto& r = v.record;
+        nodes.push_back(
+            json::object{{"node", r.name},
+                         {"state", name_of(liveness_names, v.state)},
+                         {"leaving", r.leaving},
+                         {"ip", asio::ip::address_v4(r.address.ip).to_string()},
+                         {"entry_port", r.address.entry_port},
+                         {"rpc_port", r.address.rpc_port},
+                         {"workers", r.workers.size()},
+                         {"path_usable", path_usable(n.paths, id)}});
+    }
+    return {{"asked", n.settings.name}, {"nodes", nodes}};
+}
+
+json::object record_json(const event_record& r)
+{
+    const auto& row = row_of(r.id);
+    return {{"event", number_of(r.id)},
+            {"name", row.name},
+            {"wall_ms", r.wall_ms},
+            {"config_version", static_cast<std::int64_t>(r.config_version)},
+            {"subject", r.subject},
+            {"detail", r.detail},
+            {"meaning", row.meaning},
+            {"action", row.action}};
+}
+
+/// A request's id names its entry node; only that one has its records.
+std::optional<json::object> elsewhere(const node_state& n,
+                                      const std::string& subject)
+{
+    const auto id = parse_request_id(subject);
+    if (!id || id->entry == n.self.id)
+        return std::nullopt;
+    const auto it = n.view.nodes.find(id->entry);
+    if (it == n.view.nodes.end())
+        return json::object{{"error", "the entry node of this request is no "
+                                      "member any more"}};
+    const auto& r = it->second.record;
+    return json::object{{"ask", asio::ip::address_v4(r.address.ip).to_string() +
+                                    ":" + std::to_string(r.address.rpc_port)},
+                        {"node", r.name}};
+}
+
+json::object explain_json(const node_state& n, const json::object& q)
+{
+    const auto subject = text_at(q, "subject");
+    if (auto other = elsewhere(n, subject))
+        return *other;
+    const auto family =
+        value_of<event_family>(family_names, text_at(q, "family"));
+    if (!family)
+        return {{"error", "unknown family"}};
+    json::array records;
+    for (const auto& r : n.events.find(*family, subject, most_records))
+        records.push_back(record_json(r));
+    return {{"node", n.settings.name},
+            {"records", records},
+            {"overwritten_up_to",
+             static_cast<std::int64_t>(n.events.overwritten(*family))}};
+}
+
+json::object find_answer(const node_state& n, const json::object& q)
+{
+    const auto name = text_at(q, "query");
+    if (name == "status")
+        return status_json(n);
+    if (name == "fleet")
+        return fleet_json(n);
+    if (name == "explain")
+        return explain_json(n, q);
+    if (name == "service") {
+        const auto service = text_at(q, "name");
+        const auto it = n.view.services.find(service_of(service));
+        if (it != n.view.services.end())
+            return service_json(n, service, it->second);
+        return {{"error",
+                 "no backend server of service '" + service + "' is known"}};
+    }
+    return {{"error", "unknown query '" + name + "'"}};
+}
+
+} // namespace
+
+api_answer answer_query(const node_state& n, const std::string& request)
+{
+    json::error_code ec;
+    const auto v = json::parse(request, ec);
+    if (ec || !v.is_object())
+        return {400, R"({"error":"expected a JSON object"})"};
+    const auto answer = find_answer(n, v.as_object());
+    return {answer.contains("error") ? 404U : 200U, json::serialize(answer)};
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/config_actor.cpp
@@ -0,0 +1,150 @@
+// The actor that keeps the configuration: reads the head row when it is its
+// turn, fetches from peers first and from the store else, and never goes
+// back to a lower version.
+#include "base/text_func.hpp"
+#include "config/config_check.hpp"
+#include "config/config_store.hpp"
+#include "node/control_type.hpp"
+#include "rpc/peer_rpc.hpp"
+
+#include <algorithm>
+
+namespace jasminetray {
+
+namespace {
+
+constexpr std::chrono::milliseconds poll_every(1000);
+constexpr span_us chunk_bound = us_per_s / 2;
+
+/// State of the actor.
+struct config_keeper
+{
+    std::shared_ptr<control_context> context;
+    std::uint64_t in_force = 0; ///< version; only rises
+    version_message heard;      ///< highest; only rises
+    std::vector<node_address> peers;
+    bool poll = false;
+    bool reachable = true;           ///< the store, when it was last asked
+    std::vector<std::uint64_t> used; ///< hashes that were read
+};
+
+std::uint64_t hash_in(const std::string& name)
+{
+    const auto dash = name.rfind('-');
+    return parse_hex(name.substr(dash + 1)).value_or(0);
+}
+
+/// An object from the cache, then peers, then the store.
+std::optional<std::string> fetch(config_keeper& k, const std::string& name)
+{
+    auto& x = *k.context;
+    const auto hash = hash_in(name);
+    k.used.push_back(hash);
+    if (auto found = x.cache->get(hash))
+        return found;
+    const auto fits = [hash](const std::optional<std::string>& s) {
+        return s && text_hash(*s) == hash;
+    };
+    for (const auto& p : k.peers) {
+        auto found = call_chunk(p.ip, p.rpc_port, hash, chunk_bound);
+        if (fits(found)) {
+            x.cache->put(hash, *found);
+            return found;
+        }
+    }
+    platform_error last{};
+    auto found = x.start.has_platform ? x.start.platform.get_object(name, last)
+                                      : std::nullopt;
+    if (fits(found))
+        x.cache->put(hash, *found);
+    return found;
+}
+
+/// Brings the highest version that was heard of into force.
+void catch_up(config_keeper& k)
+{
+    if (k.heard.version <= k.in_force)
+        return;
+    auto& x = *k.context;
+    const auto version = k.heard.version;
+    const auto subject = "version-" + std::to_string(version);
+    std::string why;
+    k.used.clear();
+    const auto files = load_files(
+        k.heard.manifest,
+        [&](const std::string& name) { return fetch(k, name); }, why);
+    if (!files) {
+        x.events->write(event_id::config_fetch_failed, subject, why);
+        return;
+    }
+    config_error wrong;
+    auto c = build_config(*files, x.start.settings.centre, version, wrong);
+    if (!c) {
+        x.events->write(event_id::config_refused, subject, wrong.text());
+        return;
+    }
+    k.in_force = version;
+    x.cache->keep_only(k.used);
+    x.events->set_config_version(version);
+    x.events->write(event_id::config_in_force, subject,
+                    "manifest=" + to_hex(k.heard.manifest) +
+                        " services=" + std::to_string(c->services.size()) +
+                        " routes=" + std::to_string(c->routes.size()));
+    x.sinks.config_ready(std::make_shared<const fleet_config>(std::move(*c)));
+}
+
+void note_store(config_keeper& k, bool reachable)
+{
+    if (reachable != k.reachable) {
+        k.context->events->write(reachable ? event_id::store_reachable
+                                           : event_id::store_unreachable,
+                                 k.context->start.settings.platform, "");
+    }
+    k.reachable = reachable;
+    k.context->sinks.store_state(reachable);
+}
+
+/// Reads the head row. Two that do so at once are harmless: both learn the
+/// same, and a version is only ever taken up when it is higher.
+void poll_head(caf::event_based_actor* self, config_keeper& k,
+               const caf::actor& members)
+{
+    platform_error last{};
+    const auto head = read_head(k.context->start.platform, last);
+    note_store(k, head.has_value());
+    if (!head || head->version <= k.heard.version)
+        return;
+    k.heard = {head->version, head->manifest};
+    self->send(members, k.heard);
+}
+
+} // namespace
+
+caf::behavior config_actor(caf::event_based_actor* self,
+                           std::shared_ptr<control_context> context,
+                           caf::actor members)
+{
+    auto k = std::make_shared<config_keeper>();
+    k->context = context;
+    self->send(self, tick_atom::value);
+    return {
+        [=](tick_atom) {
+            const bool due = k->poll || k->in_force == 0;
+            if (due && context->start.has_platform)
+                poll_head(self, *k, members);
+            catch_up(*k);
+            self->delayed_send(self, poll_every, tick_atom::value);
+        },
+        [=](const version_message& m) {
+            if (m.version > k->heard.version)
+                k->heard = m;
+            catch_up(*k);
+        },
+        [=](const peers_message& m) {
+            k->poll = m.poll;
+            k->peers = m.peers;
+        },
+    };
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/control.cpp
@@ -0,0 +1,75 @@
+// Starting and stopping the control actors; see control.hpp.
+#include "node/control_type.hpp"
+
+namespace jasminetray {
+
+namespace {
+
+caf::actor_system_config& quiet_config(caf::actor_system_config& c)
+{
+    // The work-stealing scheduler polls even when idle; on thousands of
+    // small VMs that is CPU for nothing.
+    c.set("scheduler.policy", caf::atom("sharing"));
+    c.set("scheduler.max-threads", 1);
+    return c;
+}
+
+} // namespace
+
+struct control::running
+{
+    caf::actor_system_config config;
+    std::unique_ptr<caf::actor_system> system;
+    caf::actor members;
+    caf::actor configuration;
+};
+
+control::control(control_start start, control_sinks sinks, event_log& events,
+                 config_cache& cache)
+    : running_(std::make_unique<running>())
+{
+    auto context = std::make_shared<control_context>();
+    context->start = std::move(start);
+    context->sinks = std::move(sinks);
+    context->events = &events;
+    context->cache = &cache;
+    auto& r = *running_;
+    r.system = std::make_unique<caf::actor_system>(quiet_config(r.config));
+    r.members = r.system->spawn(member_actor, context);
+    // Calls to the store block; a thread of its own keeps them away from
+    // membership, which must go on while the store is out.
+    r.configuration =
+        r.system->spawn<caf::detached>(config_actor, context, r.members);
+    caf::anon_send(r.members, members_atom::value, r.configuration);
+}
+
+control::~control()
+{
+    auto& r = *running_;
+    caf::anon_send_exit(r.members, caf::exit_reason::user_shutdown);
+    caf::anon_send_exit(r.configuration, caf::exit_reason::user_shutdown);
+    r.members = nullptr;
+    r.configuration = nullptr;
+    r.system.reset();
+}
+
+void control::take_datagram(std::string bytes, std::uint32_t ip,
+                            std::uint16_t port)
+{
+    caf::anon_send(running_->members,
+                   datagram_message{std::move(bytes), ip, port});
+}
+
+void control::update_self(node_record r)
+{
+    caf::anon_send(running_->members, self_message{std::move(r)});
+}
+
+void control::send_usual(std::uint32_t ip, std::uint16_t port, usual_question q,
+                         bool answer)
+{
+    caf::anon_send(running_->members,
+                   usual_message{ip, port, std::move(q), answer});
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/control_type.hpp
@@ -0,0 +1,75 @@
+// Messages of the control actors. They stay within the process, so they are
+// plain structs that CAF moves without serializing.
+#pragma once
+
+#include "node/control.hpp"
+
+#include <caf/all.hpp>
+
+namespace jasminetray {
+
+/// A datagram that came in.
+struct datagram_message
+{
+    std::string bytes;
+    std::uint32_t ip = 0;
+    std::uint16_t port = 0;
+};
+
+/// The node's own record changed.
+struct self_message
+{
+    node_record record;
+};
+
+/// A question about a service to send, or an answer.
+struct usual_message
+{
+    std::uint32_t ip = 0;
+    std::uint16_t port = 0;
+    usual_question question;
+    bool answer = false;
+};
+
+/// A configuration version that somebody has or heard of.
+struct version_message
+{
+    std::uint64_t version = 0;
+    std::uint64_t manifest = 0;
+};
+
+/// What the configuration actor needs to know about members.
+struct peers_message
+{
+    bool poll = false;               ///< this node is one that reads the head
+    std::vector<node_address> peers; ///< some to fetch from
+};
+
+using tick_atom = caf::atom_constant<caf::atom("tick")>;
+using members_atom = caf::atom_constant<caf::atom("members")>;
+
+/// Settings, sinks and shared objects of both actors.
+struct control_context
+{
+    control_start start;
+    control_sinks sinks;
+    event_log* events = nullptr;
+    config_cache* cache = nullptr;
+};
+
+/// Actor that keeps membership.
+caf::behavior member_actor(caf::event_based_actor* self,
+                           std::shared_ptr<control_context> context);
+
+/// Actor that keeps the configuration; blocking, with its own thread.
+caf::behavior config_actor(caf::event_based_actor* self,
+                           std::shared_ptr<control_context> context,
+                           caf::actor members);
+
+} // namespace jasminetray
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::datagram_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::self_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::usual_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::version_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::peers_message)
--- /dev/null
+++ b/src/node/entry_attempt.cpp
@@ -0,0 +1,388 @@
+// Attempts of the entry side over the network; see entry_run.hpp.
+#include "base/text_func.hpp"
+#include "node/entry_run.hpp"
+#include "node/http_func.hpp"
+
+namespace jasminetray {
+
+namespace {
+
+constexpr span_us connect_bound = 250 * us_per_ms;
+constexpr span_us ping_bound = 100 * us_per_ms;
+constexpr span_us revoke_bound = 80 * us_per_ms;
+constexpr span_us keep_idle = 30 * us_per_s;
+constexpr std::size_t most_idle = 32; // connections per exit node
+
+/// What an attempt came to, before it is told to the machine.
+struct try_result
+{
+    attempt_event_kind kind{};
+    std::string reason;
+};
+
+void take_stamp(node_state& n, node_id exit, const http::fields& f)
+{
+    const auto it = n.view.nodes.find(exit);
+    const auto boot = parse_hex(field_of(f, hop_field::boot));
+    const auto stamp = parse_whole(field_of(f, hop_field::stamp));
+    if (it == n.view.nodes.end() || !boot || !stamp)
+        return;
+    auto& v = it->second;
+    const auto now = mono_now();
+    // Stamps of one process only move forward; another process starts anew.
+    if (v.stamp_boot != static_cast<boot_id>(*boot) || *stamp > v.stamp) {
+        v.stamp_boot = static_cast<boot_id>(*boot);
+        v.stamp = *stamp;
+        v.stamp_at = now;
+    }
+    v.good_at = now;
+}
+
+void take_claim(node_state& n, const entry_run& r, const entry_try& t,
+                const http::fields& f)
+{
+    const auto load = parse_real(field_of(f, hop_field::load));
+    const auto severity = parse_whole(field_of(f, hop_field::severity));
+    const auto it = n.view.services.find(r.service_key);
+    auto* c = view_candidate(n.view, r.service_key, t.worker);
+    if (c == nullptr || it == n.view.services.end())
+        return;
+    const auto now = mono_now();
+    if (load) {
+        c->load = *load;
+        c->load_at = now;
+    }
+    if (!severity)
+        return;
+    const auto place =
+        static_cast<std::size_t>(c - it->second.candidates.data());
+    auto& spoken = it->second.spoken[place];
+    // A verdict acts on the next request, not when gossip brings it.
+    const bool moved = spoken.severity / 25 != *severity / 25;
+    spoken = {static_cast<int>(*severity), now};
+    if (moved && r.service != nullptr)
+        view_apply(n.view, r.service_key, *r.service, n.paths, now);
+}
+
+std::unique_ptr<http_link> connect_exit(node_state& n, const entry_try& t,
+                                        mono_us deadline, const yield& y)
+{
+    auto link = std::make_unique<http_link>(n.ctx);
+    const auto left = std::max<span_us>(1, deadline - mono_now());
+    link->stream.expires_after(
+        std::chrono::microseconds(std::min(connect_bound, left)));
+    const tcp::endpoint at(asio::ip::address_v4(t.address.ip),
+                           t.address.exit_port);
+    beast::error_code ec;
+    link->stream.async_connect(at, y[ec]);
+    if (ec)
+        return nullptr;
+    link->stream.socket().set_option(tcp::no_delay(true), ec);
+    return link;
+}
+
+/// Proves a connection and fetches a fresh stamp.
+bool ping(node_state& n, http_link& link, node_id exit, const yield& y)
+{
+    http::request<http::empty_body> q(http::verb::get, ping_path, 11);
+    q.keep_alive(true);
+    link.stream.expires_after(std::chrono::microseconds(ping_bound));
+    beast::error_code ec;
+    http::async_write(link.stream, q, y[ec]);
+    if (ec)
+        return false;
+    string_response r;
+    http::async_read(link.stream, link.buf, r, y[ec]);
+    if (ec)
+        return false;
+    take_stamp(n, exit, r);
+    return true;
+}
+
+bool needs_ping(const entry_run& r, const http_link& link, node_id exit)
+{
+    if (r.machine.policy.idempotent)
+        return false;
+    const auto now = mono_now();
+    const auto it = r.n.view.nodes.find(exit);
+    const bool stale = it == r.n.view.nodes.end() ||
+                       it->second.stamp_boot != it->second.record.boot ||
+                       now - it->second.stamp_at > r.n.settings.quiet;
+    return stale || (link.used && now - link.last_used > r.n.settings.quiet);
+}
+
+/// A connection that is fit for this work, or nothing.
+std::unique_ptr<http_link> open_link(entry_run& r, entry_try& t, bool fresh,
+                                     const yield& y)
+{
+    auto& n = r.n;
+    if (!fresh) {
+        auto link = take_idle(n.exits[t.exit], mono_now() - keep_idle);
+        // A connection that was quiet may have been forgotten by something
+        // in between; non-idempotent work is not the way to find out.
+        if (link &&
+            (!needs_ping(r, *link, t.exit) || ping(n, *link, t.exit, y)))
+            return link;
+    }
+    auto link = connect_exit(n, t, r.machine.deadline, y);
+    if (link && needs_ping(r, *link, t.exit) && !ping(n, *link, t.exit, y))
+        link = nullptr;
+    return link;
+}
+
+string_request make_message(const entry_run& r, const entry_try& t,
+                            std::uint32_t count)
+{
+    const auto& n = r.n;
+    string_request q = r.message;
+    strip_hop_fields(q);
+    q.version(11);
+    q.keep_alive(true);
+    const auto it = n.view.nodes.find(t.exit);
+    const bool known =
+        it != n.view.nodes.end() && it->second.stamp_boot == t.boot;
+    q.set(hop_field::attempt, to_text(attempt_id{r.id, count}));
+    q.set(hop_field::boot, to_hex(static_cast<std::uint64_t>(t.boot)));
+    q.set(hop_field::stamp, std::to_string(known ? it->second.stamp : 0));
+    q.set(hop_field::remaining,
+          std::to_string(r.machine.deadline - mono_now()));
+    q.set(hop_field::idempotent, r.machine.policy.idempotent ? "1" : "0");
+    q.set(hop_field::worker, to_hex(static_cast<std::uint64_t>(t.worker)));
+    q.set(hop_field::priority, std::to_string(r.route->priority));
+    q.set(hop_field::centre, n.settings.centre);
+    q.set(hop_field::klass, std::to_string(r.klass));
+    q.prepare_payload();
+    return q;
+}
+
+/// Turns the exit node's answer into an event.
+try_result read_outcome(const entry_run& r, entry_try& t, std::uint32_t count)
+{
+    const auto& head = t.parser->get();
+    if (r.n.safeguards.check_echo && field_of(head, hop_field::attempt) !=
+                                         to_text(attempt_id{r.id, count})) {
+        r.n.events.write(event_id::echo_mismatch, to_text(r.id),
+                         "exit=" + to_hex(static_cast<std::uint64_t>(t.exit)));
+        return {attempt_event_kind::lost, "echo-mismatch"};
+    }
+    const auto outcome = field_of(head, hop_field::outcome);
+    const auto reason = field_of(head, hop_field::reason);
+    t.retry_after =
+        parse_whole(field_of(head, hop_field::retry_us)).value_or(0);
+    if (outcome == "answer") {
+        const bool failed = field_of(head, hop_field::failed) == "1";
+        const bool whole = t.parser->is_done();
+        return {failed && whole && r.machine.policy.idempotent
+                    ? attempt_event_kind::failed_answer
+                    : attempt_event_kind::answer,
+                failed ? "server-failure" : ""};
+    }
+    if (outcome == "not-run")
+        return {attempt_event_kind::not_run, reason};
+    return {attempt_event_kind::unknown, reason};
+}
+
+/// Sends an attempt and waits for its answer's held part.
+try_result run_try(entry_run& r, entry_try& t, std::uint32_t count, bool fresh,
+                   const yield& y)
+{
+    auto& n = r.n;
+    t.link = open_link(r, t, fresh, y);
+    if (!t.link || t.cancelled) {
+        if (!t.cancelled)
+            note_path(n, t.exit, true);
+        return {attempt_event_kind::unsent, "exit-unreachable"};
+    }
+    auto q = make_message(r, t, count);
+    // A little longer than the machine waits: it decides, not the socket.
+    t.link->stream.expires_after(std::chrono::microseconds(
+        std::max<span_us>(0, r.machine.deadline - mono_now()) + us_per_s));
+    beast::error_code ec;
+    const auto sent = http::async_write(t.link->stream, q, y[ec]);
+    if (ec && sent == 0)
+        return {attempt_event_kind::unsent, "exit-write"};
+    if (!ec) {
+        t.parser = std::make_unique<response_parser>();
+        t.parser->body_limit(boost::none);
+        if (r.message.method() == http::verb::head)
+            t.parser->skip(true);
+        ec = read_held(*t.link, *t.parser,
+                       static_cast<std::size_t>(n.settings.hold_bytes), y);
+    }
+    if (ec) {
+        if (!t.cancelled)
+            note_path(n, t.exit, true);
+        return {attempt_event_kind::lost, "exit-lost"};
+    }
+    note_path(n, t.exit, false);
+    take_stamp(n, t.exit, t.parser->get());
+    take_claim(n, r, t, t.parser->get());
+    return read_outcome(r, t, count);
+}
+
+void release(entry_run& r, entry_try& t, const try_result& result)
+{
+    if (auto* c = view_candidate(r.n.view, r.service_key, t.worker))
+        c->in_flight = std::max(0, c->in_flight - 1);
+    // An answer that is not whole goes on; the caller's coroutine owns it.
+    const bool complete = t.parser && t.parser->is_done() && !t.cancelled;
+    if (complete && result.reason != "echo-mismatch" &&
+        is_clean(*t.link, t.parser->keep_alive())) {
+        give_back(r.n.exits[t.exit], std::move(t.link), most_idle, mono_now());
+    } else if (complete || t.cancelled) {
+        t.link.reset();
+    }
+}
+
+std::optional<choice> choose(entry_run& r)
+{
+    const auto it = r.n.view.services.find(r.service_key);
+    if (it == r.n.view.services.end())
+        return std::nullopt;
+    const auto& all = it->second.candidates;
+    if (!r.home)
+        return choose_worker(all, r.n.balance, r.machine.policy.idempotent,
+                             r.tried, r.n.rng, mono_now());
+    for (std::size_t k = 0; k < all.size(); ++k) {
+        if (all[k].id == *r.home && all[k].weight > 0 && r.tried.empty())
+            return choice{k, 0, 0};
+    }
+    return std::nullopt;
+}
+
+/// Fills in where an attempt goes; false when nobody is left.
+bool aim(entry_run& r, entry_try& t, std::uint32_t count)
+{
+    const auto c = choose(r);
+    if (!c)
+        return false;
+    auto& x = r.n.view.services[r.service_key].candidates[c->index];
+    const auto node = r.n.view.nodes.find(x.exit);
+    if (node == r.n.view.nodes.end())
+        return false;
+    t.worker = x.id;
+    t.exit = x.exit;
+    t.boot = node->second.record.boot;
+    t.address = node->second.record.address;
+    ++x.in_flight;
+    r.tried.push_back(x.id);
+    r.n.events.write(
+        count == 1 ? event_id::request_routed : event_id::request_retried,
+        to_text(r.id),
+        "service=" + r.service->name + " attempt=" + std::to_string(count) +
+            " worker=" + to_hex(static_cast<std::uint64_t>(x.id)) + " exit=" +
+            node->second.record.name + " cost=" + std::to_string(c->cost) +
+            " other_cost=" + std::to_string(c->other_cost) +
+            (x.trickle ? " trickle=1" : ""));
+    return true;
+}
+
+void log_path(node_state& n, node_id exit, path_step step)
+{
+    const auto subject = to_hex(static_cast<std::uint64_t>(exit));
+    switch (step) {
+    case path_step::none:
+        return;
+    case path_step::avoid:
+        n.events.write(event_id::path_avoided, subject, "");
+        break;
+    case path_step::restore:
+        n.events.write(event_id::path_restored, subject, "");
+        break;
+    case path_step::doubt_self:
+        n.events.write(event_id::self_doubt_began, n.settings.name, "");
+        break;
+    case path_step::trust_self:
+        n.events.write(event_id::self_doubt_ended, n.settings.name, "");
+        break;
+    }
+    publish_self(n);
+}
+
+} // namespace
+
+void entry_run::tell(attempt_event_kind kind, std::uint32_t count,
+                     std::string reason)
+{
+    inbox.push_back({kind, count, std::move(reason)});
+    signal.cancel();
+}
+
+void note_path(node_state& n, node_id exit, bool lost)
+{
+    if (exit == n.self.id)
+        return;
+    log_path(n, exit,
+             path_seen(n.paths, n.path_settings, exit, lost, mono_now()));
+}
+
+void start_attempt(const std::shared_ptr<entry_run>& r, std::uint32_t count,
+                   bool fresh)
+{
+    r->tries.emplace_back();
+    auto& t = r->tries.back();
+    if (!aim(*r, t, count))
+        return r->tell(attempt_event_kind::no_worker, count, "no-worker");
+    asio::spawn(
+        r->n.ctx,
+        [r, &t, count, fresh](const yield& y) {
+            const auto result = run_try(*r, t, count, fresh, y);
+            release(*r, t, result);
+            if (!t.cancelled)
+                r->tell(result.kind, count, result.reason);
+        },
+        asio::detached);
+}
+
+void start_revoke(const std::shared_ptr<entry_run>& r, std::uint32_t count)
+{
+    const auto& t = r->tries[count - 1];
+    const auto left = r->machine.deadline - mono_now();
+    const auto bound = std::min(revoke_bound, std::max<span_us>(1, left));
+    r->n.control.revoke(
+        t.address, attempt_id{r->id, count}, t.boot, bound,
+        [r, count](std::optional<revoke_reply> reply) {
+            r->n.events.write(
+                event_id::attempt_revoked, to_text(r->id),
+                "attempt=" + std::to_string(count) + " reply=" +
+                    std::string(reply ? name_of(revoke_reply_names, *reply)
+                                      : "none"));
+            const auto kind = !reply ? attempt_event_kind::revoke_unknown
+                              : *reply == revoke_reply::not_run
+                                  ? attempt_event_kind::revoke_not_run
+                              : *reply == revoke_reply::started ||
+                                      *reply == revoke_reply::finished
+                                  ? attempt_event_kind::revoke_open
+                                  : attempt_event_kind::revoke_unknown;
+            if (!reply)
+                note_path(r->n, r->tries[count - 1].exit, true);
+            r->tell(kind, count, reply ? "" : "exit-silent");
+        });
+}
+
+void cancel_attempt(entry_run& r, std::uint32_t count)
+{
+    auto& t = r.tries[count - 1];
+    t.cancelled = true;
+    if (t.link)
+        t.link->stream.cancel();
+}
+
+void start_path_probe(node_state& n, node_id exit)
+{
+    const auto it = n.view.nodes.find(exit);
+    if (it == n.view.nodes.end())
+        return;
+    entry_try t;
+    t.exit = exit;
+    t.address = it->second.record.address;
+    asio::spawn(
+        n.ctx,
+        [&n, t = std::make_shared<entry_try>(std::move(t))](const yield& y) {
+            auto link = connect_exit(n, *t, mono_now() + connect_bound, y);
+            note_path(n, t->exit, !link || !ping(n, *link, t->exit, y));
+        },
+        asio::detached);
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/entry_run.hpp
@@ -0,0 +1,71 @@
+// One request at the entry side: its machine, its attempts, its inbox. The
+// caller's coroutine owns it; each attempt has a coroutine of its own that
+// puts events into the inbox.
+#pragma once
+
+#include "node/node_state.hpp"
+
+#include <deque>
+
+namespace jasminetray {
+
+/// One attempt's I/O.
+struct entry_try
+{
+    worker_id worker{};
+    node_id exit{};
+    boot_id boot{}; ///< process that it was sent to
+    node_address address;
+    std::unique_ptr<http_link> link;
+    std::unique_ptr<response_parser> parser;
+    span_us retry_after = 0; ///< from the exit node's refusal
+    bool cancelled = false;
+};
+
+/// One request of a caller.
+struct entry_run : std::enable_shared_from_this<entry_run>
+{
+    entry_run(node_state& state) : n(state), signal(state.ctx)
+    {
+    }
+
+    node_state& n;
+    request_id id;
+    std::shared_ptr<const fleet_config> config; ///< in force at its start
+    const route_config* route = nullptr;        ///< within config
+    const service_config* service = nullptr;    ///< within config
+    service_id service_key{};
+    std::uint32_t klass = 0;
+    string_request message;
+    request_state machine;
+    mono_us began = 0;
+    std::deque<attempt_event> inbox;
+    asio::steady_timer signal;   ///< cancelled when the inbox has news
+    std::deque<entry_try> tries; ///< by count - 1; stable addresses
+    std::vector<worker_id> tried;
+    std::optional<worker_id> home; ///< the only one allowed, by key
+    bool watching = false;         ///< the caller's socket is watched
+
+    /// Puts an event into the inbox.
+    void tell(attempt_event_kind kind, std::uint32_t count,
+              std::string reason = {});
+};
+
+/// Starts an attempt.
+/// @param fresh on a new connection
+void start_attempt(const std::shared_ptr<entry_run>& r, std::uint32_t count,
+                   bool fresh);
+
+/// Asks the exit node of an attempt whether it ran.
+void start_revoke(const std::shared_ptr<entry_run>& r, std::uint32_t count);
+
+/// Drops an attempt; its connection is closed.
+void cancel_attempt(entry_run& r, std::uint32_t count);
+
+/// Pings one path on a new connection.
+void start_path_probe(node_state& n, node_id exit);
+
+/// Evidence about the path to an exit node, with its log line.
+void note_path(node_state& n, node_id exit, bool lost);
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/health_driver.cpp
@@ -0,0 +1,240 @@
+// Evidence into verdicts; see health_driver.hpp.
+#include "node/health_driver.hpp"
+
+#include "base/text_func.hpp"
+#include "config/config_query.hpp"
+#include "verdict/verdict_cmd.hpp"
+#include "verdict/verdict_query.hpp"
+
+#include <algorithm>
+#include <iomanip>
+#include <sstream>
+
+namespace jasminetray {
+
+namespace {
+
+constexpr std::size_t most_asked = 8;         // peers per question
+constexpr span_us ask_bound = 30 * us_per_ms; // for their answers
+constexpr double assumed_rate = 18;           // requests/s at a worker
+constexpr int publish_step = 50;              // severity, in the record
+
+double floor_of(const node_state& n, const local_worker& w)
+{
+    const auto* c = n.config ? find_service(*n.config, w.service) : nullptr;
+    const auto it = n.view.services.find(service_of(w.service));
+    if (c == nullptr || it == n.view.services.end())
+        return 0;
+    return floor_slots(*c, it->second.total);
+}
+
+std::string evidence_text(const node_state& n, const local_worker& w,
+                          mono_us now)
+{
+    const auto& h = w.health;
+    const auto seen = health_report(h, now - 3 * us_per_s);
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(2) << "service=" << w.service
+        << " evidence=" << health_score(h, w.policy, now)
+        << " threshold=" << health_threshold(h, w.policy, now)
+        << " recent_seen=" << seen.seen << " recent_failed=" << seen.failed
+        << " usual_fail_rate=" << h.usual.fail_rate
+        << " outstanding=" << h.open.size() << " flaps=" << h.flaps
+        << " floor_slots=" << floor_of(n, w);
+    return out.str();
+}
+
+std::string scope_text(const node_state& n, std::uint32_t scope)
+{
+    for (const auto& [centre, index] : n.source_index) {
+        if (index == scope)
+            return to_hex(centre);
+    }
+    return "all";
+}
+
+void eject(node_state& n, local_worker& w, mono_us now)
+{
+    const auto scope = health_scope(w.health, w.policy, now);
+    n.events.write(event_id::worker_ejected, w.name,
+                   evidence_text(n, w, now) + " scope=" + scope_text(n, scope));
+    health_eject(w.health, w.policy, scope, now);
+    count(*n.metrics.verdicts, "step", "eject");
+    publish_self(n);
+}
+
+void hold(node_state& n, local_worker& w, mono_us now)
+{
+    n.events.write(event_id::ejection_held_by_peers, w.name,
+                   evidence_text(n, w, now));
+    count(*n.metrics.verdicts, "step", "hold");
+}
+
+void restore(node_state& n, local_worker& w, mono_us now)
+{
+    std::ostringstream out;
+    out << "service=" << w.service
+        << " ejected_ms=" << (now - w.health.ejected_at) / us_per_ms
+        << " return_evidence=" << w.health.return_score
+        << " flaps=" << w.health.flaps;
+    n.events.write(event_id::worker_returned, w.name, out.str());
+    health_restore(w.health, w.policy, now);
+    count(*n.metrics.verdicts, "step", "restore");
+    publish_self(n);
+}
+
+void judge(node_state& n, std::uint64_t ticket)
+{
+    const auto ask = n.asks.find(ticket);
+    if (ask == n.asks.end())
+        return;
+    const auto reports = std::move(ask->second.reports);
+    const auto it = n.workers.find(ask->second.about);
+    n.asks.erase(ask);
+    if (it == n.workers.end() || it->second.health.state == standing::ejected)
+        return;
+    const auto now = mono_now();
+    auto& w = it->second;
+    const auto text = evidence_text(n, w, now);
+    if (health_judge(w.health, w.policy, reports, now) == verdict_step::eject)
+        eject(n, w, now);
+    else
+        hold(n, w, now);
+}
+
+/// Nodes that guard other backend servers of a service, in random order.
+std::vector<node_address> peers_of(node_state& n, service_id service)
+{
+    std::vector<node_address> peers;
+    const auto it = n.view.services.find(service);
+    if (it == n.view.services.end())
+        return peers;
+    std::vector<node_id> nodes;
+    for (const auto& c : it->second.candidates) {
+        if (c.exit != n.self.id)
+            nodes.push_back(c.exit);
+    }
+    std::sort(nodes.begin(), nodes.end());
+    nodes.erase(std::unique(nodes.begin(), nodes.end()), nodes.end());
+    while (!nodes.empty() && peers.size() < most_asked) {
+        const auto k = random_below(n.rng, nodes.size());
+        const auto node = n.view.nodes.find(nodes[k]);
+        if (node != n.view.nodes.end() && node->second.state == liveness::alive)
+            peers.push_back(node->second.record.address);
+        nodes.erase(nodes.begin() + static_cast<std::ptrdiff_t>(k));
+    }
+    return peers;
+}
+
+void add_local_reports(const node_state& n, const local_worker& except,
+                       mono_us since, std::vector<peer_report>& reports)
+{
+    for (const auto& [id, w] : n.workers) {
+        if (id != except.id && w.service == except.service &&
+            w.health.state == standing::trusted)
+            reports.push_back(health_report(w.health, since));
+    }
+}
+
+void ask(node_state& n, local_worker& w, mono_us now)
+{
+    const auto since = health_since(w.health, now);
+    const auto ticket = n.next_ask++;
+    auto& a = n.asks[ticket];
+    a.about = w.id;
+    add_local_reports(n, w, since, a.reports);
+    usual_question q;
+    q.ticket = ticket;
+    q.service = service_of(w.service);
+    q.back = now - since;
+    const auto peers = peers_of(n, q.service);
+    a.awaited = peers.size();
+    if (peers.empty())
+        return judge(n, ticket);
+    for (const auto& p : peers)
+        n.control.send_usual(p.ip, p.gossip_port, q, false);
+    auto timer = std::make_shared<asio::steady_timer>(n.ctx);
+    timer->expires_after(std::chrono::microseconds(ask_bound));
+    timer->async_wait(
+        [&n, ticket, timer](beast::error_code) { judge(n, ticket); });
+}
+
+void check(node_state& n, local_worker& w, mono_us now)
+{
+    switch (health_check(w.health, w.policy, now)) {
+    case verdict_step::ask_peers:
+        return ask(n, w, now);
+    case verdict_step::eject:
+        return eject(n, w, now);
+    case verdict_step::restore:
+        return restore(n, w, now);
+    case verdict_step::none:
+    case verdict_step::hold:
+        break;
+    }
+    const int severity = severity_of(w, now);
+    if (severity / publish_step != w.published / publish_step)
+        publish_self(n);
+}
+
+} // namespace
+
+void note_outcome(node_state& n, local_worker& w, std::uint64_t key,
+                  const observation& o, mono_us now)
+{
+    health_seen(w.health, w.policy, key, o, now);
+    check(n, w, now);
+}
+
+void tick_health(node_state& n, mono_us now)
+{
+    for (auto& [id, w] : n.workers)
+        check(n, w, now);
+}
+
+int claim_for(const local_worker& w, std::uint32_t source)
+{
+    const auto& h = w.health;
+    if (h.state == standing::ejected && h.scope != all_sources &&
+        h.scope != source)
+        return 0;
+    return severity_of(w, mono_now());
+}
+
+void answer_usual(node_state& n, std::uint32_t ip, std::uint16_t port,
+                  const usual_question& q)
+{
+    auto reply = q;
+    const auto since = mono_now() - std::max<span_us>(0, q.back);
+    for (const auto& [id, w] : n.workers) {
+        if (service_of(w.service) != q.service ||
+            w.health.state == standing::ejected)
+            continue;
+        const auto r = health_report(w.health, since);
+        reply.reports.push_back({r.seen, r.failed, r.above});
+    }
+    n.control.send_usual(ip, port, reply, true);
+}
+
+void take_usual(node_state& n, const usual_question& q)
+{
+    const auto it = n.asks.find(q.ticket);
+    if (it == n.asks.end() || it->second.awaited == 0)
+        return;
+    for (const auto& r : q.reports)
+        it->second.reports.push_back({r.seen, r.failed, r.above});
+    if (--it->second.awaited == 0)
+        judge(n, q.ticket);
+}
+
+void refresh_policies(node_state& n)
+{
+    for (auto& [id, w] : n.workers) {
+        const auto* c = n.config ? find_service(*n.config, w.service) : nullptr;
+        if (c != nullptr)
+            w.policy.threshold =
+                threshold_for(c->false_ejections_per_day, assumed_rate);
+    }
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/health_driver.hpp
@@ -0,0 +1,30 @@
+// Carries evidence from real work into verdicts: asks peers, claims
+// ejections in the node's record, and takes them back.
+#pragma once
+
+#include "node/node_state.hpp"
+
+namespace jasminetray {
+
+/// One outcome at a backend server of this VM.
+void note_outcome(node_state& n, local_worker& w, std::uint64_t key,
+                  const observation& o, mono_us now);
+
+/// Looks at all backend servers of this VM: silence is evidence too.
+void tick_health(node_state& n, mono_us now);
+
+/// Claim that rides on answers for callers of a data centre.
+/// @param source index of the entry node's data centre
+int claim_for(const local_worker& w, std::uint32_t source);
+
+/// A peer asks how backend servers of a service look here.
+void answer_usual(node_state& n, std::uint32_t ip, std::uint16_t port,
+                  const usual_question& q);
+
+/// A peer's answer to such a question.
+void take_usual(node_state& n, const usual_question& q);
+
+/// Takes up the settings of the services in force.
+void refresh_policies(node_state& n);
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/http_func.cpp
@@ -0,0 +1,124 @@
+// Helpers over Beast; see http_func.hpp.
+#include "node/http_func.hpp"
+
+#include <algorithm>
+#include <array>
+#include <sys/socket.h>
+
+namespace jasminetray {
+
+namespace {
+
+constexpr std::array<beast::string_view, 8> connection_fields = {
+    "connection", "keep-alive",          "proxy-authenticate",
+    "te",         "proxy-authorization", "trailer",
+    "upgrade",    "transfer-encoding"};
+
+/// Sends the body that the parser holds now and empties it.
+bool send_part(response_parser& parser, beast::tcp_stream& to, bool chunked,
+               const yield& y)
+{
+    auto& body = parser.get().body();
+    if (body.empty())
+        return true;
+    beast::error_code ec;
+    if (chunked)
+        asio::async_write(to, http::make_chunk(asio::buffer(body)), y[ec]);
+    else
+        asio::async_write(to, asio::buffer(body), y[ec]);
+    body.clear();
+    return !ec;
+}
+
+} // namespace
+
+std::unique_ptr<http_link> take_idle(link_pool& pool, mono_us idle_since)
+{
+    while (!pool.empty()) {
+        auto link = std::move(pool.back());
+        pool.pop_back();
+        beast::error_code ec;
+        const auto unread = link->stream.socket().available(ec);
+        if (!ec && unread == 0 && link->buf.size() == 0 &&
+            link->last_used >= idle_since &&
+            !peer_closed(link->stream.socket()))
+            return link;
+    }
+    return nullptr;
+}
+
+void give_back(link_pool& pool, std::unique_ptr<http_link> link,
+               std::size_t most, mono_us now)
+{
+    if (pool.size() >= most)
+        return;
+    link->last_used = now;
+    link->used = true;
+    link->stream.expires_never();
+    pool.push_back(std::move(link));
+}
+
+bool is_clean(const http_link& link, bool keep_alive)
+{
+    return keep_alive && link.buf.size() == 0;
+}
+
+void strip_hop_fields(http::fields& f)
+{
+    for (const auto name : connection_fields)
+        f.erase(name);
+    for (auto it = f.begin(); it != f.end();) {
+        if (beast::iequals(it->name_string().substr(0, 3), hop_field::prefix))
+            it = f.erase(it);
+        else
+            ++it;
+    }
+}
+
+beast::error_code read_held(http_link& link, response_parser& parser,
+                            std::size_t hold, const yield& y)
+{
+    beast::error_code ec;
+    http::async_read_header(link.stream, link.buf, parser, y[ec]);
+    while (!ec && !parser.is_done() && parser.get().body().size() <= hold)
+        http::async_read_some(link.stream, link.buf, parser, y[ec]);
+    return ec;
+}
+
+bool relay_answer(http_link& from, response_parser& parser,
+                  http::response_header<> head, beast::tcp_stream& to,
+                  span_us idle_bound, const yield& y)
+{
+    const auto length = parser.content_length();
+    http::response<http::empty_body> start(std::move(head));
+    start.version(11);
+    if (length)
+        start.content_length(*length);
+    else
+        start.chunked(true);
+    http::response_serializer<http::empty_body> serializer(start);
+    beast::error_code ec;
+    to.expires_after(std::chrono::microseconds(idle_bound));
+    http::async_write_header(to, serializer, y[ec]);
+    while (!ec && send_part(parser, to, !length, y)) {
+        if (parser.is_done())
+            break;
+        from.stream.expires_after(std::chrono::microseconds(idle_bound));
+        to.expires_after(std::chrono::microseconds(idle_bound));
+        http::async_read_some(from.stream, from.buf, parser, y[ec]);
+    }
+    if (ec || !parser.is_done() || !parser.get().body().empty())
+        return false;
+    if (!length)
+        asio::async_write(to, http::make_chunk_last(), y[ec]);
+    return !ec;
+}
+
+bool peer_closed(tcp::socket& s)
+{
+    char c = 0;
+    const auto n = ::recv(s.native_handle(), &c, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/http_func.hpp
@@ -0,0 +1,51 @@
+// Helpers over Beast that both sides of a node use.
+#pragma once
+
+#include "node/http_type.hpp"
+
+#include <optional>
+
+namespace jasminetray {
+
+/// Field of a message as text; empty when absent.
+template <typename Fields>
+std::string field_of(const Fields& m, beast::string_view name)
+{
+    const auto it = m.find(name);
+    return it == m.end() ? std::string() : std::string(it->value());
+}
+
+/// Takes the newest idle connection that is still clean, or nothing. One
+/// with unread bytes holds part of an answer to someone else's request; it
+/// is closed and never used again.
+std::unique_ptr<http_link> take_idle(link_pool& pool, mono_us idle_since);
+
+/// Gives a connection back after a complete exchange.
+/// @param most idle ones kept
+void give_back(link_pool& pool, std::unique_ptr<http_link> link,
+               std::size_t most, mono_us now);
+
+/// Whether an exchange ended so that the connection may be used again.
+/// @param keep_alive what the answer's head says
+bool is_clean(const http_link& link, bool keep_alive);
+
+/// Removes fields that concern one connection only, and the hop's own.
+void strip_hop_fields(http::fields& f);
+
+/// Reads an answer until it is whole or larger than `hold`.
+/// @return an error, or none with parser.is_done() telling which
+beast::error_code read_held(http_link& link, response_parser& parser,
+                            std::size_t hold, const yield& y);
+
+/// Sends the head and body of an answer that is not whole yet, reading on
+/// from `from` as fast as `to` takes it.
+/// @param head fields to send; framing fields are set here
+/// @return true when all of it arrived; else both ends must be closed
+bool relay_answer(http_link& from, response_parser& parser,
+                  http::response_header<> head, beast::tcp_stream& to,
+                  span_us idle_bound, const yield& y);
+
+/// Whether the peer of a readable socket has closed or reset it.
+bool peer_closed(tcp::socket& s);
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/member_actor.cpp
@@ -0,0 +1,165 @@
+// The actor that keeps membership: datagrams in, datagrams out, and news of
+// other nodes for the request thread.
+#include "base/text_func.hpp"
+#include "member/member_cmd.hpp"
+#include "member/member_query.hpp"
+#include "node/control_type.hpp"
+
+#include <set>
+
+namespace jasminetray {
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_every(50);
+constexpr std::uint64_t poll_purpose = 0x504f4c4cULL;
+constexpr std::size_t pollers = 2;     // per data centre
+constexpr std::size_t fetch_peers = 4; // offered to the configuration actor
+constexpr int peers_every = 10;        // ticks
+
+/// State of the actor.
+struct member_keeper
+{
+    std::shared_ptr<control_context> context;
+    member_table table;
+    random_state rng;
+    caf::actor config; ///< told about versions and peers
+    int ticks = 0;
+};
+
+void send_all(member_keeper& k, const std::vector<outgoing>& out)
+{
+    for (const auto& o : out) {
+        k.context->sinks.send_datagram(encode(o.message, k.context->start.keys),
+                                       o.ip, o.port);
+    }
+}
+
+void log_change(member_keeper& k, const member_change& c,
+                const std::string& name)
+{
+    auto& events = *k.context->events;
+    switch (c.kind) {
+    case member_change_kind::joined:
+        events.write(event_id::node_joined, name, "");
+        break;
+    case member_change_kind::suspected:
+        events.write(event_id::node_suspected, name, "");
+        break;
+    case member_change_kind::dead:
+        events.write(event_id::node_dead, name, "");
+        break;
+    case member_change_kind::clash:
+        events.write(event_id::identity_clash, name, "");
+        break;
+    case member_change_kind::updated:
+    case member_change_kind::config:
+        break;
+    }
+}
+
+void tell_version(caf::event_based_actor* self, member_keeper& k)
+{
+    if (k.config)
+        self->send(k.config, version_message{k.table.config_version,
+                                             k.table.config_hash});
+}
+
+void pass_changes(caf::event_based_actor* self, member_keeper& k)
+{
+    std::vector<member_news> news;
+    std::set<node_id> told;
+    for (const auto& c : member_take_changes(k.table)) {
+        if (c.kind == member_change_kind::config) {
+            tell_version(self, k);
+            continue;
+        }
+        const auto it = k.table.members.find(c.about);
+        if (it == k.table.members.end()) {
+            log_change(k, c, k.table.self.name);
+            continue;
+        }
+        log_change(k, c, it->second.record.name);
+        if (told.insert(c.about).second)
+            news.push_back({it->second.record, it->second.state, false});
+    }
+    if (!news.empty())
+        k.context->sinks.members_changed(std::move(news));
+}
+
+void tell_peers(caf::event_based_actor* self, member_keeper& k)
+{
+    peers_message m;
+    m.poll = is_ranked(k.table, poll_purpose, pollers);
+    auto near = alive_members(k.table, k.table.self.centre);
+    if (near.empty())
+        near = alive_members(k.table, centre_id{});
+    for (std::size_t n = 0; n < fetch_peers && !near.empty(); ++n) {
+        m.peers.push_back(
+            near[random_below(k.rng, near.size())]->record.address);
+    }
+    if (k.config)
+        self->send(k.config, std::move(m));
+}
+
+void take_datagram(member_keeper& k, const datagram_message& d)
+{
+    wire_error last{};
+    const auto m = decode(d.bytes, k.context->start.keys, last);
+    k.context->sinks.datagram_counted(last);
+    if (!m)
+        return;
+    if (m->kind == gossip_kind::ask_usual ||
+        m->kind == gossip_kind::tell_usual) {
+        k.context->sinks.usual(d.ip, d.port, m->usual,
+                               m->kind == gossip_kind::tell_usual);
+    }
+    send_all(k, member_receive(k.table, *m, d.ip, d.port, k.rng, mono_now()));
+}
+
+void send_usual(member_keeper& k, const usual_message& u)
+{
+    gossip_message m;
+    m.kind = u.answer ? gossip_kind::tell_usual : gossip_kind::ask_usual;
+    m.sender = summary_of(k.table.self);
+    m.centre = k.table.self.centre;
+    m.config_version = k.table.config_version;
+    m.config_hash = k.table.config_hash;
+    m.usual = u.question;
+    send_all(k, {{u.ip, u.port, std::move(m)}});
+}
+
+} // namespace
+
+caf::behavior member_actor(caf::event_based_actor* self,
+                           std::shared_ptr<control_context> context)
+{
+    auto k = std::make_shared<member_keeper>();
+    k->context = context;
+    k->rng.value = context->start.seed;
+    k->table = make_member_table(context->start.self, context->start.seeds,
+                                 member_policy{});
+    self->send(self, tick_atom::value);
+    return {
+        [=](tick_atom) {
+            send_all(*k, member_tick(k->table, k->rng, mono_now()));
+            pass_changes(self, *k);
+            if (++k->ticks % peers_every == 1)
+                tell_peers(self, *k);
+            self->delayed_send(self, tick_every, tick_atom::value);
+        },
+        [=](const datagram_message& d) {
+            take_datagram(*k, d);
+            pass_changes(self, *k);
+        },
+        [=](const self_message& m) { member_update_self(k->table, m.record); },
+        [=](const usual_message& m) { send_usual(*k, m); },
+        [=](const version_message& m) {
+            member_hear_config(k->table, m.version, m.manifest);
+            pass_changes(self, *k);
+        },
+        [=](members_atom, const caf::actor& config) { k->config = config; },
+    };
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/node_metrics.cpp
@@ -0,0 +1,76 @@
+// Registering and printing of metrics; see node_metrics.hpp.
+#include "node/node_metrics.hpp"
+
+#include <prometheus/text_serializer.h>
+#include <sstream>
+
+namespace jasminetray {
+
+namespace {
+
+prometheus::Family<prometheus::Counter>* counter(prometheus::Registry& r,
+                                                 const std::string& name,
+                                                 const std::string& help)
+{
+    return &prometheus::BuildCounter().Name(name).Help(help).Register(r);
+}
+
+prometheus::Gauge* gauge(prometheus::Registry& r, const std::string& name,
+                         const std::string& help)
+{
+    return &prometheus::BuildGauge().Name(name).Help(help).Register(r).Add({});
+}
+
+} // namespace
+
+std::unique_ptr<node_metrics> make_node_metrics()
+{
+    auto m = std::make_unique<node_metrics>();
+    auto& r = m->registry;
+    m->requests = counter(r, "jasminetray_requests_total",
+                          "Requests of callers by final outcome.");
+    m->attempts = counter(r, "jasminetray_attempts_total",
+                          "Attempts at exit nodes by result.");
+    m->gate = counter(r, "jasminetray_gate_decisions_total",
+                      "Work at this node's gate by decision.");
+    m->verdicts = counter(r, "jasminetray_verdicts_total",
+                          "Verdicts on backend servers by step.");
+    m->datagrams = counter(r, "jasminetray_datagrams_total",
+                           "Datagrams received by fate.");
+    m->duration = &prometheus::BuildHistogram()
+                       .Name("jasminetray_request_duration_seconds")
+                       .Help("From a request's last byte to its final answer.")
+                       .Register(r)
+                       .Add({}, prometheus::Histogram::BucketBoundaries{
+                                    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05,
+                                    0.1, 0.25, 0.5, 1, 2.5, 5, 10});
+    m->in_flight = gauge(r, "jasminetray_requests_in_flight",
+                         "Requests of callers without a final answer.");
+    m->members = gauge(r, "jasminetray_members", "Nodes known and not dead.");
+    m->config_version = gauge(r, "jasminetray_config_version",
+                              "Configuration version in force.");
+    m->config_age = gauge(r, "jasminetray_config_age_seconds",
+                          "Time since that version came into force.");
+    m->store_up = gauge(r, "jasminetray_store_reachable",
+                        "1 when the platform's store answered last.");
+    m->gate_records = gauge(r, "jasminetray_gate_records",
+                            "Attempts that the gate remembers.");
+    m->dropped_lines = gauge(r, "jasminetray_log_lines_dropped",
+                             "Log lines left out by the rate limit.");
+    return m;
+}
+
+void count(prometheus::Family<prometheus::Counter>& family,
+           const std::string& label, const std::string& value)
+{
+    family.Add({{label, value}}).Increment();
+}
+
+std::string metrics_text(const node_metrics& m)
+{
+    std::ostringstream out;
+    prometheus::TextSerializer().Serialize(out, m.registry.Collect());
+    return out.str();
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/node_run.cpp
@@ -0,0 +1,515 @@
+// Assembly of a node; see node_run.hpp.
+#include "node/node_run.hpp"
+
+#include "base/text_func.hpp"
+#include "gate/gate_query.hpp"
+#include "node/admin_api.hpp"
+#include "node/admin_server.hpp"
+#include "node/announce.hpp"
+#include "node/control.hpp"
+#include "node/entry_server.hpp"
+#include "node/exit_server.hpp"
+#include "node/health_driver.hpp"
+#include "platform/platform_http.hpp"
+#include "rpc/peer_rpc.hpp"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <fstream>
+#include <future>
+#include <glog/logging.h>
+#include <iostream>
+#include <sodium.h>
+
+namespace jasminetray {
+
+namespace {
+
+using udp = asio::ip::udp;
+using serve_function = void (*)(node_state&, beast::tcp_stream, const yield&);
+
+constexpr span_us tick_every = 20 * us_per_ms;
+constexpr span_us slow_tick_every = us_per_s;
+constexpr span_us claims_every = us_per_s / 4;
+constexpr span_us idle_link = 30 * us_per_s;
+constexpr span_us platform_bound = us_per_s;
+constexpr span_us rpc_wait = 500 * us_per_ms; // for the request thread
+constexpr std::size_t slow_threads = 8;       // revokes and claims
+constexpr int most_revokes = 256;             // waiting for a thread
+
+/// All parts of a running node, in the order of their construction.
+struct node_parts
+{
+    explicit node_parts(const node_settings& s)
+        : settings(s),
+          events({4096, 1024, static_cast<std::size_t>(s.log_lines)}),
+          metrics(make_node_metrics()), entry(ctx), exit(ctx), admin(ctx),
+          gossip(ctx), ticker(ctx), signals(ctx, SIGTERM, SIGINT),
+          slow(slow_threads), state(settings, ctx, events, *metrics)
+    {
+    }
+
+    node_settings settings;
+    asio::io_context ctx{1};
+    event_log events;
+    std::unique_ptr<node_metrics> metrics;
+    config_cache cache;
+    tcp::acceptor entry;
+    tcp::acceptor exit;
+    tcp::acceptor admin;
+    udp::socket gossip;
+    asio::steady_timer ticker;
+    asio::signal_set signals;
+    asio::thread_pool slow;
+    node_state state;
+    std::unique_ptr<peer_server> rpc;
+    std::unique_ptr<control> slow_state;
+    std::array<char, most_datagram> datagram{};
+    udp::endpoint datagram_from;
+    mono_us slow_tick_at = 0;
+    mono_us claims_at = 0;
+    mono_us close_at = mono_never; ///< when the doors close
+    mono_us stop_at = mono_never;  ///< when work in flight is given up
+    int revokes_open = 0;          ///< invariant: <= most_revokes
+};
+
+bool listen(tcp::acceptor& a, const std::string& ip, int port, std::string& why)
+{
+    beast::error_code ec;
+    const tcp::endpoint at(asio::ip::make_address_v4(ip),
+                           static_cast<std::uint16_t>(port));
+    a.open(tcp::v4(), ec);
+    a.set_option(tcp::acceptor::reuse_address(true), ec);
+    a.bind(at, ec);
+    if (!ec)
+        a.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec)
+        why = ip + ":" + std::to_string(port) + ": " + ec.message();
+    return !ec;
+}
+
+void accept_on(node_parts& p, tcp::acceptor& a, serve_function serve)
+{
+    a.async_accept([&p, &a, serve](beast::error_code ec, tcp::socket s) {
+        if (ec == asio::error::operation_aborted)
+            return;
+        if (!ec) {
+            beast::error_code ignored;
+            s.set_option(tcp::no_delay(true), ignored);
+            asio::spawn(
+                p.ctx,
+                [&p, serve, stream = beast::tcp_stream(std::move(s))](
+                    const yield& y) mutable {
+                    serve(p.state, std::move(stream), y);
+                },
+                asio::detached);
+        }
+        if (a.is_open())
+            accept_on(p, a, serve);
+    });
+}
+
+void receive_datagrams(node_parts& p)
+{
+    p.gossip.async_receive_from(asio::buffer(p.datagram), p.datagram_from,
+                                [&p](beast::error_code ec, std::size_t n) {
+                                    if (ec == asio::error::operation_aborted)
+                                        return;
+                                    const auto& from = p.datagram_from;
+                                    if (!ec && from.address().is_v4()) {
+                                        p.slow_state->take_datagram(
+                                            std::string(p.datagram.data(), n),
+                                            from.address().to_v4().to_uint(),
+                                            from.port());
+                                    }
+                                    receive_datagrams(p);
+                                });
+}
+
+void take_members(node_parts& p, const std::vector<member_news>& news)
+{
+    auto& n = p.state;
+    const auto now = mono_now();
+    for (const auto& x : news) {
+        if (x.removed)
+            view_remove(n.view, x.record.id, now);
+        else
+            view_update(n.view, x.record, x.state, now);
+    }
+    std::vector<path_complaint> complaints;
+    for (const auto& [id, v] : n.view.nodes) {
+        for (const auto about : v.record.complaints) {
+            complaints.push_back(
+                {id, static_cast<std::uint32_t>(v.record.centre), about});
+        }
+    }
+    auto doubted = agreed_nodes(complaints, n.path_settings);
+    for (const auto id : doubted) {
+        if (std::find(n.view.doubted.begin(), n.view.doubted.end(), id) ==
+            n.view.doubted.end())
+            n.events.write(event_id::node_doubted,
+                           to_hex(static_cast<std::uint64_t>(id)), "");
+    }
+    n.view.doubted = std::move(doubted);
+    apply_all_claims(n);
+}
+
+void take_config(node_parts& p, std::shared_ptr<const fleet_config> c)
+{
+    auto& n = p.state;
+    // Never back: a slower fetch of an older version may end later.
+    if (n.config && c->version <= n.config->version)
+        return;
+    n.config = std::move(c);
+    n.config_at = mono_now();
+    refresh_policies(n);
+    apply_all_claims(n);
+}
+
+control_sinks make_sinks(node_parts& p)
+{
+    control_sinks k;
+    auto& ctx = p.ctx;
+    k.send_datagram = [&p, &ctx](std::string bytes, std::uint32_t ip,
+                                 std::uint16_t port) {
+        asio::post(ctx, [&p, bytes = std::move(bytes), ip, port] {
+            beast::error_code ec;
+            p.gossip.send_to(asio::buffer(bytes),
+                             {asio::ip::address_v4(ip), port}, 0, ec);
+        });
+    };
+    k.members_changed = [&p, &ctx](std::vector<member_news> news) {
+        asio::post(ctx,
+                   [&p, news = std::move(news)] { take_members(p, news); });
+    };
+    k.config_ready = [&p, &ctx](std::shared_ptr<const fleet_config> c) {
+        asio::post(ctx, [&p, c = std::move(c)] { take_config(p, c); });
+    };
+    k.store_state = [&p, &ctx](bool reachable) {
+        asio::post(ctx,
+                   [&p, reachable] { p.state.store_reachable = reachable; });
+    };
+    k.usual = [&p, &ctx](std::uint32_t ip, std::uint16_t port, usual_question q,
+                         bool answer) {
+        asio::post(ctx, [&p, ip, port, q = std::move(q), answer] {
+            if (answer)
+                take_usual(p.state, q);
+            else
+                answer_usual(p.state, ip, port, q);
+        });
+    };
+    k.datagram_counted = [&p](wire_error e) {
+        count(*p.metrics->datagrams, "fate",
+              e == wire_error::none
+                  ? "taken"
+                  : std::string(name_of(wire_error_names, e)));
+    };
+    return k;
+}
+
+control_hooks make_hooks(node_parts& p)
+{
+    control_hooks h;
+    h.update_self = [&p](node_record r) {
+        p.slow_state->update_self(std::move(r));
+    };
+    h.send_usual = [&p](std::uint32_t ip, std::uint16_t port,
+                        const usual_question& q, bool answer) {
+        p.slow_state->send_usual(ip, port, q, answer);
+    };
+    h.revoke = [&p](const node_address& to, const attempt_id& a, boot_id boot,
+                    span_us bound, auto done) {
+        if (p.revokes_open >= most_revokes)
+            return asio::post(p.ctx, [done] { done(std::nullopt); });
+        ++p.revokes_open;
+        asio::post(p.slow, [&p, to, a, boot, bound, done] {
+            const auto reply = call_revoke(to.ip, to.rpc_port, a, boot, bound);
+            asio::post(p.ctx, [&p, done, reply] {
+                --p.revokes_open;
+                done(reply);
+            });
+        });
+    };
+    return h;
+}
+
+/// Runs a function on the request thread and waits, within a bound.
+template <typename Result, typename Call>
+std::optional<Result> on_request_thread(node_parts& p, Call call)
+{
+    auto promise = std::make_shared<std::promise<Result>>();
+    auto result = promise->get_future();
+    asio::post(p.ctx, [promise, call] { promise->set_value(call()); });
+    if (result.wait_for(std::chrono::microseconds(rpc_wait)) !=
+        std::future_status::ready)
+        return std::nullopt;
+    return result.get();
+}
+
+peer_handlers make_handlers(node_parts& p)
+{
+    peer_handlers h;
+    h.revoke = [&p](const attempt_id& a, boot_id boot) {
+        return on_request_thread<revoke_reply>(
+            p, [&p, a, boot] { return answer_revoke(p.state, a, boot); });
+    };
+    h.chunk = [&p](std::uint64_t hash) { return p.cache.get(hash); };
+    h.query = [&p](const std::string& text) {
+        const auto a = on_request_thread<api_answer>(p, [&p, text] {
+            // The request, and in a second line the token of a change.
+            const auto line = text.find('\n');
+            const auto request = text.substr(0, line);
+            if (!is_command(request))
+                return answer_query(p.state, request);
+            const api_caller who{
+                false, line == std::string::npos ? "" : text.substr(line + 1),
+                "rpc"};
+            return carry_out_command(p.state, request, who);
+        });
+        return a ? a->json : std::string(R"({"error":"busy"})");
+    };
+    return h;
+}
+
+std::uint64_t random_word()
+{
+    std::uint64_t n = 0;
+    randombytes_buf(&n, sizeof(n));
+    return n == 0 ? 1 : n;
+}
+
+std::vector<node_address> parse_seeds(const node_settings& s)
+{
+    std::vector<node_address> seeds;
+    for (const auto& text : s.seeds) {
+        const auto at = parse_host_port(text);
+        node_address a;
+        a.ip = asio::ip::make_address_v4(at->ip).to_uint();
+        a.gossip_port = at->port;
+        seeds.push_back(a);
+    }
+    return seeds;
+}
+
+void fill_self(node_parts& p)
+{
+    auto& n = p.state;
+    const auto& s = p.settings;
+    beast::error_code ec;
+    n.door.boot = static_cast<boot_id>(random_word());
+    n.door.limits.stamp_bound = s.stamp_bound;
+    n.rng.value = random_word();
+    // Unique over restarts without a disk: the boot's random bits are part
+    // of every request id.
+    n.next_request = random_word() << 24 >> 1;
+    n.self.id = static_cast<node_id>(text_hash(s.name));
+    n.self.boot = n.door.boot;
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    n.self.generation = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(wall).count());
+    n.self.sequence = 1;
+    n.self.name = s.name;
+    n.self.centre = centre_of(s.centre);
+    n.self.address = {asio::ip::make_address_v4(s.ip).to_uint(),
+                      p.gossip.local_endpoint(ec).port(),
+                      p.entry.local_endpoint(ec).port(),
+                      p.exit.local_endpoint(ec).port(),
+                      p.rpc->port(),
+                      p.admin.local_endpoint(ec).port()};
+    n.view.centre = n.self.centre;
+    n.slow_calls = &p.slow;
+}
+
+void turn_off_safeguards(node_state& n)
+{
+    for (const auto& name : split(n.settings.safeguards_off, ',')) {
+        auto& s = n.safeguards;
+        s.gate.check_boot = s.gate.check_boot && name != "boot";
+        s.gate.check_revoked = s.gate.check_revoked && name != "revoked";
+        s.attempt.retry_only_proven =
+            s.attempt.retry_only_proven && name != "retry";
+        s.attempt.ask_before_not_run =
+            s.attempt.ask_before_not_run && name != "ask";
+        s.attempt.unknown_when_unproven =
+            s.attempt.unknown_when_unproven && name != "unknown";
+        s.check_echo = s.check_echo && name != "echo";
+        s.close_unclean = s.close_unclean && name != "unclean";
+    }
+}
+
+bool open_sockets(node_parts& p, std::string& why)
+{
+    const auto& s = p.settings;
+    beast::error_code ec;
+    if (!listen(p.entry, s.ip, s.entry_port, why) ||
+        !listen(p.exit, s.ip, s.exit_port, why) ||
+        !listen(p.admin, s.admin_ip, s.admin_port, why))
+        return false;
+    p.gossip.open(udp::v4(), ec);
+    p.gossip.bind({asio::ip::make_address_v4(s.ip),
+                   static_cast<std::uint16_t>(s.gossip_port)},
+                  ec);
+    if (ec) {
+        why = "gossip port: " + ec.message();
+        return false;
+    }
+    p.gossip.non_blocking(true, ec);
+    p.rpc = peer_server::make(s.ip, static_cast<std::uint16_t>(s.rpc_port),
+                              make_handlers(p), why);
+    return p.rpc != nullptr;
+}
+
+void start_control(node_parts& p)
+{
+    control_start c;
+    c.settings = p.settings;
+    c.self = p.state.self;
+    c.seeds = parse_seeds(p.settings);
+    c.keys.cluster = text_hash(p.settings.cluster);
+    c.keys.keys = {p.settings.key};
+    if (!p.settings.second_key.empty())
+        c.keys.keys.push_back(p.settings.second_key);
+    if (const auto at = parse_host_port(p.settings.platform)) {
+        c.platform = make_platform_http(*at, platform_bound);
+        c.has_platform = true;
+        p.state.platform = c.platform;
+    } else {
+        p.state.slow_calls = nullptr;
+    }
+    c.seed = random_word();
+    p.slow_state = std::make_unique<control>(std::move(c), make_sinks(p),
+                                             p.events, p.cache);
+}
+
+void drop_idle_links(node_state& n, mono_us now)
+{
+    for (auto it = n.exits.begin(); it != n.exits.end();) {
+        auto& pool = it->second;
+        pool.erase(std::remove_if(pool.begin(), pool.end(),
+                                  [now](const auto& link) {
+                                      return now - link->last_used > idle_link;
+                                  }),
+                   pool.end());
+        it = pool.empty() ? n.exits.erase(it) : std::next(it);
+    }
+}
+
+void slow_tick(node_parts& p, mono_us now)
+{
+    auto& n = p.state;
+    tick_announcements(n, now);
+    drop_idle_links(n, now);
+    if (n.config)
+        forget_idle_teams(n.teams, *n.config, now);
+    std::vector<node_id> members;
+    for (const auto& [id, v] : n.view.nodes)
+        members.push_back(id);
+    path_forget(n.paths, members);
+}
+
+void close_doors(node_parts& p)
+{
+    beast::error_code ec;
+    p.entry.close(ec);
+    p.exit.close(ec);
+}
+
+/// Stops once nothing is in flight, or when the bound is reached.
+void check_stop(node_parts& p, mono_us now)
+{
+    if (now < p.close_at)
+        return;
+    close_doors(p);
+    const bool idle = p.state.in_flight == 0 && gate_open(p.state.door) == 0;
+    if (idle || now >= p.stop_at)
+        p.ctx.stop();
+}
+
+void tick(node_parts& p)
+{
+    p.ticker.expires_after(std::chrono::microseconds(tick_every));
+    p.ticker.async_wait([&p](beast::error_code ec) {
+        if (ec)
+            return;
+        const auto now = mono_now();
+        tick_gate(p.state, now);
+        tick_health(p.state, now);
+        tick_paths(p.state, now);
+        if (now >= p.claims_at) {
+            p.claims_at = now + claims_every;
+            apply_all_claims(p.state);
+        }
+        if (now >= p.slow_tick_at) {
+            p.slow_tick_at = now + slow_tick_every;
+            slow_tick(p, now);
+        }
+        check_stop(p, now);
+        tick(p);
+    });
+}
+
+/// Says at once that it leaves, so that nobody sends new work, and keeps
+/// the doors open until all have heard it.
+void begin_stop(node_parts& p)
+{
+    const auto now = mono_now();
+    p.events.write(event_id::process_stopping, p.settings.name, "");
+    p.state.door.draining = true;
+    p.state.stopping = true;
+    p.close_at = now + p.settings.drain;
+    p.stop_at = now + p.settings.stop_bound;
+    publish_self(p.state);
+}
+
+void write_ready_file(const node_parts& p)
+{
+    if (p.settings.ready_file.empty())
+        return;
+    const auto& a = p.state.self.address;
+    const auto temporary = p.settings.ready_file + ".tmp";
+    std::ofstream out(temporary);
+    out << "entry_port = " << a.entry_port << "\nexit_port = " << a.exit_port
+        << "\ngossip_port = " << a.gossip_port << "\nrpc_port = " << a.rpc_port
+        << "\nadmin_port = " << a.admin_port << "\n";
+    out.close();
+    std::rename(temporary.c_str(), p.settings.ready_file.c_str());
+}
+
+} // namespace
+
+int run_node(const node_settings& s)
+{
+    node_parts p(s);
+    std::string why;
+    if (!open_sockets(p, why)) {
+        std::cerr << "cannot listen: " << why << "\n";
+        return exit_listen;
+    }
+    fill_self(p);
+    turn_off_safeguards(p.state);
+    start_control(p);
+    p.state.control = make_hooks(p);
+    publish_self(p.state);
+    accept_on(p, p.entry, serve_caller);
+    accept_on(p, p.exit, serve_exit);
+    accept_on(p, p.admin, serve_admin);
+    receive_datagrams(p);
+    tick(p);
+    p.signals.async_wait([&p](beast::error_code ec, int) {
+        if (!ec)
+            begin_stop(p);
+    });
+    p.events.write(event_id::process_started, s.name,
+                   "data_centre=" + s.centre);
+    write_ready_file(p);
+    p.ctx.run();
+    p.slow_state.reset();
+    p.rpc.reset();
+    p.slow.stop();
+    p.slow.join();
+    return exit_stopped;
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/node_state.hpp
@@ -0,0 +1,144 @@
+// Everything that a node's request thread owns. One thread runs both sides,
+// so the gate, the evidence and the view need no locks; slow state lives in
+// actors, which post their news to this thread.
+#pragma once
+
+#include "attempt/attempt_type.hpp"
+#include "balance/view_type.hpp"
+#include "config/config_type.hpp"
+#include "config/node_settings.hpp"
+#include "event/event_log.hpp"
+#include "gate/gate_cmd.hpp"
+#include "limit/limit_type.hpp"
+#include "node/http_type.hpp"
+#include "node/node_metrics.hpp"
+#include "platform/platform_type.hpp"
+#include "verdict/verdict_type.hpp"
+
+#include <boost/asio/thread_pool.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace jasminetray {
+
+/// A backend server on this VM.
+struct local_worker
+{
+    worker_id id{};
+    std::string name; ///< as announced
+    std::string service;
+    tcp::endpoint at;
+    int slots = 1;
+    bool draining = false;
+    bool drained_here = false; ///< by an operator
+    mono_us announced_at = 0;  ///< last announcement
+    worker_health health;
+    verdict_policy policy;
+    link_pool idle;
+    std::uint64_t next_key = 0; ///< of outstanding work, for the evidence
+    int published = 0;          ///< severity in the node's record
+    std::uint64_t boot = 0;     ///< of its process, as announced
+    int by_operator = 0;        ///< severity that an operator set; 0 for none
+    mono_us operator_until = 0; ///< when that ends by itself
+};
+
+/// Queued work that waits for the gate's decision.
+struct gate_ticket
+{
+    explicit gate_ticket(asio::io_context& ctx) : signal(ctx)
+    {
+    }
+
+    asio::steady_timer signal; ///< cancelled when there is a decision
+    std::optional<gate_decision> decision;
+    bool caller_left = false;
+};
+
+/// Peers' reports that are still awaited.
+struct usual_ask
+{
+    worker_id about{};
+    std::size_t awaited = 0;
+    std::vector<peer_report> reports;
+};
+
+/// What the request thread asks the slow state to do.
+struct control_hooks
+{
+    std::function<void(node_record)> update_self;
+    std::function<void(std::uint32_t ip, std::uint16_t port,
+                       const usual_question&, bool answer)>
+        send_usual;
+    /// Asks an exit node on a new connection; `done` runs on the request
+    /// thread, with nothing when there was no reply.
+    std::function<void(const node_address&, const attempt_id&, boot_id,
+                       span_us bound,
+                       std::function<void(std::optional<revoke_reply>)> done)>
+        revoke;
+};
+
+/// Safeguards in force; all on but in fault runs.
+struct node_safeguards
+{
+    gate_safeguards gate;
+    attempt_safeguards attempt;
+    bool check_echo = true;    ///< an answer must carry its request's id
+    bool close_unclean = true; ///< no reuse after an incomplete exchange
+};
+
+/// The request thread's state.
+struct node_state
+{
+    node_state(const node_settings& s, asio::io_context& c, event_log& e,
+               node_metrics& m)
+        : settings(s), ctx(c), events(e), metrics(m)
+    {
+    }
+
+    const node_settings& settings;
+    asio::io_context& ctx;
+    event_log& events;
+    node_metrics& metrics;
+    control_hooks control;
+    node_safeguards safeguards;
+    platform_api platform;
+    asio::thread_pool* slow_calls = nullptr; ///< for blocking claims
+    int claims_open = 0;                     ///< invariant: <= most_claims
+    node_record self;                        ///< as last published
+    random_state rng;
+    std::uint64_t next_request = 1;
+    bool stopping = false; ///< doors are closing
+    bool store_reachable = false;
+    mono_us config_at = 0; ///< when the configuration came into force
+    std::shared_ptr<const fleet_config> config; ///< null until there is one
+
+    gate door;
+    std::map<worker_id, local_worker> workers;
+    std::unordered_map<attempt_id, std::shared_ptr<gate_ticket>, attempt_hash>
+        tickets;
+    std::map<std::uint64_t, usual_ask> asks;
+    std::uint64_t next_ask = 1;
+    std::map<std::uint32_t, std::uint32_t> source_index; ///< centre to index
+
+    fleet_view view;
+    path_table paths;
+    path_policy path_settings;
+    balance_policy balance;
+    std::unordered_map<node_id, link_pool> exits;
+    std::unordered_map<std::string, retry_budget> budgets;
+    std::unordered_map<std::string, int> in_flight_by_service;
+    int in_flight = 0;
+    team_buckets teams;
+};
+
+/// Severity of a backend server's claim: an operator's word, else evidence.
+int severity_of(const local_worker& w, mono_us now);
+
+/// Publishes this node's record when it has changed.
+void publish_self(node_state& n);
+
+/// Applies all claims again and logs what changed.
+void apply_all_claims(node_state& n);
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/worker_work.hpp
@@ -0,0 +1,37 @@
+// Running one piece of work on a backend server of this VM.
+#pragma once
+
+#include "node/node_state.hpp"
+
+namespace jasminetray {
+
+/// What a backend server made of a piece of work.
+struct worker_answer
+{
+    work_end end = work_end::unsent;
+    outcome_kind seen = outcome_kind::neutral; ///< as evidence
+    std::string reason;                        ///< when there is no answer
+    std::unique_ptr<http_link> link;
+    std::unique_ptr<response_parser> parser; ///< of the answer
+    std::uint64_t key = 0; ///< of the outstanding work, for the evidence
+    mono_us began = 0;
+    bool parser_sent = false; ///< the answer's head went on already
+    std::uint32_t source = 0;
+    std::uint32_t klass = 0;
+};
+
+/// Sends work to its backend server and reads the answer, or as much as is
+/// held. The entry node's connection is watched: idempotent work whose
+/// caller has left is cancelled.
+worker_answer run_on_worker(node_state& n, const string_request& message,
+                            const gate_request& r, std::uint32_t source,
+                            std::uint32_t klass, beast::tcp_stream& entry,
+                            const yield& y);
+
+/// Ends an exchange whose answer was passed on: the evidence, and what
+/// becomes of the connection.
+/// @param whole the answer was complete
+void end_on_worker(node_state& n, const gate_request& r, worker_answer& a,
+                   bool whole);
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/verdict/verdict_cmd.hpp
@@ -0,0 +1,41 @@
+// Commands that move evidence and verdicts of a backend server.
+#pragma once
+
+#include "verdict/verdict_type.hpp"
+
+namespace jasminetray {
+
+/// Threshold that gives an accepted rate of false ejections.
+/// @param per_day false ejections accepted per worker and day
+/// @param rate requests a second at the worker
+double threshold_for(double per_day, double rate);
+
+/// Work was sent.
+void health_sent(worker_health& h, const outstanding& o);
+
+/// Work ended.
+/// @param key as in health_sent
+/// @param o what it showed
+void health_seen(worker_health& h, const verdict_policy& p, std::uint64_t key,
+                 const observation& o, mono_us now);
+
+/// Looks at the evidence and says what to do next. `eject` and `restore`
+/// are not carried out: the floor is asked first.
+verdict_step health_check(worker_health& h, const verdict_policy& p,
+                          mono_us now);
+
+/// Weighs the evidence again with what the peers saw in the same time.
+/// @param reports of peers; the own one left out
+/// @return eject or hold; hold also moves what counts as usual
+verdict_step health_judge(worker_health& h, const verdict_policy& p,
+                          const std::vector<peer_report>& reports, mono_us now);
+
+/// Carries an ejection out.
+/// @param scope data centre whose callers it is for, or all_sources
+void health_eject(worker_health& h, const verdict_policy& p,
+                  std::uint32_t scope, mono_us now);
+
+/// Carries a return out; evidence starts anew.
+void health_restore(worker_health& h, const verdict_policy& p, mono_us now);
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/verdict/verdict_math.cpp
@@ -0,0 +1,58 @@
+// Log likelihood ratios; see verdict_math.hpp.
+#include "verdict/verdict_math.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jasminetray {
+
+double alternative_rate(std::size_t n, double usual)
+{
+    const double odds = least_odds_ratio * usual / (1 - usual);
+    const double least = odds / (1 + odds);
+    return std::min(0.99, std::max(bank_rates[n], least));
+}
+
+double fail_ratio(bool failed, double rate, double usual)
+{
+    return failed ? std::log(rate / usual) : std::log((1 - rate) / (1 - usual));
+}
+
+double slow_ratio(double shift, double above, double variance)
+{
+    const double ratio = (shift * above - shift * shift / 2) / variance;
+    return std::clamp(ratio, slow_clip_low, slow_clip_high);
+}
+
+double usual_variance(const service_usual& u, std::uint32_t klass)
+{
+    return std::max(least_variance, u.times[klass % work_classes].log_var);
+}
+
+double above_usual(const service_usual& u, std::uint32_t klass, span_us took)
+{
+    const double log_took =
+        std::log(static_cast<double>(std::max<span_us>(1, took)));
+    return log_took - u.times[klass % work_classes].log_mean - u.shift;
+}
+
+double usual_survival(const service_usual& u, std::uint32_t klass, span_us age)
+{
+    if (age <= 0)
+        return 1;
+    const double z =
+        above_usual(u, klass, age) / std::sqrt(usual_variance(u, klass));
+    // Real tails are heavier than a lognormal one: a share as large as the
+    // usual failures takes arbitrarily long.
+    return std::max(0.5 * std::erfc(z / std::sqrt(2.0)), u.fail_rate);
+}
+
+double silence_ratio(const service_usual& u, double rate, std::uint32_t klass,
+                     span_us age)
+{
+    const double usual = usual_survival(u, klass, age);
+    const double sick = rate + (1 - rate) * usual;
+    return std::min(std::log(sick / usual), std::log(rate / u.fail_rate));
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/verdict/verdict_math.hpp
@@ -0,0 +1,41 @@
+// Log likelihood ratios that the commands and the queries share.
+#pragma once
+
+#include "verdict/verdict_type.hpp"
+
+namespace jasminetray {
+
+constexpr double least_rate = 0.002;    ///< of the usual failure rate
+constexpr double most_rate = 0.9;       ///< of the usual failure rate
+constexpr double least_odds_ratio = 4;  ///< between usual and alternative
+constexpr double slow_clip_high = 2.5;  ///< nats that one slow answer adds
+constexpr double slow_clip_low = -3;    ///< nats that one fast answer takes
+constexpr double least_variance = 0.02; ///< of ln(took)
+
+/// Failure rate of an alternative, kept apart from the usual rate: a bank
+/// member close to the usual one would drift up on ordinary noise.
+double alternative_rate(std::size_t n, double usual);
+
+/// Evidence of one outcome for an alternative failure rate.
+double fail_ratio(bool failed, double rate, double usual);
+
+/// Evidence of one duration for a slowness.
+/// @param shift ln(factor)
+/// @param above ln(took) minus the usual mean
+/// @param variance usual one, of ln(took)
+double slow_ratio(double shift, double above, double variance);
+
+/// ln(took) minus what is usual for the class now.
+double above_usual(const service_usual& u, std::uint32_t klass, span_us took);
+
+/// Variance that ratios use; never so small that one answer decides.
+double usual_variance(const service_usual& u, std::uint32_t klass);
+
+/// Share of usual work that takes longer than a time.
+double usual_survival(const service_usual& u, std::uint32_t klass, span_us age);
+
+/// Evidence of work that has not ended after a time, for a failure rate.
+double silence_ratio(const service_usual& u, double rate, std::uint32_t klass,
+                     span_us age);
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/verdict/verdict_type.hpp
@@ -0,0 +1,172 @@
+// Evidence about backend servers, gathered at the exit side, which sees all
+// real work of its backend servers. The test is sequential: each outcome
+// moves a log likelihood ratio between "as usual for this service" and a
+// small bank of alternatives; the highest of the bank is the evidence. Plain
+// data; verdict_cmd.cpp changes it, verdict_query.cpp reads it.
+#pragma once
+
+#include "base/names_type.hpp"
+#include "base/time_type.hpp"
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+namespace jasminetray {
+
+constexpr std::size_t work_classes = 8; ///< route classes with own durations
+
+/// How long work of one class usually takes.
+struct time_usual
+{
+    double log_mean = 9.9; ///< mean of ln(microseconds)
+    double log_var = 0.25; ///< variance of the same
+    double seen = 0;       ///< outcomes that it was learned from
+};
+
+/// How a service usually behaves, by its own long memory and its peers.
+struct service_usual
+{
+    double fail_rate = 0.005; ///< share of work that fails
+    double shift = 0;         ///< ln(factor) by which all are slower now
+    std::array<time_usual, work_classes> times; ///< by class of route
+};
+
+/// What one piece of work showed.
+enum class outcome_kind : std::uint8_t
+{
+    good,    ///< a whole answer that is no failure of the server
+    failed,  ///< the server's own failure, a cut or a time-out
+    neutral, ///< shed, cancelled, the caller's error: says nothing
+};
+
+/// One observation.
+struct observation
+{
+    outcome_kind kind = outcome_kind::good;
+    span_us took = 0;         ///< time on the backend server
+    std::uint32_t source = 0; ///< data centre of the entry node; index
+    std::uint32_t klass = 0;  ///< class of route, below work_classes
+};
+
+constexpr std::size_t fail_alternatives = 4; ///< sick by failing
+constexpr std::size_t slow_alternatives = 2; ///< sick by slowness
+constexpr std::size_t alternatives = fail_alternatives + slow_alternatives;
+
+/// Failure rates of the bank; raised when the usual rate comes near them.
+inline constexpr std::array<double, fail_alternatives> bank_rates = {0.05, 0.2,
+                                                                     0.5, 0.95};
+
+/// Slowness of the bank, as ln(factor): about 1.8 and 4 times.
+inline constexpr std::array<double, slow_alternatives> bank_shifts = {0.6, 1.4};
+
+/// One member of the bank.
+struct bank_score
+{
+    double value = 0;  ///< CUSUM, never below 0
+    mono_us since = 0; ///< when it last was 0
+    double seen = 0;   ///< outcomes since then
+    double failed = 0; ///< of these, failures
+    double above = 0;  ///< good ones: sum of (ln took - mean) / variance
+    double weight = 0; ///< good ones: sum of 1 / variance
+};
+
+/// Sums of recent outcomes, so that a peer can be told what this backend
+/// server looked like since a moment of the peer's choice.
+struct recent_bucket
+{
+    mono_us start = 0; ///< 0 for an empty bucket
+    double seen = 0;
+    double failed = 0;
+    double above = 0; ///< of (ln took - usual mean), good ones only
+};
+
+constexpr std::size_t recent_buckets = 64;        ///< kept
+constexpr span_us recent_width = 100 * us_per_ms; ///< of each
+
+/// Evidence of one stream of outcomes: a backend server's whole work, or its
+/// work for the callers of one data centre.
+struct evidence
+{
+    std::array<bank_score, alternatives> bank;
+};
+
+/// Where a backend server stands.
+enum class standing : std::uint8_t
+{
+    trusted, ///< takes its share
+    ejected, ///< takes a trickle of idempotent work
+};
+
+inline constexpr std::array<std::string_view, 2> standing_names = {"trusted",
+                                                                   "ejected"};
+
+/// No single data centre: the verdict is about all callers.
+constexpr std::uint32_t all_sources = UINT32_MAX;
+
+/// Settings of a service's verdicts.
+struct verdict_policy
+{
+    double threshold = 15;            ///< evidence at which ejection comes
+    span_us least_out = us_per_s;     ///< shortest ejection
+    span_us most_out = 60 * us_per_s; ///< longest one that flapping causes
+    double return_evidence = 4.6;     ///< ln(100) in favour of "as usual"
+    bool learn_bursts = true;         ///< raise the threshold over self-healed
+                                      ///< bursts
+    bool ask_peers = true;            ///< compare with peers before ejecting
+    bool watch_silence = true; ///< outstanding work counts before it ends
+    bool split_sources = true; ///< eject for one data centre only
+};
+
+/// Work that has been sent and has not ended.
+struct outstanding
+{
+    std::uint64_t key = 0; ///< of the caller of this code
+    mono_us started = 0;
+    std::uint32_t source = 0;
+    std::uint32_t klass = 0;
+};
+
+/// Everything the exit side knows about one backend server.
+struct worker_health
+{
+    standing state = standing::trusted;
+    std::uint32_t scope = all_sources; ///< whose callers the ejection is for
+    evidence total;                    ///< all callers
+    std::vector<evidence> by_source;   ///< by data centre
+    std::array<recent_bucket, recent_buckets> recent; ///< ring by time
+    std::vector<outstanding> open; ///< invariant: at most its slots
+    service_usual usual;           ///< what "as usual" means now
+    double base_rate = 0.005;      ///< own long memory of failures
+    mono_us raised_until = 0;      ///< the usual is raised by peers
+    mono_us ejected_at = 0;
+    mono_us may_return_at = 0;
+    double peak = 0;         ///< evidence at the ejection
+    double return_score = 0; ///< evidence for "as usual" since
+    double excursion = 0;    ///< highest evidence since it was low
+    double burst_peak = 0;   ///< of excursions that healed alone
+    mono_us burst_at = 0;    ///< when burst_peak was last touched
+    std::uint32_t flaps = 0; ///< ejections of late
+    mono_us flap_at = 0;     ///< when flaps last changed
+    mono_us asked_at = 0;    ///< when peers were last asked
+};
+
+/// What a peer says about its backend server of the same service.
+struct peer_report
+{
+    double seen = 0; ///< outcomes since the moment that was asked about
+    double failed = 0;
+    double above = 0; ///< of (ln took - usual mean), good ones only
+};
+
+/// What the exit side should do about a backend server.
+enum class verdict_step : std::uint8_t
+{
+    none,
+    ask_peers, ///< evidence is high: get reports, then judge
+    eject,     ///< set aside for `scope`
+    hold,      ///< the peers look the same
+    restore,   ///< back to its share
+};
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/wire/gossip.capnp
@@ -0,0 +1,73 @@
+# Datagrams between nodes. Sizes are bounded by the sender; the receiver
+# refuses what exceeds its traversal limit.
+@0xb3f1d2a94c5e6077;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("jasminetray::wire");
+
+struct Address {
+  ip @0 :UInt32;
+  gossipPort @1 :UInt16;
+  entryPort @2 :UInt16;
+  exitPort @3 :UInt16;
+  rpcPort @4 :UInt16;
+  adminPort @5 :UInt16;
+}
+
+struct Worker {
+  id @0 :UInt64;
+  service @1 :UInt64;
+  scope @2 :UInt32;
+  slots @3 :UInt16;
+  severity @4 :UInt8;
+  draining @5 :Bool;
+}
+
+struct Summary {
+  id @0 :UInt64;
+  generation @1 :UInt64;
+  sequence @2 :UInt32;
+}
+
+struct Node {
+  summary @0 :Summary;
+  boot @1 :UInt64;
+  name @2 :Text;
+  centre @3 :UInt32;
+  leaving @4 :Bool;
+  address @5 :Address;
+  workers @6 :List(Worker);
+  complaints @7 :List(UInt64);
+}
+
+struct Rumour {
+  about @0 :Summary;
+  state @1 :UInt8;
+}
+
+struct Report {
+  seen @0 :Float64;
+  failed @1 :Float64;
+  above @2 :Float64;
+}
+
+struct Message {
+  kind @0 :UInt8;
+  sender @1 :Summary;
+  centre @2 :UInt32;
+  configVersion @3 :UInt64;
+  configHash @4 :UInt64;
+  probe @5 :UInt64;
+  target @6 :UInt64;
+  targetAddress @7 :Address;
+  records @8 :List(Node);
+  rumours @9 :List(Rumour);
+  digest @10 :List(UInt64);
+  buckets @11 :UInt64;
+  summaries @12 :List(Summary);
+  want @13 :List(UInt64);
+  ticket @14 :UInt64;
+  service @15 :UInt64;
+  back @16 :Int64;
+  reports @17 :List(Report);
+}
--- /dev/null
+++ b/src/wire/wire_func.cpp
@@ -0,0 +1,277 @@
+// Encoding and decoding of datagrams; see wire_func.hpp.
+#include "wire/wire_func.hpp"
+
+#include "member/member_query.hpp"
+#include "wire/gossip.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <cstring>
+#include <kj/exception.h>
+#include <kj/io.h>
+#include <sodium.h>
+
+namespace jasminetray {
+
+namespace {
+
+constexpr std::size_t mac_bytes = 16;
+constexpr std::uint32_t frame_version = 0x4a540001; // "JT", layout 1
+constexpr std::size_t cluster_at = sizeof(frame_version);
+constexpr std::size_t mac_at = cluster_at + sizeof(std::uint64_t);
+constexpr std::size_t body_at = mac_at + mac_bytes;
+constexpr std::uint64_t most_words = 16384; // traversal limit when reading
+
+using mac = std::array<unsigned char, mac_bytes>;
+
+const unsigned char* bytes_of(const char* s)
+{
+    return reinterpret_cast<const unsigned char*>(s);
+}
+
+/// MAC over the cluster's id and the body.
+mac sign(std::string_view frame, const std::string& key)
+{
+    mac m{};
+    std::array<unsigned char, crypto_generichash_KEYBYTES_MAX> hashed{};
+    crypto_generichash(hashed.data(), hashed.size(), bytes_of(key.data()),
+                       key.size(), nullptr, 0);
+    crypto_generichash_state state;
+    crypto_generichash_init(&state, hashed.data(), hashed.size(), m.size());
+    crypto_generichash_update(&state, bytes_of(frame.data()), mac_at);
+    crypto_generichash_update(&state, bytes_of(frame.data() + body_at),
+                              frame.size() - body_at);
+    crypto_generichash_final(&state, m.data(), m.size());
+    return m;
+}
+
+void put_summary(wire::Summary::Builder b, const record_summary& s)
+{
+    b.setId(static_cast<std::uint64_t>(s.id));
+    b.setGeneration(s.generation);
+    b.setSequence(s.sequence);
+}
+
+record_summary get_summary(wire::Summary::Reader r)
+{
+    return {static_cast<node_id>(r.getId()), r.getGeneration(),
+            r.getSequence()};
+}
+
+void put_address(wire::Address::Builder b, const node_address& a)
+{
+    b.setIp(a.ip);
+    b.setGossipPort(a.gossip_port);
+    b.setEntryPort(a.entry_port);
+    b.setExitPort(a.exit_port);
+    b.setRpcPort(a.rpc_port);
+    b.setAdminPort(a.admin_port);
+}
+
+node_address get_address(wire::Address::Reader r)
+{
+    return {r.getIp(),       r.getGossipPort(), r.getEntryPort(),
+            r.getExitPort(), r.getRpcPort(),    r.getAdminPort()};
+}
+
+void put_node(wire::Node::Builder b, const node_record& n)
+{
+    put_summary(b.initSummary(), summary_of(n));
+    b.setBoot(static_cast<std::uint64_t>(n.boot));
+    b.setName(n.name);
+    b.setCentre(static_cast<std::uint32_t>(n.centre));
+    b.setLeaving(n.leaving);
+    put_address(b.initAddress(), n.address);
+    auto workers = b.initWorkers(static_cast<unsigned>(n.workers.size()));
+    for (unsigned k = 0; k < workers.size(); ++k) {
+        const auto& w = n.workers[k];
+        workers[k].setId(static_cast<std::uint64_t>(w.id));
+        workers[k].setService(static_cast<std::uint64_t>(w.service));
+        workers[k].setScope(static_cast<std::uint32_t>(w.scope));
+        workers[k].setSlots(w.slots);
+        workers[k].setSeverity(w.severity);
+        workers[k].setDraining(w.draining);
+    }
+    auto complaints =
+        b.initComplaints(static_cast<unsigned>(n.complaints.size()));
+    for (unsigned k = 0; k < complaints.size(); ++k)
+        complaints.set(k, static_cast<std::uint64_t>(n.complaints[k]));
+}
+
+bool get_node(wire::Node::Reader r, node_record& n)
+{
+    if (r.getWorkers().size() > most_workers ||
+        r.getComplaints().size() > most_complaints)
+        return false;
+    const auto s = get_summary(r.getSummary());
+    n.id = s.id;
+    n.generation = s.generation;
+    n.sequence = s.sequence;
+    n.boot = static_cast<boot_id>(r.getBoot());
+    n.name = std::string(r.getName());
+    n.centre = static_cast<centre_id>(r.getCentre());
+    n.leaving = r.getLeaving();
+    n.address = get_address(r.getAddress());
+    for (const auto w : r.getWorkers()) {
+        n.workers.push_back({static_cast<worker_id>(w.getId()),
+                             static_cast<service_id>(w.getService()),
+                             w.getSlots(), w.getSeverity(), w.getDraining(),
+                             static_cast<centre_id>(w.getScope())});
+    }
+    for (const auto c : r.getComplaints())
+        n.complaints.push_back(static_cast<node_id>(c));
+    return true;
+}
+
+void put_lists(wire::Message::Builder b, const gossip_message& m)
+{
+    auto records = b.initRecords(static_cast<unsigned>(m.records.size()));
+    for (unsigned k = 0; k < records.size(); ++k)
+        put_node(records[k], m.records[k]);
+    auto rumours = b.initRumours(static_cast<unsigned>(m.rumours.size()));
+    for (unsigned k = 0; k < rumours.size(); ++k) {
+        const auto& r = m.rumours[k];
+        put_summary(rumours[k].initAbout(),
+                    {r.about, r.generation, r.sequence});
+        rumours[k].setState(static_cast<std::uint8_t>(r.state));
+    }
+    auto digest = b.initDigest(static_cast<unsigned>(m.digest.size()));
+    for (unsigned k = 0; k < digest.size(); ++k)
+        digest.set(k, m.digest[k]);
+    auto sums = b.initSummaries(static_cast<unsigned>(m.summaries.size()));
+    for (unsigned k = 0; k < sums.size(); ++k)
+        put_summary(sums[k], m.summaries[k]);
+    auto want = b.initWant(static_cast<unsigned>(m.want.size()));
+    for (unsigned k = 0; k < want.size(); ++k)
+        want.set(k, static_cast<std::uint64_t>(m.want[k]));
+    auto reports = b.initReports(static_cast<unsigned>(m.usual.reports.size()));
+    for (unsigned k = 0; k < reports.size(); ++k) {
+        reports[k].setSeen(m.usual.reports[k].seen);
+        reports[k].setFailed(m.usual.reports[k].failed);
+        reports[k].setAbove(m.usual.reports[k].above);
+    }
+}
+
+bool get_lists(wire::Message::Reader r, gossip_message& m)
+{
+    for (const auto n : r.getRecords()) {
+        m.records.emplace_back();
+        if (!get_node(n, m.records.back()))
+            return false;
+    }
+    for (const auto x : r.getRumours()) {
+        const auto s = get_summary(x.getAbout());
+        if (x.getState() >= liveness_names.size())
+            return false;
+        m.rumours.push_back({s.id, s.generation, s.sequence,
+                             static_cast<liveness>(x.getState())});
+    }
+    for (const auto h : r.getDigest())
+        m.digest.push_back(h);
+    for (const auto s : r.getSummaries())
+        m.summaries.push_back(get_summary(s));
+    for (const auto id : r.getWant())
+        m.want.push_back(static_cast<node_id>(id));
+    for (const auto x : r.getReports())
+        m.usual.reports.push_back({x.getSeen(), x.getFailed(), x.getAbove()});
+    return true;
+}
+
+bool get_message(wire::Message::Reader r, gossip_message& m)
+{
+    if (r.getKind() >= gossip_kinds)
+        return false;
+    m.kind = static_cast<gossip_kind>(r.getKind());
+    m.sender = get_summary(r.getSender());
+    m.centre = static_cast<centre_id>(r.getCentre());
+    m.config_version = r.getConfigVersion();
+    m.config_hash = r.getConfigHash();
+    m.probe = r.getProbe();
+    m.target = static_cast<node_id>(r.getTarget());
+    m.target_address = get_address(r.getTargetAddress());
+    m.buckets = r.getBuckets();
+    m.usual.ticket = r.getTicket();
+    m.usual.service = static_cast<service_id>(r.getService());
+    m.usual.back = r.getBack();
+    return get_lists(r, m);
+}
+
+wire_error check_frame(std::string_view bytes, const cluster_keys& keys)
+{
+    std::uint32_t version = 0;
+    std::uint64_t cluster = 0;
+    if (bytes.size() < body_at || bytes.size() > most_datagram)
+        return wire_error::too_short;
+    std::memcpy(&version, bytes.data(), sizeof(version));
+    std::memcpy(&cluster, bytes.data() + cluster_at, sizeof(cluster));
+    if (version != frame_version)
+        return wire_error::other_version;
+    if (cluster != keys.cluster)
+        return wire_error::other_cluster;
+    for (const auto& key : keys.keys) {
+        const auto m = sign(bytes, key);
+        if (sodium_memcmp(m.data(), bytes.data() + mac_at, m.size()) == 0)
+            return wire_error::none;
+    }
+    return wire_error::bad_mac;
+}
+
+} // namespace
+
+std::string encode(const gossip_message& m, const cluster_keys& keys)
+{
+    capnp::MallocMessageBuilder builder;
+    auto b = builder.initRoot<wire::Message>();
+    b.setKind(static_cast<std::uint8_t>(m.kind));
+    put_summary(b.initSender(), m.sender);
+    b.setCentre(static_cast<std::uint32_t>(m.centre));
+    b.setConfigVersion(m.config_version);
+    b.setConfigHash(m.config_hash);
+    b.setProbe(m.probe);
+    b.setTarget(static_cast<std::uint64_t>(m.target));
+    if (m.kind == gossip_kind::ping_for)
+        put_address(b.initTargetAddress(), m.target_address);
+    b.setBuckets(m.buckets);
+    b.setTicket(m.usual.ticket);
+    b.setService(static_cast<std::uint64_t>(m.usual.service));
+    b.setBack(m.usual.back);
+    put_lists(b, m);
+    kj::VectorOutputStream stream;
+    capnp::writePackedMessage(stream, builder);
+    const auto body = stream.getArray();
+    std::string frame(body_at, '\0');
+    std::memcpy(frame.data(), &frame_version, sizeof(frame_version));
+    std::memcpy(frame.data() + cluster_at, &keys.cluster, sizeof(keys.cluster));
+    frame.append(reinterpret_cast<const char*>(body.begin()), body.size());
+    const auto signature = sign(frame, keys.keys.front());
+    std::memcpy(frame.data() + mac_at, signature.data(), signature.size());
+    return frame;
+}
+
+std::optional<gossip_message> decode(std::string_view bytes,
+                                     const cluster_keys& keys, wire_error& last)
+{
+    last = check_frame(bytes, keys);
+    if (last != wire_error::none)
+        return std::nullopt;
+    gossip_message m;
+    bool within = false;
+    // Cap'n Proto reports malformed input by exception; it ends here.
+    const auto failed = kj::runCatchingExceptions([&] {
+        kj::ArrayInputStream stream(kj::arrayPtr(
+            bytes_of(bytes.data() + body_at), bytes.size() - body_at));
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = most_words;
+        capnp::PackedMessageReader reader(stream, options);
+        within = get_message(reader.getRoot<wire::Message>(), m);
+    });
+    if (failed != nullptr)
+        last = wire_error::malformed;
+    else if (!within)
+        last = wire_error::out_of_bounds;
+    if (last != wire_error::none)
+        return std::nullopt;
+    return m;
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,88 @@
+"""The Hinoha mesh in miniature: load, one gray backend server, what callers
+saw, which decision was taken. Exits non-zero when a promise was broken."""
+
+import json
+import sys
+import time
+
+import fleet
+
+CENTRES = ("fukuoka", "kumamoto", "kagoshima")
+SERVICES = ("billing", "dispatch", "standing-orders")
+PATHS = "/billing/charge,/dispatch/pouch,/orders/standing"
+SECONDS = 8
+
+
+def start(f, flags):
+    f.start_platform()
+    for centre in CENTRES:
+        for n in (1, 2):
+            f.start_node("%s-%d" % (centre, n), centre, flags=flags)
+    version = f.submit(fleet.ROOT + "/examples/hinoha")
+    seed = 0
+    for node in list(f.nodes):
+        for service in SERVICES:
+            seed += 1
+            f.start_backend("%s-%s" % (service, node), service, node,
+                            seed=seed)
+    f.wait_config(version)
+    for service in SERVICES:
+        f.wait_workers(service, len(f.nodes))
+    return version
+
+
+def explain(f, what, subject, node="fukuoka-1"):
+    code, out = f.ctl("explain", what, subject, "--json",
+                      "--node=" + f.nodes[node].address("rpc_port"))
+    answer = json.loads(out.strip().splitlines()[-1])
+    return code, answer.get("records", [])
+
+
+def show(title, records):
+    print(title)
+    for r in records[-3:]:
+        print("  %d %s %s %s" % (r["event"], r["name"], r["subject"],
+                                 r["detail"]))
+
+
+def find_records(f, what, subject, name):
+    found = []
+    for node in f.nodes:
+        found += [r for r in explain(f, what, subject, node)[1]
+                  if r["name"] == name]
+    return found
+
+
+def main():
+    flags = sys.argv[1:]
+    with fleet.Fleet() as f:
+        version = start(f, flags)
+        print("fleet: %d nodes, %d backend servers, configuration %d" %
+              (len(f.nodes), len(f.backends), version))
+        run = f.load(f.nodes, wait=False, rate=200, seconds=SECONDS,
+                     paths=PATHS, name="demo")
+        time.sleep(SECONDS / 4)
+        sick = "billing-fukuoka-1"
+        print("%s now fails 80%% of its work; probes pass" % sick)
+        f.mode(sick, mode="fail", share=0.8)
+        out = run.communicate(timeout=120)[0]
+        refused = post_unknown_route(f)
+        ejected = find_records(f, "ejection", sick, "worker_ejected")
+        config = explain(f, "config", "version-%d" % version)[1]
+        refusal = explain(f, "refusal", refused)[1]
+        show("ejection of %s:" % sick, ejected)
+        show("configuration:", config)
+        show("refusal %s:" % refused, refusal)
+        print(out.strip())
+        kept = run.returncode == 0 and ejected and config and refusal
+        return 0 if kept else 1
+
+
+def post_unknown_route(f):
+    """A request that no route takes; gives its id."""
+    node = f.nodes["kumamoto-1"]
+    return fleet.post(node.address("entry_port"), "/nowhere", {})["request"]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/install.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Installs the packages that are missing; does nothing when all are there.
+set -eu
+missing=""
+for name in "$@"; do
+    dpkg-query -W -f='${Status}' "$name" 2>/dev/null |
+        grep -q "install ok installed" || missing="$missing $name"
+done
+[ -n "$missing" ] || exit 0
+apt-get update
+# shellcheck disable=SC2086
+DEBIAN_FRONTEND=noninteractive apt-get install -y $missing
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,26 @@
+#!/bin/sh
+# clang-tidy over all of our sources, with the flags of the build; warnings
+# are errors. Files that have not changed since they were last clean under
+# the same settings are skipped.
+set -eu
+build=$1
+stamps=$build/lint
+mkdir -p "$stamps"
+lint_one() {
+    file=$1
+    stamp=$stamps/$(echo "$file" | tr / _)
+    headers=$(cat src/*/*.hpp .clang-tidy | cksum | tr -d ' ')
+    sum=$(cksum <"$file" | tr -d ' ')-$headers
+    [ "$(cat "$stamp" 2>/dev/null || true)" != "$sum" ] || return 0
+    if ! out=$(clang-tidy --quiet -p "$build" "$file" 2>/dev/null); then
+        echo "$out"
+        return 1
+    fi
+    echo "$sum" >"$stamp"
+}
+if [ $# -eq 2 ]; then
+    lint_one "$2"
+    exit $?
+fi
+git ls-files 'src/*.cpp' 'test/*.cpp' 'bench/*.cpp' |
+    xargs -P "$(nproc)" -I{} sh "$0" "$build" {}
