--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -41,13 +41,15 @@
     // this check a copy that was sent to it would run a second time here.
     if (on.check_boot && r.boot != g.boot)
         return gate_error::wrong_boot;
+    // Looked up before the stamp is: "too old" means "not run", which would
+    // be a lie about the late copy of an attempt that is running.
+    const auto seen = refuse_as_seen(g, r, on);
+    if (seen != gate_error::none)
+        return seen;
     // A copy that outlived the note of its own revoke would run after the
     // caller was told "not run". Notes are kept for longer than this bound.
     if (on.check_stamp && now - r.stamp > g.limits.stamp_bound)
         return gate_error::stale_stamp;
-    const auto seen = refuse_as_seen(g, r, on);
-    if (seen != gate_error::none)
-        return seen;
     // Records are never dropped early to make room: the attempt that was
     // forgotten could then run twice. New work is refused instead.
     if (g.records.size() >= g.limits.records)
@@ -73,6 +75,19 @@
                                    : gate_error::deadline_short;
 }
 
+/// Notes a refusal down: once "not run" was said of an attempt, a repeated
+/// copy of it must not find a free slot. With no room left for the note, the
+/// word rests on connections that never repeat bytes.
+void keep_word(gate& g, const attempt_id& a, gate_error why, mono_us now,
+               const gate_safeguards& on)
+{
+    const bool may_repeat =
+        why == gate_error::draining || why == gate_error::deadline_short ||
+        why == gate_error::queue_full || why == gate_error::no_worker;
+    if (may_repeat && on.remember_refused)
+        remember(g, a, gate_state::revoked, now);
+}
+
 void take_slot(gate& g, gate_worker& w, const attempt_id& a, bool idempotent,
                mono_us now)
 {
@@ -108,8 +123,11 @@
         last = gate_error::no_worker;
     if (last == gate_error::none)
         last = refuse_capacity(g, it->second, r, now);
-    if (last != gate_error::none)
+    if (last != gate_error::none) {
+        if (mode == command_mode::apply && !r.idempotent)
+            keep_word(g, r.attempt, last, now, on);
         return std::nullopt;
+    }
     auto& w = it->second;
     const bool start = room(w) && w.queue.empty();
     if (mode == command_mode::apply && start)
--- a/src/gate/gate_cmd.hpp
+++ b/src/gate/gate_cmd.hpp
@@ -17,6 +17,7 @@
     bool check_revoked = true;    ///< refuse work that was revoked
     bool check_duplicate = true;  ///< refuse a second copy
     bool remember_revoked = true; ///< write a revoke down
+    bool remember_refused = true; ///< write a refusal down
 };
 
 /// Lets work in, or refuses it.
--- a/src/load/load_main.cpp
+++ b/src/load/load_main.cpp
@@ -9,8 +9,8 @@
 #include <iostream>
 
 DEFINE_string(entries, "", "ip:port of entry nodes, with commas");
-DEFINE_string(backends, "",
-              "ip:port of backend servers to ask what ran, with commas");
+DEFINE_string(runs_files, "",
+              "files in which backend servers note what ran, with commas");
 DEFINE_double(rate, 100, "requests a second, open loop");
 DEFINE_double(seconds, 5, "how long");
 DEFINE_double(non_idempotent, 0.3, "share of POST requests");
@@ -125,7 +125,7 @@
     namespace jt = jasminetray;
     jt::load_plan plan;
     plan.entries = jt::parse_list(FLAGS_entries);
-    plan.backends = jt::parse_list(FLAGS_backends);
+    plan.runs_files = jt::split(FLAGS_runs_files, ',');
     plan.paths = jt::split(FLAGS_paths, ',');
     plan.rate = FLAGS_rate;
     plan.seconds = FLAGS_seconds;
@@ -145,7 +145,7 @@
         jt::write_records(found);
     jt::print_table(found, v);
     if (!found.runs_known)
-        std::cout << "not every backend server could be asked what ran\n";
+        std::cout << "not every file of what ran could be read\n";
     jt::print_last_line(v);
     const bool kept = jt::of(v, jt::load_outcome::wrong) == 0 &&
                       jt::of(v, jt::load_outcome::unanswered) == 0 &&
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -3,7 +3,6 @@
 
 #include "base/random_func.hpp"
 #include "base/time_type.hpp"
-#include "platform/http_client.hpp"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -12,7 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <boost/json.hpp>
+#include <fstream>
 #include <memory>
 #include <optional>
 
@@ -23,7 +22,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
-namespace json = boost::json;
 using tcp = asio::ip::tcp;
 using string_request = http::request<http::string_body>;
 using string_response = http::response<http::string_body>;
@@ -221,18 +219,12 @@
 
 void collect_runs(const load_plan& plan, load_findings& f)
 {
-    for (const auto& to : plan.backends) {
-        http_error last{};
-        const auto a =
-            call_http({to, "GET", "/runs", "", {}, 5 * us_per_s}, last);
-        json::error_code ec;
-        const auto v = a ? json::parse(a->body, ec) : json::value();
-        if (!a || ec || !v.is_object()) {
-            f.runs_known = false;
-            continue;
-        }
-        for (const auto& [id, n] : v.as_object())
-            f.runs[std::string(id)] += static_cast<int>(n.as_int64());
+    for (const auto& name : plan.runs_files) {
+        std::ifstream in(name);
+        f.runs_known = f.runs_known && in.good();
+        std::string id;
+        while (std::getline(in, id))
+            ++f.runs[id];
     }
 }
 
--- a/src/load/load_type.hpp
+++ b/src/load/load_type.hpp
@@ -17,9 +17,9 @@
 /// What to send.
 struct load_plan
 {
-    std::vector<host_port> entries;  ///< nodes that callers use
-    std::vector<host_port> backends; ///< asked at the end what ran
-    double rate = 100;               ///< requests a second, open loop
+    std::vector<host_port> entries;      ///< nodes that callers use
+    std::vector<std::string> runs_files; ///< written by backend servers
+    double rate = 100;                   ///< requests a second, open loop
     double seconds = 5;
     double non_idempotent = 0.3;    ///< share of POSTs
     std::vector<std::string> paths; ///< one is drawn per request
--- a/src/stand_in/backend_main.cpp
+++ b/src/stand_in/backend_main.cpp
@@ -3,7 +3,6 @@
 // SIGTERM, and fails grayly on command:
 //   POST /mode {"mode": NAME, "share": 0..1, "factor": N, "centre": NAME}
 //     none fail slow silent late crossed cut shed extra
-//   GET /runs: how often each piece of work ran, by its x-load-id
 //   GET /health, GET /load: fine and late, whatever the real work does
 #include "platform/http_client.hpp"
 #include "stand_in/stand_in_server.hpp"
@@ -17,9 +16,9 @@
 #include <boost/json.hpp>
 #include <cmath>
 #include <deque>
+#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
-#include <map>
 #include <unistd.h>
 
 DEFINE_string(ip, "127.0.0.1", "address to listen on");
@@ -33,6 +32,9 @@
 DEFINE_string(ready_file, "", "written with the real port when serving");
 DEFINE_uint64(seed, 1, "of its random numbers");
 DEFINE_int32(drain_ms, 2000, "between saying that it drains and leaving");
+DEFINE_string(runs_file, "",
+              "one line with the x-load-id of each piece of work that ran; "
+              "outlives the process");
 DEFINE_int32(answer_bytes, 0, "padding of each answer");
 
 namespace jasminetray {
@@ -65,8 +67,8 @@
     int running = 0;
     bool draining = false;
     random_state rng;
-    std::map<std::string, int> runs; ///< by load id
-    std::deque<kept_answer> kept;    ///< crossed: answers of others
+    std::ofstream runs;           ///< one line per piece of work that ran
+    std::deque<kept_answer> kept; ///< crossed: answers of others
     std::uint64_t sheds = 0;
 };
 
@@ -163,7 +165,7 @@
         return stand_in_end::answer;
     }
     ++b.running;
-    ++b.runs[id];
+    b.runs << id << std::endl; // flushed: a kill must not lose it
     const auto deadline = parse_whole(field(q, "x-deadline-ms"));
     double ms = work_ms(b);
     if (sick && b.mode.name == "slow")
@@ -216,11 +218,6 @@
     const auto target = q.target();
     if (target == "/mode") {
         set_mode(b, q.body(), r);
-    } else if (target == "/runs") {
-        json::object runs;
-        for (const auto& [id, n] : b.runs)
-            runs[id] = n;
-        r.body() = json::serialize(runs);
     } else if (target == "/health" || target == "/load") {
         wait_ms(ctx, 25, y); // a probe costs about 25 ms and tells little
         r.body() = "ok";
@@ -294,6 +291,8 @@
     asio::io_context ctx(1);
     backend_state b;
     b.rng.value = FLAGS_seed;
+    if (!FLAGS_runs_file.empty())
+        b.runs.open(FLAGS_runs_file, std::ios::app);
     announcer a;
     a.boot = static_cast<std::int64_t>(::getpid());
     a.port =
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -122,11 +122,15 @@
             os.remove(ready)
         args = [binary("backend"), "--name=" + name, "--service=" + service,
                 "--slots=%d" % slots, "--ready_file=" + ready,
+                "--runs_file=" + self.runs_file(name),
                 "--node=" + self.nodes[node].address("admin_port")]
         args += ["--%s=%s" % item for item in flags.items()]
         self.backends[name] = Process(self.folder, name, args).wait_ready()
         return self.backends[name]
 
+    def runs_file(self, name):
+        return os.path.join(self.folder, name + ".runs")
+
     def ctl(self, *words, check=False):
         """Runs jasminetray-ctl; gives (exit code, output)."""
         done = subprocess.run([binary("ctl"), *words], capture_output=True,
@@ -179,9 +183,8 @@
         args = [binary("load"),
                 "--entries=" + ",".join(
                     self.nodes[n].address("entry_port") for n in entries),
-                "--backends=" + ",".join(
-                    b.address() for b in self.backends.values()
-                    if b.popen.poll() is None)]
+                "--runs_files=" + ",".join(
+                    self.runs_file(b) for b in self.backends)]
         args += ["--%s=%s" % item for item in flags.items()]
         run = subprocess.Popen(args, stdout=subprocess.PIPE, text=True)
         if not wait:
