--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -119,12 +119,15 @@
 {
     std::uint64_t ticket = 0; ///< of the asker
     service_id service{};
+    centre_id centre{};        ///< whose callers suffer; 0 for all
     span_us back = 0; ///< how far back to look
     struct report
     {
         double seen = 0;
         double failed = 0;
         double above = 0;
+        std::int64_t burst_us = 0;
+        double source_share = 0;
     };
     std::vector<report> reports; ///< one per backend server; in the answer
 };
--- a/src/node/admin_query.cpp
+++ b/src/node/admin_query.cpp
@@ -63,16 +63,16 @@
     json::array workers;
     const auto now = mono_now();
     for (const auto& [id, w] : n.workers) {
-        workers.push_back(json::object{
-            {"worker", hex(id)},
-            {"name", w.name},
-            {"service", w.service},
-            {"slots", w.slots},
-            {"draining", w.draining || w.drained_here},
-            {"standing", name_of(standing_names, w.health.state)},
-            {"evidence", health_score(w.health, w.policy, now)},
-            {"threshold", health_threshold(w.health, w.policy, now)},
-            {"load", gate_load(n.door, id)}});
+        workers.push_back(
+            json::object{{"worker", hex(id)},
+                         {"name", w.name},
+                         {"service", w.service},
+                         {"slots", w.slots},
+                         {"draining", w.draining || w.drained_here},
+                         {"standing", name_of(standing_names, w.health.state)},
+                         {"evidence", health_score(w.health, w.policy, now)},
+                         {"threshold", health_threshold(w.health, w.policy)},
+                         {"load", gate_load(n.door, id)}});
     }
     return {{"node", n.settings.name},
             {"data_centre", n.settings.centre},
--- a/src/node/announce.cpp
+++ b/src/node/announce.cpp
@@ -73,6 +73,7 @@
     w.service = a.service;
     w.boot = a.boot;
     w.health.usual = usual;
+    w.health.cold_until = mono_now() + n.balance.ramp;
     refresh_policies(n);
     n.events.write(event_id::worker_announced, a.name,
                    "service=" + a.service +
--- a/src/node/health_driver.cpp
+++ b/src/node/health_driver.cpp
@@ -32,11 +32,12 @@
                           mono_us now)
 {
     const auto& h = w.health;
-    const auto seen = health_report(h, now - 3 * us_per_s);
+    const auto seen =
+        health_report(h, w.policy, now - 3 * us_per_s, all_sources);
     std::ostringstream out;
     out << std::fixed << std::setprecision(2) << "service=" << w.service
         << " evidence=" << health_score(h, w.policy, now)
-        << " threshold=" << health_threshold(h, w.policy, now)
+        << " threshold=" << health_threshold(h, w.policy)
         << " recent_seen=" << seen.seen << " recent_failed=" << seen.failed
         << " usual_fail_rate=" << h.usual.fail_rate
         << " outstanding=" << h.open.size() << " flaps=" << h.flaps
@@ -55,18 +56,19 @@
 
 void eject(node_state& n, local_worker& w, mono_us now)
 {
-    const auto scope = health_scope(w.health, w.policy, now);
+    const auto s = health_suspect(w.health, w.policy, now);
     n.events.write(event_id::worker_ejected, w.name,
-                   evidence_text(n, w, now) + " scope=" + scope_text(n, scope));
-    health_eject(w.health, w.policy, scope, now);
+                   evidence_text(n, w, now) +
+                       " scope=" + scope_text(n, s.scope));
+    health_eject(w.health, w.policy, now);
     count(*n.metrics.verdicts, "step", "eject");
     publish_self(n);
 }
 
-void hold(node_state& n, local_worker& w, mono_us now)
+/// @param text the evidence as it was before the usual moved
+void hold(node_state& n, const local_worker& w, const std::string& text)
 {
-    n.events.write(event_id::ejection_held_by_peers, w.name,
-                   evidence_text(n, w, now));
+    n.events.write(event_id::ejection_held_by_peers, w.name, text);
     count(*n.metrics.verdicts, "step", "hold");
 }
 
@@ -96,10 +98,11 @@
     const auto now = mono_now();
     auto& w = it->second;
     const auto text = evidence_text(n, w, now);
-    if (health_judge(w.health, w.policy, reports, now) == verdict_step::eject)
+    const auto step = health_judge(w.health, w.policy, reports, now);
+    if (step == verdict_step::eject)
         eject(n, w, now);
-    else
-        hold(n, w, now);
+    if (step == verdict_step::hold)
+        hold(n, w, text);
 }
 
 /// Nodes that guard other backend servers of a service, in random order.
@@ -127,26 +130,28 @@
 }
 
 void add_local_reports(const node_state& n, const local_worker& except,
-                       mono_us since, std::vector<peer_report>& reports)
+                       const suspicion& s, std::vector<peer_report>& reports)
 {
     for (const auto& [id, w] : n.workers) {
         if (id != except.id && w.service == except.service &&
             w.health.state == standing::trusted)
-            reports.push_back(health_report(w.health, since));
+            reports.push_back(
+                health_report(w.health, w.policy, s.since, s.scope));
     }
 }
 
 void ask(node_state& n, local_worker& w, mono_us now)
 {
-    const auto since = health_since(w.health, now);
+    const auto s = health_suspect(w.health, w.policy, now);
     const auto ticket = n.next_ask++;
     auto& a = n.asks[ticket];
     a.about = w.id;
-    add_local_reports(n, w, since, a.reports);
+    add_local_reports(n, w, s, a.reports);
     usual_question q;
     q.ticket = ticket;
     q.service = service_of(w.service);
-    q.back = now - since;
+    q.back = now - s.since;
+    q.centre = scope_centre(n, s.scope);
     const auto peers = peers_of(n, q.service);
     a.awaited = peers.size();
     if (peers.empty())
@@ -206,12 +211,17 @@
 {
     auto reply = q;
     const auto since = mono_now() - std::max<span_us>(0, q.back);
+    const auto centre =
+        n.source_index.find(static_cast<std::uint32_t>(q.centre));
+    const auto source =
+        centre == n.source_index.end() ? all_sources : centre->second;
     for (const auto& [id, w] : n.workers) {
         if (service_of(w.service) != q.service ||
             w.health.state == standing::ejected)
             continue;
-        const auto r = health_report(w.health, since);
-        reply.reports.push_back({r.seen, r.failed, r.above});
+        const auto r = health_report(w.health, w.policy, since, source);
+        reply.reports.push_back(
+            {r.seen, r.failed, r.above, r.burst_span, r.source_share});
     }
     n.control.send_usual(ip, port, reply, true);
 }
@@ -222,7 +232,8 @@
     if (it == n.asks.end() || it->second.awaited == 0)
         return;
     for (const auto& r : q.reports)
-        it->second.reports.push_back({r.seen, r.failed, r.above});
+        it->second.reports.push_back(
+            {r.seen, r.failed, r.above, r.burst_us, r.source_share});
     if (--it->second.awaited == 0)
         judge(n, q.ticket);
 }
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -12,15 +12,6 @@
 
 constexpr int severity_step = 50; // what the record tells apart below 100
 
-centre_id scope_of(const node_state& n, std::uint32_t scope)
-{
-    for (const auto& [centre, index] : n.source_index) {
-        if (index == scope)
-            return static_cast<centre_id>(centre);
-    }
-    return centre_id{};
-}
-
 worker_record record_of(const node_state& n, local_worker& w, mono_us now)
 {
     worker_record r;
@@ -36,13 +27,23 @@
     r.slots = static_cast<std::uint16_t>(w.slots);
     r.severity = static_cast<std::uint8_t>(shown);
     r.draining = w.draining || w.drained_here;
-    r.scope = w.health.state == standing::ejected ? scope_of(n, w.health.scope)
-                                                  : centre_id{};
+    r.scope = w.health.state == standing::ejected
+                  ? scope_centre(n, w.health.scope)
+                  : centre_id{};
     return r;
 }
 
 } // namespace
 
+centre_id scope_centre(const node_state& n, std::uint32_t scope)
+{
+    for (const auto& [centre, index] : n.source_index) {
+        if (index == scope)
+            return static_cast<centre_id>(centre);
+    }
+    return centre_id{};
+}
+
 int severity_of(const local_worker& w, mono_us now)
 {
     if (w.by_operator != 0 && now < w.operator_until)
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -132,6 +132,9 @@
     team_buckets teams;
 };
 
+/// Data centre that a verdict's scope means; 0 for all.
+centre_id scope_centre(const node_state& n, std::uint32_t scope);
+
 /// Severity of a backend server's claim: an operator's word, else evidence.
 int severity_of(const local_worker& w, mono_us now);
 
--- a/src/verdict/floor_func.cpp
+++ b/src/verdict/floor_func.cpp
@@ -28,6 +28,16 @@
     return over <= 0 ? 1 : 1 - (1 - held_weight) * std::min(1.0, over);
 }
 
+/// A trickle of real work shows when an ejected one is well again; the more
+/// so the better the first of it looks.
+double ejected_weight(const claim& c)
+{
+    if (c.path_bad || c.forced)
+        return 0;
+    return c.severity <= recovering_severity ? recovering_weight
+                                             : trickle_weight;
+}
+
 } // namespace
 
 std::vector<applied_claim> apply_claims(const std::vector<claim>& claims,
@@ -54,7 +64,7 @@
         const auto& c = claims[n];
         if (c.forced || left - c.slots >= floor) {
             applied[n].ejected = true;
-            applied[n].weight = c.path_bad || c.forced ? 0 : trickle_weight;
+            applied[n].weight = ejected_weight(c);
             left -= c.slots;
         } else {
             applied[n].held = true;
--- a/src/verdict/floor_type.hpp
+++ b/src/verdict/floor_type.hpp
@@ -31,11 +31,13 @@
     bool held = false; ///< deserved ejection; the floor forbade it
 };
 
-constexpr double trickle_weight = 0.02; ///< of an ejected backend server
-constexpr double held_weight = 0.25;    ///< of one that the floor holds
-constexpr int claim_severity = 100;     ///< asks for ejection
-constexpr int operator_severity = 254;  ///< an operator's, under the floor
-constexpr int forced_severity = 255;    ///< an operator's, floor or not
+constexpr double trickle_weight = 0.05;   ///< of an ejected backend server
+constexpr double held_weight = 0.25;      ///< of one that the floor holds
+constexpr int recovering_severity = 104;  ///< up to it: its trickle looks well
+constexpr double recovering_weight = 0.2; ///< of one whose trickle looks well
+constexpr int claim_severity = 100;       ///< asks for ejection
+constexpr int operator_severity = 254;    ///< an operator's, under the floor
+constexpr int forced_severity = 255;      ///< an operator's, floor or not
 
 /// Applies claims down to the floor.
 /// @param claims all backend servers of a service, also dead ones
--- a/src/verdict/verdict_cmd.hpp
+++ b/src/verdict/verdict_cmd.hpp
@@ -30,10 +30,8 @@
 verdict_step health_judge(worker_health& h, const verdict_policy& p,
                           const std::vector<peer_report>& reports, mono_us now);
 
-/// Carries an ejection out.
-/// @param scope data centre whose callers it is for, or all_sources
-void health_eject(worker_health& h, const verdict_policy& p,
-                  std::uint32_t scope, mono_us now);
+/// Carries an ejection out, against the strongest suspicion.
+void health_eject(worker_health& h, const verdict_policy& p, mono_us now);
 
 /// Carries a return out; evidence starts anew.
 void health_restore(worker_health& h, const verdict_policy& p, mono_us now);
--- a/src/verdict/verdict_math.cpp
+++ b/src/verdict/verdict_math.cpp
@@ -29,6 +29,12 @@
     return std::max(least_variance, u.times[klass % work_classes].log_var);
 }
 
+double cold_allowance(const worker_health& h, mono_us now)
+{
+    constexpr double cold_shift = 1.6; // five times slower is no sickness yet
+    return now < h.cold_until ? cold_shift : 0;
+}
+
 double above_usual(const service_usual& u, std::uint32_t klass, span_us took)
 {
     const double log_took =
--- a/src/verdict/verdict_math.hpp
+++ b/src/verdict/verdict_math.hpp
@@ -28,6 +28,9 @@
 /// ln(took) minus what is usual for the class now.
 double above_usual(const service_usual& u, std::uint32_t klass, span_us took);
 
+/// ln(factor) that a cold start may be slower by.
+double cold_allowance(const worker_health& h, mono_us now);
+
 /// Variance that ratios use; never so small that one answer decides.
 double usual_variance(const service_usual& u, std::uint32_t klass);
 
--- a/src/verdict/verdict_query.cpp
+++ b/src/verdict/verdict_query.cpp
@@ -10,33 +10,98 @@
 
 namespace {
 
-constexpr double flap_discount = 1.5;   // nats per recent ejection
-constexpr double least_share = 0.6;     // of the threshold, after flaps
-constexpr double burst_margin = 1.25;   // over the highest healed burst
-constexpr double most_burst_factor = 3; // of the policy's threshold
+constexpr double flap_discount = 1;  // nats per ejection after the first
+constexpr double least_share = 0.75; // of the threshold, after flaps
+constexpr double rare_share = 0.05;  // of usual work lasts this long
+constexpr double burst_margin = 1.3; // over the longest healed burst
+constexpr span_us most_patience = 3 * us_per_s / 2;
+constexpr double most_against = 2; // nats against the streams that are well
+constexpr double least_well = 3;   // nats that these streams are well
+constexpr double well_nats_slow = 0.75; // of one answer in usual time
 constexpr span_us burst_memory = 3600 * us_per_s;
 
-/// Score of one stream: its bank plus what outstanding work already says.
-double stream_score(const worker_health& h, const evidence& e,
-                    const verdict_policy& p, std::uint32_t source, mono_us now)
+/// Member of a bank that speaks loudest.
+struct loudest_member
 {
-    double best = 0;
-    for (std::size_t n = 0; n < fail_alternatives; ++n) {
+    std::size_t index = 0; ///< in the bank
+    double score = 0;
+};
+
+/// Member of the bank of one stream that speaks loudest, with what
+/// outstanding work already says counted in.
+loudest_member stream_loudest(const worker_health& h, const evidence& e,
+                              const verdict_policy& p, std::uint32_t source,
+                              mono_us now)
+{
+    loudest_member best{0, 0};
+    auto usual = h.usual;
+    usual.shift += cold_allowance(h, now);
+    for (std::size_t n = 0; n < alternatives; ++n) {
         double score = e.bank[n].value;
-        const double rate = alternative_rate(n, h.usual.fail_rate);
+        const bool fails = n < fail_alternatives;
         for (const auto& o : h.open) {
-            if (!p.watch_silence)
+            if (!p.watch_silence || !fails)
                 break;
+            if (now - o.started < usual.times[o.klass % work_classes].median)
+                continue; // nothing unusual yet
+            const double rate = alternative_rate(n, usual.fail_rate);
             if (source == all_sources || o.source == source)
-                score += silence_ratio(h.usual, rate, o.klass, now - o.started);
+                score += silence_ratio(usual, rate, o.klass, now - o.started);
         }
-        best = std::max(best, score);
+        if (score > best.score)
+            best = {n, score};
     }
-    for (std::size_t n = fail_alternatives; n < alternatives; ++n)
-        best = std::max(best, e.bank[n].value);
     return best;
 }
 
+/// Whether the first of its trickle went well.
+bool is_recovering(const worker_health& h, const verdict_policy& p, mono_us now)
+{
+    constexpr double share = 0.4; // of the evidence that a return needs
+    return now >= h.may_return_at &&
+           h.return_score >= share * (p.return_evidence + h.flaps);
+}
+
+/// What one stream says, as a suspicion.
+suspicion make_suspicion(const worker_health& h, const verdict_policy& p,
+                         std::uint32_t scope, mono_us now)
+{
+    const auto& stream = stream_of(h, scope);
+    const auto top = stream_loudest(h, stream, p, scope, now);
+    const auto& member = stream.bank[top.index];
+    mono_us since = member.value > 0 ? member.since : now;
+    for (const auto& o : h.open) {
+        if (usual_survival(h.usual, o.klass, now - o.started) < rare_share)
+            since = std::min(since, o.started);
+    }
+    return {scope, top.index, top.score, health_threshold(h, p), since};
+}
+
+/// Whether all other streams are served well since the suspicion began. They
+/// must have been heard: silence is not health.
+bool others_well(const worker_health& h, const suspicion& worst)
+{
+    const auto& sick = h.by_source[worst.scope].bank[worst.index];
+    double evidence_against = 0;
+    double well = 0;
+    for (std::uint32_t n = 0; n < h.by_source.size(); ++n) {
+        if (n == worst.scope)
+            continue;
+        const auto& e = h.by_source[n];
+        evidence_against += strongest(e).value;
+        for (const auto at : e.well_at)
+            well += at >= worst.since ? 1 : 0;
+    }
+    const double rate =
+        sick.seen > 0 ? std::min(0.95, sick.failed / sick.seen) : 0.95;
+    const double each = worst.index < fail_alternatives
+                            ? -fail_ratio(false, rate, h.usual.fail_rate)
+                            : well_nats_slow;
+    return evidence_against < most_against && well * each >= least_well;
+}
+
+} // namespace
+
 const bank_score& strongest(const evidence& e)
 {
     return *std::max_element(
@@ -44,67 +109,79 @@
         [](const auto& a, const auto& b) { return a.value < b.value; });
 }
 
-} // namespace
-
 double health_score(const worker_health& h, const verdict_policy& p,
                     mono_us now)
 {
-    return stream_score(h, h.total, p, all_sources, now);
+    return stream_loudest(h, h.total, p, all_sources, now).score;
 }
 
-double health_threshold(const worker_health& h, const verdict_policy& p,
+double health_threshold(const worker_health& h, const verdict_policy& p)
+{
+    const double again = h.flaps > 1 ? h.flaps - 1 : 0;
+    const double flapped = p.threshold - flap_discount * again;
+    return std::max(flapped, least_share * p.threshold);
+}
+
+span_us health_patience(const worker_health& h, const verdict_policy& p,
                         mono_us now)
 {
-    const double flapped = p.threshold - flap_discount * h.flaps;
-    double t = std::max(flapped, least_share * p.threshold);
-    if (p.learn_bursts && h.burst_peak > 0 && now - h.burst_at < burst_memory)
-        t = std::max(t, std::min(burst_margin * h.burst_peak,
-                                 most_burst_factor * p.threshold));
-    return t;
+    if (!p.learn_bursts || now - h.burst_at > burst_memory)
+        return 0;
+    return std::min(
+        most_patience,
+        static_cast<span_us>(burst_margin * static_cast<double>(h.burst_span)));
 }
 
-std::uint32_t health_scope(const worker_health& h, const verdict_policy& p,
-                           mono_us now)
+const evidence& stream_of(const worker_health& h, std::uint32_t scope)
 {
-    if (!p.split_sources)
-        return all_sources;
-    const double full = health_threshold(h, p, now);
-    std::uint32_t bad = all_sources;
-    for (std::uint32_t n = 0; n < h.by_source.size(); ++n) {
-        const double score = stream_score(h, h.by_source[n], p, n, now);
-        if (score < full / 4)
-            continue;
-        if (bad != all_sources)
-            return all_sources; // two streams look bad: it is the server
-        bad = n;
-    }
-    if (bad == all_sources)
-        return all_sources;
-    // The others must have been heard in the same time, or their silence
-    // would be taken for health.
-    const auto since = strongest(h.by_source[bad]).since;
-    double others = 0;
+    return scope < h.by_source.size() ? h.by_source[scope] : h.total;
+}
+
+suspicion health_suspect(const worker_health& h, const verdict_policy& p,
+                         mono_us now)
+{
+    const auto whole = make_suspicion(h, p, all_sources, now);
+    const bool quiet =
+        whole.score < whole.threshold && h.top_value < whole.threshold / 2;
+    if (quiet || !p.split_sources || h.by_source.size() < 2)
+        return whole;
+    suspicion worst;
     for (std::uint32_t n = 0; n < h.by_source.size(); ++n) {
-        if (n != bad && strongest(h.by_source[n]).value < 1)
-            others += h.by_source[n].bank[0].since >= since
-                          ? h.by_source[n].bank[0].seen + 1
-                          : h.by_source[n].bank[0].seen;
+        const auto s = make_suspicion(h, p, n, now);
+        if (s.score > worst.score)
+            worst = s;
     }
-    return others >= 1 ? bad : all_sources;
+    // More streams are more chances of a false alarm.
+    worst.threshold += std::log(static_cast<double>(h.by_source.size()));
+    const bool speaks =
+        whole.score >= whole.threshold || worst.score >= worst.threshold;
+    if (!speaks || worst.scope == all_sources || !others_well(h, worst))
+        return whole;
+    if (whole.score >= whole.threshold)
+        worst.threshold = std::min(worst.threshold, worst.score);
+    return worst;
 }
 
-mono_us health_since(const worker_health& h, mono_us now)
+span_us health_lasted(const worker_health& h, mono_us now)
 {
-    mono_us since =
-        strongest(h.total).value > 0 ? strongest(h.total).since : now;
-    for (const auto& o : h.open)
-        since = std::min(since, o.started);
-    return since;
+    if (h.climb.reached_at == 0)
+        return 0;
+    auto rose_at = strongest(h.total).rose_at;
+    // Work that is still silent speaks at this very moment.
+    for (const auto& o : h.open) {
+        if (usual_survival(h.usual, o.klass, now - o.started) < rare_share)
+            rose_at = now;
+    }
+    return rose_at - h.climb.reached_at;
 }
 
-peer_report health_report(const worker_health& h, mono_us since)
+peer_report health_report(const worker_health& h, const verdict_policy& p,
+                          mono_us since, std::uint32_t source)
 {
     peer_report r;
+    if (source < h.by_source.size())
+        r.source_share = strongest(h.by_source[source]).value / p.threshold;
+    r.burst_span = h.burst_span;
     for (const auto& b : h.recent) {
         if (b.start == 0 || b.start + recent_width <= since)
             continue;
@@ -119,11 +196,15 @@
                     mono_us now)
 {
     constexpr double at_threshold = 100;
+    constexpr int least_ejected = 110;
     constexpr int most = 250; // above it speak operators
-    if (h.state == standing::ejected)
+    if (h.state == standing::ejected) {
+        if (is_recovering(h, p, now))
+            return static_cast<int>(at_threshold);
         return std::clamp(static_cast<int>(at_threshold * h.peak / p.threshold),
-                          static_cast<int>(at_threshold), most);
-    const double share = health_score(h, p, now) / health_threshold(h, p, now);
+                          least_ejected, most);
+    }
+    const double share = health_score(h, p, now) / health_threshold(h, p);
     return static_cast<int>(std::min(at_threshold - 1, at_threshold * share));
 }
 
--- a/src/verdict/verdict_query.hpp
+++ b/src/verdict/verdict_query.hpp
@@ -10,19 +10,34 @@
                     mono_us now);
 
 /// Threshold in force for this backend server: the policy's, lowered by
-/// recent flapping and raised by bursts that healed alone.
-double health_threshold(const worker_health& h, const verdict_policy& p,
+/// recent flapping.
+double health_threshold(const worker_health& h, const verdict_policy& p);
+
+/// How long evidence must go on rising after it reached the threshold:
+/// longer than the bursts of failures that used to end by themselves; 0 where
+/// there were none.
+span_us health_patience(const worker_health& h, const verdict_policy& p,
                         mono_us now);
 
-/// Whose callers an ejection should be for, by which streams look bad.
-std::uint32_t health_scope(const worker_health& h, const verdict_policy& p,
-                           mono_us now);
+/// Member of the bank that speaks loudest.
+const bank_score& strongest(const evidence& e);
+
+/// The strongest suspicion: against the whole backend server, or against
+/// its work for the callers of one data centre while others are served well.
+suspicion health_suspect(const worker_health& h, const verdict_policy& p,
+                         mono_us now);
+
+/// Stream that a scope means.
+const evidence& stream_of(const worker_health& h, std::uint32_t scope);
 
-/// When the strongest evidence began.
-mono_us health_since(const worker_health& h, mono_us now);
+/// How long the evidence has gone on rising since it reached the threshold.
+/// A burst that is over leaves evidence behind, but adds none.
+span_us health_lasted(const worker_health& h, mono_us now);
 
 /// What this backend server looked like since a moment.
-peer_report health_report(const worker_health& h, mono_us since);
+/// @param source data centre whose stream is asked about, or all_sources
+peer_report health_report(const worker_health& h, const verdict_policy& p,
+                          mono_us since, std::uint32_t source);
 
 /// Severity for the membership record: 0 as usual, 100 at the threshold,
 /// 250 at most.
--- a/src/verdict/verdict_type.hpp
+++ b/src/verdict/verdict_type.hpp
@@ -19,9 +19,10 @@
 /// How long work of one class usually takes.
 struct time_usual
 {
-    double log_mean = 9.9; ///< mean of ln(microseconds)
-    double log_var = 0.25; ///< variance of the same
-    double seen = 0;       ///< outcomes that it was learned from
+    double log_mean = 9.9;  ///< mean of ln(microseconds)
+    double log_var = 0.25;  ///< variance of the same
+    double seen = 0;        ///< outcomes that it was learned from
+    span_us median = 20000; ///< exp(log_mean); kept for the frequent check
 };
 
 /// How a service usually behaves, by its own long memory and its peers.
@@ -63,12 +64,13 @@
 /// One member of the bank.
 struct bank_score
 {
-    double value = 0;  ///< CUSUM, never below 0
-    mono_us since = 0; ///< when it last was 0
-    double seen = 0;   ///< outcomes since then
-    double failed = 0; ///< of these, failures
-    double above = 0;  ///< good ones: sum of (ln took - mean) / variance
-    double weight = 0; ///< good ones: sum of 1 / variance
+    double value = 0;    ///< CUSUM, never below 0
+    mono_us since = 0;   ///< when it last was 0
+    mono_us rose_at = 0; ///< when an outcome last spoke for sickness
+    double seen = 0;     ///< outcomes since then
+    double failed = 0;   ///< of these, failures
+    double above = 0;    ///< good ones: sum of (ln took - mean) / variance
+    double weight = 0;   ///< good ones: sum of 1 / variance
 };
 
 /// Sums of recent outcomes, so that a peer can be told what this backend
@@ -82,13 +84,18 @@
 };
 
 constexpr std::size_t recent_buckets = 64;        ///< kept
-constexpr span_us recent_width = 100 * us_per_ms; ///< of each
+constexpr span_us recent_width = 250 * us_per_ms; ///< of each
+
+constexpr std::size_t recent_well = 8; ///< remembered by each stream
 
 /// Evidence of one stream of outcomes: a backend server's whole work, or its
 /// work for the callers of one data centre.
 struct evidence
 {
     std::array<bank_score, alternatives> bank;
+    /// When the latest outcomes were that spoke for health; a ring.
+    std::array<mono_us, recent_well> well_at{};
+    std::size_t well_next = 0; ///< place of the next one in the ring
 };
 
 /// Where a backend server stands.
@@ -111,9 +118,8 @@
     span_us least_out = us_per_s;     ///< shortest ejection
     span_us most_out = 60 * us_per_s; ///< longest one that flapping causes
     double return_evidence = 4.6;     ///< ln(100) in favour of "as usual"
-    bool learn_bursts = true;         ///< raise the threshold over self-healed
-                                      ///< bursts
-    bool ask_peers = true;            ///< compare with peers before ejecting
+    bool learn_bursts = true;  ///< wait out bursts that used to heal alone
+    bool ask_peers = true;     ///< compare with peers before ejecting
     bool watch_silence = true; ///< outstanding work counts before it ends
     bool split_sources = true; ///< eject for one data centre only
 };
@@ -127,6 +133,14 @@
     std::uint32_t klass = 0;
 };
 
+/// A climb of the evidence that reached the threshold and may yet end by
+/// itself.
+struct excursion
+{
+    mono_us reached_at = 0; ///< the threshold, first; 0 for not yet
+    mono_us since = 0;      ///< when its evidence began
+};
+
 /// Everything the exit side knows about one backend server.
 struct worker_health
 {
@@ -134,21 +148,26 @@
     std::uint32_t scope = all_sources; ///< whose callers the ejection is for
     evidence total;                    ///< all callers
     std::vector<evidence> by_source;   ///< by data centre
+    std::size_t top_source = 0; ///< stream with the highest score of a bank
+    double top_value = 0;       ///< that score
     std::array<recent_bucket, recent_buckets> recent; ///< ring by time
     std::vector<outstanding> open; ///< invariant: at most its slots
     service_usual usual;           ///< what "as usual" means now
     double base_rate = 0.005;      ///< own long memory of failures
-    mono_us raised_until = 0;      ///< the usual is raised by peers
     mono_us ejected_at = 0;
     mono_us may_return_at = 0;
-    double peak = 0;         ///< evidence at the ejection
-    double return_score = 0; ///< evidence for "as usual" since
-    double excursion = 0;    ///< highest evidence since it was low
-    double burst_peak = 0;   ///< of excursions that healed alone
-    mono_us burst_at = 0;    ///< when burst_peak was last touched
-    std::uint32_t flaps = 0; ///< ejections of late
-    mono_us flap_at = 0;     ///< when flaps last changed
-    mono_us asked_at = 0;    ///< when peers were last asked
+    double peak = 0;          ///< evidence at the ejection
+    double sick_rate = 0.2;   ///< of failures, as the ejection saw it
+    mono_us last_fail_at = 0; ///< newest failure
+    double return_score = 0;  ///< evidence for "as usual" since
+    excursion climb;          ///< of the evidence since it was last low
+    span_us burst_span = 0;   ///< how long bursts went on at the threshold
+    mono_us burst_at = 0;     ///< when burst_span was last confirmed
+    mono_us cold_until = 0;   ///< a cold start is slow, not sick
+    std::uint32_t flaps = 0;  ///< ejections of late
+    mono_us flap_at = 0;      ///< when flaps last changed
+    mono_us asked_at = 0;     ///< when peers were last asked
+    span_us ask_wait = 0;     ///< until they may be asked again
 };
 
 /// What a peer says about its backend server of the same service.
@@ -156,7 +175,20 @@
 {
     double seen = 0; ///< outcomes since the moment that was asked about
     double failed = 0;
-    double above = 0; ///< of (ln took - usual mean), good ones only
+    double above = 0;        ///< of (ln took - usual mean), good ones only
+    span_us burst_span = 0;  ///< longest burst that healed alone there
+    double source_share = 0; ///< evidence against the stream of the data
+                             ///< centre asked about, over its threshold
+};
+
+/// What there is against a backend server at this moment.
+struct suspicion
+{
+    std::uint32_t scope = all_sources; ///< whose callers suffer
+    std::size_t index = 0;             ///< member of the bank that speaks
+    double score = 0;     ///< its evidence, outstanding work counted in
+    double threshold = 0; ///< at which it asks for an ejection
+    mono_us since = 0;    ///< when the evidence began
 };
 
 /// What the exit side should do about a backend server.
--- a/src/wire/gossip.capnp
+++ b/src/wire/gossip.capnp
@@ -49,6 +49,8 @@
   seen @0 :Float64;
   failed @1 :Float64;
   above @2 :Float64;
+  burstUs @3 :Int64;
+  sourceShare @4 :Float64;
 }
 
 struct Message {
@@ -70,4 +72,5 @@
   service @15 :UInt64;
   back @16 :Int64;
   reports @17 :List(Report);
+  about @18 :UInt32;
 }
--- a/src/wire/gossip.capnp.h
+++ b/src/wire/gossip.capnp.h
@@ -113,7 +113,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(93c6e0364af94aa4, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(93c6e0364af94aa4, 5, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -128,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da83027a36bd1151, 9, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(da83027a36bd1151, 10, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -674,6 +674,10 @@
 
   inline double getAbove() const;
 
+  inline  ::int64_t getBurstUs() const;
+
+  inline double getSourceShare() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -711,6 +715,12 @@
   inline double getAbove();
   inline void setAbove(double value);
 
+  inline  ::int64_t getBurstUs();
+  inline void setBurstUs( ::int64_t value);
+
+  inline double getSourceShare();
+  inline void setSourceShare(double value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -798,6 +808,8 @@
   inline bool hasReports() const;
   inline  ::capnp::List< ::jasminetray::wire::Report,  ::capnp::Kind::STRUCT>::Reader getReports() const;
 
+  inline  ::uint32_t getAbout() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -914,6 +926,9 @@
   inline void adoptReports(::capnp::Orphan< ::capnp::List< ::jasminetray::wire::Report,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::jasminetray::wire::Report,  ::capnp::Kind::STRUCT>> disownReports();
 
+  inline  ::uint32_t getAbout();
+  inline void setAbout( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1475,6 +1490,34 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t Report::Reader::getBurstUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Report::Builder::getBurstUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setBurstUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline double Report::Reader::getSourceShare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline double Report::Builder::getSourceShare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setSourceShare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t Message::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1905,6 +1948,20 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Message::Reader::getAbout() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Message::Builder::getAbout() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void Message::Builder::setAbout( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/wire/wire_func.cpp
+++ b/src/wire/wire_func.cpp
@@ -149,6 +149,8 @@
         reports[k].setSeen(m.usual.reports[k].seen);
         reports[k].setFailed(m.usual.reports[k].failed);
         reports[k].setAbove(m.usual.reports[k].above);
+        reports[k].setBurstUs(m.usual.reports[k].burst_us);
+        reports[k].setSourceShare(m.usual.reports[k].source_share);
     }
 }
 
@@ -173,7 +175,8 @@
     for (const auto id : r.getWant())
         m.want.push_back(static_cast<node_id>(id));
     for (const auto x : r.getReports())
-        m.usual.reports.push_back({x.getSeen(), x.getFailed(), x.getAbove()});
+        m.usual.reports.push_back({x.getSeen(), x.getFailed(), x.getAbove(),
+                                   x.getBurstUs(), x.getSourceShare()});
     return true;
 }
 
@@ -193,6 +196,7 @@
     m.usual.ticket = r.getTicket();
     m.usual.service = static_cast<service_id>(r.getService());
     m.usual.back = r.getBack();
+    m.usual.centre = static_cast<centre_id>(r.getAbout());
     return get_lists(r, m);
 }
 
@@ -235,6 +239,7 @@
     b.setTicket(m.usual.ticket);
     b.setService(static_cast<std::uint64_t>(m.usual.service));
     b.setBack(m.usual.back);
+    b.setAbout(static_cast<std::uint32_t>(m.usual.centre));
     put_lists(b, m);
     kj::VectorOutputStream stream;
     capnp::writePackedMessage(stream, builder);
