Wait out bursts by what comes after them

Cause: a burst that was over left evidence behind, and one chance failure later pushed it over the threshold; patience counted that as lasting. Change: after the learned patience a second test must find evidence of its own; a climb ends at 0.6 of the threshold; flaps count for 45 s.

--- a/src/verdict/verdict_cmd.cpp
+++ b/src/verdict/verdict_cmd.cpp
@@ -11,12 +11,12 @@
 
 namespace {
 
-constexpr double base_weight = 1.0 / 5000;    // of one outcome in base_rate
-constexpr double time_weight = 1.0 / 2000;    // of one outcome in durations
-constexpr double first_outcomes = 30;         // before durations are judged
-constexpr double climb_low = 0.1;             // of the threshold: healed
-constexpr std::uint32_t most_burst_flaps = 2; // more is sickness
-constexpr span_us flap_memory = 600 * us_per_s;
+constexpr double base_weight = 1.0 / 5000; // of one outcome in base_rate
+constexpr double time_weight = 1.0 / 2000; // of one outcome in durations
+constexpr double first_outcomes = 30;      // before durations are judged
+constexpr double climb_low = 0.6; // of the threshold: the climb is over
+constexpr std::uint32_t most_burst_flaps = 2;    // more is sickness
+constexpr span_us flap_memory = 45 * us_per_s;   // since the last return
 constexpr span_us most_burst = 3 * us_per_s / 2; // longer is sickness
 constexpr std::uint32_t most_flaps = 6;
 
@@ -153,7 +153,7 @@
 /// not excused by it.
 void remember_burst(worker_health& h, span_us span, mono_us now)
 {
-    if (h.flaps > most_burst_flaps)
+    if (h.flaps > most_burst_flaps || span > most_burst)
         return;
     h.burst_span = std::max(h.burst_span, span);
     h.burst_at = now;
@@ -227,6 +227,9 @@
         h.by_source.resize(o.source + 1);
     add_outcome(h.by_source[o.source], ratios, x);
     follow_top(h, o.source);
+    const auto patience = health_patience(h, p, now);
+    if (h.climb.reached_at != 0 && now >= h.climb.reached_at + patience)
+        add_outcome(h.later, ratios, x);
     learn_usual(h, p, o);
     if (h.state == standing::trusted)
         follow_climb(h, p, now);
@@ -249,9 +252,11 @@
         h.ask_wait = 0;
         return verdict_step::none;
     }
-    if (h.climb.reached_at == 0)
+    if (h.climb.reached_at == 0) {
         h.climb = {now, s.since};
-    if (health_lasted(h, now) < health_patience(h, p, now))
+        clear(h.later, now);
+    }
+    if (!health_confirmed(h, p, now))
         return verdict_step::none;
     if (!p.ask_peers)
         return verdict_step::eject;
@@ -288,9 +293,10 @@
     const auto went_on = h.last_fail_at > h.ejected_at
                              ? h.last_fail_at - h.climb.reached_at
                              : h.ejected_at - h.climb.since;
-    if (p.learn_bursts && went_on <= most_burst)
+    if (p.learn_bursts)
         remember_burst(h, went_on, now);
     h.state = standing::trusted;
+    h.flap_at = now;
     h.scope = all_sources;
     h.climb = excursion{};
     clear_all(h, now);
--- a/src/verdict/verdict_peers.cpp
+++ b/src/verdict/verdict_peers.cpp
@@ -216,7 +216,7 @@
         h.burst_span = shared_burst(reports);
         h.burst_at = now;
     }
-    if (health_lasted(h, now) < health_patience(h, p, now))
+    if (!health_confirmed(h, p, now))
         return verdict_step::none;
     const auto s = health_suspect(h, p, now);
     if (s.score < s.threshold)
--- a/src/verdict/verdict_query.cpp
+++ b/src/verdict/verdict_query.cpp
@@ -12,6 +12,7 @@
 
 constexpr double flap_discount = 1;  // nats per ejection after the first
 constexpr double least_share = 0.75; // of the threshold, after flaps
+constexpr double later_share = 0.5;  // of the threshold; two quick failures
 constexpr double rare_share = 0.05;  // of usual work lasts this long
 constexpr double burst_margin = 1.3; // over the longest healed burst
 constexpr span_us most_patience = 3 * us_per_s / 2;
@@ -162,17 +163,16 @@
     return worst;
 }
 
-span_us health_lasted(const worker_health& h, mono_us now)
+bool health_confirmed(const worker_health& h, const verdict_policy& p,
+                      mono_us now)
 {
-    if (h.climb.reached_at == 0)
-        return 0;
-    auto rose_at = strongest(h.total).rose_at;
-    // Work that is still silent speaks at this very moment.
-    for (const auto& o : h.open) {
-        if (usual_survival(h.usual, o.klass, now - o.started) < rare_share)
-            rose_at = now;
-    }
-    return rose_at - h.climb.reached_at;
+    const auto patience = health_patience(h, p, now);
+    if (patience == 0)
+        return true;
+    if (h.climb.reached_at == 0 || now < h.climb.reached_at + patience)
+        return false;
+    const auto later = stream_loudest(h, h.later, p, all_sources, now);
+    return later.score >= later_share * health_threshold(h, p);
 }
 
 peer_report health_report(const worker_health& h, const verdict_policy& p,
--- a/src/verdict/verdict_query.hpp
+++ b/src/verdict/verdict_query.hpp
@@ -13,9 +13,9 @@
 /// recent flapping.
 double health_threshold(const worker_health& h, const verdict_policy& p);
 
-/// How long evidence must go on rising after it reached the threshold:
-/// longer than the bursts of failures that used to end by themselves; 0 where
-/// there were none.
+/// How long to wait after the evidence reached the threshold: longer than
+/// the bursts of failures that used to end by themselves; 0 where there were
+/// none.
 span_us health_patience(const worker_health& h, const verdict_policy& p,
                         mono_us now);
 
@@ -30,9 +30,11 @@
 /// Stream that a scope means.
 const evidence& stream_of(const worker_health& h, std::uint32_t scope);
 
-/// How long the evidence has gone on rising since it reached the threshold.
-/// A burst that is over leaves evidence behind, but adds none.
-span_us health_lasted(const worker_health& h, mono_us now);
+/// Whether the trouble outlasted the patience: what came after it speaks
+/// for sickness on its own. A burst that is over leaves evidence behind, but
+/// adds none.
+bool health_confirmed(const worker_health& h, const verdict_policy& p,
+                      mono_us now);
 
 /// What this backend server looked like since a moment.
 /// @param source data centre whose stream is asked about, or all_sources
--- a/src/verdict/verdict_type.hpp
+++ b/src/verdict/verdict_type.hpp
@@ -161,6 +161,7 @@
     mono_us last_fail_at = 0; ///< newest failure
     double return_score = 0;  ///< evidence for "as usual" since
     excursion climb;          ///< of the evidence since it was last low
+    evidence later;           ///< only what came after the patience
     span_us burst_span = 0;   ///< how long bursts went on at the threshold
     mono_us burst_at = 0;     ///< when burst_span was last confirmed
     mono_us cold_until = 0;   ///< a cold start is slow, not sick
