Bench the fleet and the path; make a change of configuration cheap

Cause: at full size a change moved a manifest of 106 KB to every node and cost 0.77 s of CPU to read; all claims were applied four times a second. Change: chunk hashes stand in lists, so an edit moves one list and one chunk; reading keeps no copy of all entries; claims are applied for the services that changed; answers are kept for explain without a log line.

--- /dev/null
+++ b/bench/bench_scale.cpp
@@ -0,0 +1,322 @@
+// The control core at the letter's full size, without a network: membership
+// of 3,700 nodes with 47,000 backend servers under an ordinary day's churn,
+// a configuration of 11,000 routes and 330,000 teams, the view and its
+// claims, the gate's records. Prints one line per subject for
+// tools/capacity.py.
+#include "balance/view_type.hpp"
+#include "base/text_func.hpp"
+#include "config/config_check.hpp"
+#include "config/config_store.hpp"
+#include "gate/gate_cmd.hpp"
+#include "member/member_cmd.hpp"
+#include "member/member_query.hpp"
+#include "verdict/verdict_type.hpp"
+#include "wire/wire_func.hpp"
+
+#include <ctime>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <malloc.h>
+#include <memory>
+#include <set>
+
+DEFINE_int32(seconds, 120, "simulated time of the membership run");
+
+namespace jasminetray {
+namespace {
+
+constexpr std::size_t centres = 16;
+constexpr double copies = 4; // of each piece of news that reach a node
+
+const cluster_keys keys{1, {"a key for the bench only"}};
+
+double cpu_now()
+{
+    timespec t{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+    return static_cast<double>(t.tv_sec) +
+           1e-9 * static_cast<double>(t.tv_nsec);
+}
+
+double heap_bytes()
+{
+    const auto m = mallinfo2();
+    return static_cast<double>(m.uordblks + m.hblkhd);
+}
+
+node_record make_record(std::size_t n, std::size_t workers)
+{
+    node_record r;
+    r.id = static_cast<node_id>(n + 1);
+    r.boot = static_cast<boot_id>(n + 7);
+    r.generation = 1000 + n;
+    r.sequence = 1;
+    r.name = "centre-node-" + std::to_string(n);
+    r.centre = static_cast<centre_id>(n % centres + 1);
+    r.address = {static_cast<std::uint32_t>(0x0a000000 + n), 1, 2, 3, 4, 5};
+    for (std::size_t w = 0; w < workers; ++w) {
+        r.workers.push_back({static_cast<worker_id>(n * 64 + w),
+                             static_cast<service_id>((n * 13 + w) % 1600), 6, 0,
+                             false, centre_id{}});
+    }
+    return r;
+}
+
+/// Membership as seen by one node among `nodes`.
+struct member_run
+{
+    member_table table;
+    random_state rng{3};
+    mono_us now = us_per_s;
+    double bytes_out = 0;
+    double bytes_in = 0;
+    std::size_t datagrams = 0;
+    std::vector<node_record> others; ///< newest record of each
+};
+
+void put_on_wire(member_run& r, const std::vector<outgoing>& out)
+{
+    for (const auto& o : out) {
+        r.bytes_out += static_cast<double>(encode(o.message, keys).size());
+        ++r.datagrams;
+    }
+}
+
+/// A datagram arrives; decoding and MAC are part of the cost.
+void arrive(member_run& r, const gossip_message& m)
+{
+    const auto bytes = encode(m, keys); // the sender's cost, taken out below
+    wire_error last{};
+    const auto got = decode(bytes, keys, last);
+    r.bytes_in += static_cast<double>(bytes.size());
+    put_on_wire(r, member_receive(r.table, *got, 1, 1, r.rng, r.now));
+}
+
+gossip_message from_peer(const member_run& r, gossip_kind kind,
+                         std::size_t peer)
+{
+    gossip_message m;
+    m.kind = kind;
+    m.sender = summary_of(r.others[peer]);
+    m.centre = r.others[peer].centre;
+    m.config_version = r.table.config_version;
+    m.config_hash = r.table.config_hash;
+    return m;
+}
+
+/// One record changed somewhere; a few copies of the news arrive.
+void churn_one(member_run& r)
+{
+    const auto n = random_below(r.rng, r.others.size());
+    auto& record = r.others[n];
+    ++record.sequence;
+    for (int k = 0; k < static_cast<int>(copies); ++k) {
+        auto m = from_peer(r, gossip_kind::news,
+                           random_below(r.rng, r.others.size()));
+        m.records.push_back(record);
+        arrive(r, m);
+    }
+}
+
+/// What peers send in a second besides news: one ping, and an ack for the
+/// own one; a digest and the answer to the own one every four.
+void peers_second(member_run& r, int second)
+{
+    const auto peer = random_below(r.rng, r.others.size());
+    auto ping = from_peer(r, gossip_kind::ping, peer);
+    ping.probe = 1;
+    arrive(r, ping);
+    auto probes = r.table.probes;
+    for (const auto& p : probes) {
+        auto ack = from_peer(r, gossip_kind::ack, peer);
+        ack.probe = p.number;
+        arrive(r, ack);
+    }
+    if (second % 4 == 0) {
+        auto digest = from_peer(r, gossip_kind::digest, peer);
+        digest.digest.assign(r.table.digest.begin(), r.table.digest.end());
+        digest.digest[random_below(r.rng, digest_buckets)] ^= 1;
+        arrive(r, digest);
+    }
+}
+
+std::unique_ptr<member_run> fill(std::size_t nodes, std::size_t workers)
+{
+    auto r = std::make_unique<member_run>();
+    r->table = make_member_table(make_record(0, workers), {}, member_policy{});
+    gossip_message m;
+    for (std::size_t n = 1; n < nodes; ++n)
+        r->others.push_back(make_record(n, workers));
+    for (std::size_t n = 0; n < r->others.size(); ++n) {
+        m = from_peer(*r, gossip_kind::news, n);
+        m.records.push_back(r->others[n]);
+        member_receive(r->table, m, 1, 1, r->rng, r->now);
+    }
+    member_take_changes(r->table);
+    r->table.news.clear();
+    r->table.behind = false;
+    return r;
+}
+
+void run_membership(std::size_t nodes, std::size_t workers,
+                    double changes_per_s)
+{
+    const double heap_before = heap_bytes();
+    auto r = fill(nodes, workers);
+    const double others =
+        heap_bytes() - heap_before; // others hold one copy, the table another
+    const double cpu_before = cpu_now();
+    double due = 0;
+    for (int s = 0; s < FLAGS_seconds; ++s) {
+        peers_second(*r, s);
+        for (due += changes_per_s; due >= 1; due -= 1)
+            churn_one(*r);
+        for (int k = 0; k < 20; ++k) {
+            r->now += us_per_s / 20;
+            put_on_wire(*r, member_tick(r->table, r->rng, r->now));
+        }
+        member_take_changes(r->table);
+    }
+    const double cpu = cpu_now() - cpu_before;
+    const double seconds = FLAGS_seconds;
+    std::cout << "member nodes=" << nodes << " workers=" << nodes * workers
+              << " changes_per_s=" << changes_per_s
+              << " bytes_out_per_s=" << r->bytes_out / seconds
+              << " bytes_in_per_s=" << r->bytes_in / seconds
+              << " datagrams_per_s="
+              << static_cast<double>(r->datagrams) / seconds
+              << " cpu_pct=" << 100 * cpu / seconds
+              << " table_mb=" << others / 2 / 1e6 << "\n";
+}
+
+std::string big_config(std::size_t services, std::size_t routes,
+                       std::size_t teams)
+{
+    std::string text = "[fleet]\nname = big\n";
+    for (std::size_t n = 0; n < services; ++n)
+        text += "[service s" + std::to_string(n) + "]\nfloor = 60%\n";
+    for (std::size_t n = 0; n < routes; ++n) {
+        text += "[route r" + std::to_string(n) + "]\npath = /r" +
+                std::to_string(n) + "\nservice = s" +
+                std::to_string(n % services) + "\n";
+    }
+    for (std::size_t n = 0; n < teams; ++n) {
+        text += "[team team-" + std::to_string(n) +
+                "]\nrate = " + std::to_string(n % 100 + 1) + "\n";
+    }
+    return text;
+}
+
+void run_config(std::size_t services, std::size_t routes, std::size_t teams)
+{
+    const auto text = big_config(services, routes, teams);
+    const double heap_before = heap_bytes();
+    const double cpu_before = cpu_now();
+    config_error last;
+    const auto c = build_config({{"base.ini", text}}, "a", 1, last);
+    const double cpu = cpu_now() - cpu_before;
+    const double heap = heap_bytes() - heap_before;
+    // One team's rate is edited: what of it has to move?
+    auto edited = text;
+    edited.replace(edited.rfind("rate = "), 7, "rate = 9");
+    std::set<std::uint64_t> had;
+    for (const auto& chunk : cut_chunks(text))
+        had.insert(text_hash(chunk));
+    double moved = 0;
+    double manifest = 0;
+    std::vector<std::uint64_t> hashes;
+    for (const auto& chunk : cut_chunks(edited)) {
+        hashes.push_back(text_hash(chunk));
+        if (had.count(hashes.back()) == 0)
+            moved += static_cast<double>(chunk.size());
+    }
+    double longest = 0;
+    for (const auto& list : cut_lists(hashes)) {
+        manifest += 19; // a hash in JSON
+        longest = std::max(longest, static_cast<double>(list.size()));
+    }
+    moved += manifest + longest; // at worst the edit is in the longest list
+    std::cout << "config services=" << services << " routes=" << routes
+              << " teams=" << teams
+              << " text_mb=" << static_cast<double>(text.size()) / 1e6
+              << " chunks=" << had.size() << " manifest_kb=" << manifest / 1e3
+              << " edit_kb=" << moved / 1e3 << " build_s=" << cpu
+              << " heap_mb=" << heap / 1e6 << " ok=" << (c ? 1 : 0) << "\n";
+}
+
+void run_view(std::size_t nodes, std::size_t workers)
+{
+    const double heap_before = heap_bytes();
+    auto v = std::make_unique<fleet_view>();
+    for (std::size_t n = 0; n < nodes; ++n)
+        view_update(*v, make_record(n, workers), liveness::alive, us_per_s);
+    const double heap = heap_bytes() - heap_before;
+    service_config c;
+    c.name = "s";
+    const path_table paths;
+    constexpr int rounds = 20;
+    auto before = cpu_now();
+    for (int k = 0; k < rounds; ++k) {
+        for (std::size_t s = 0; s < 1600; ++s)
+            view_apply(*v, static_cast<service_id>(s), c, paths, us_per_s);
+    }
+    const double apply = (cpu_now() - before) / rounds;
+    before = cpu_now();
+    constexpr int updates = 2000;
+    for (int k = 0; k < updates; ++k) {
+        view_update(*v,
+                    make_record(static_cast<std::size_t>(k) % nodes, workers),
+                    liveness::alive, us_per_s);
+    }
+    const double update = (cpu_now() - before) / updates;
+    std::cout << "view nodes=" << nodes << " workers=" << nodes * workers
+              << " heap_mb=" << heap / 1e6 << " apply_all_ms=" << 1e3 * apply
+              << " update_us=" << 1e6 * update << "\n";
+}
+
+void run_gate(std::size_t records)
+{
+    const double heap_before = heap_bytes();
+    gate g;
+    g.limits.records = records + 1;
+    gate_set_worker(g, worker_id{1}, 1000000, 0);
+    const double before = cpu_now();
+    for (std::size_t n = 0; n < records; ++n) {
+        gate_request r;
+        r.attempt = {{node_id{1}, n}, 1};
+        r.worker = worker_id{1};
+        r.deadline = us_per_s;
+        gate_error last{};
+        gate_admit(command_mode::apply, g, r, 1, last);
+        gate_finish(g, r, work_end::answered, 1, 1);
+    }
+    const double cpu = cpu_now() - before;
+    const double heap = heap_bytes() - heap_before;
+    std::cout << "gate records=" << records
+              << " bytes_per_record=" << heap / static_cast<double>(records)
+              << " us_per_request=" << 1e6 * cpu / static_cast<double>(records)
+              << " health_bytes=" << sizeof(worker_health)
+              << " stream_bytes=" << sizeof(evidence) << "\n";
+}
+
+} // namespace
+} // namespace jasminetray
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    namespace jt = jasminetray;
+    for (const std::size_t nodes : {100, 300, 1000, 3700})
+        jt::run_membership(nodes, 13, 2.0);
+    for (const double changes : {0.0, 1.0, 4.0})
+        jt::run_membership(3700, 13, changes);
+    jt::run_config(16, 110, 3300);
+    jt::run_config(160, 1100, 33000);
+    jt::run_config(1600, 11000, 330000);
+    jt::run_view(370, 13);
+    jt::run_view(3700, 13);
+    jt::run_gate(10000);
+    jt::run_gate(100000);
+    return 0;
+}
--- a/src/config/config_check.cpp
+++ b/src/config/config_check.cpp
@@ -17,7 +17,10 @@
     fleet_config config;
     std::string file;     ///< file being read
     bool overlay = false; ///< an overlay may only change what the base has
-    std::set<std::string> seen; ///< section\nkey of this file
+    std::string section;  ///< being read
+    bool fresh = false;   ///< its first entry is being read
+    std::vector<std::string> keys;  ///< of that section, so far
+    std::set<std::string> sections; ///< of an overlay, so far
     std::unordered_map<std::string, int> section_line;  ///< for late checks
     std::unordered_map<std::string, std::size_t> place; ///< by section
 };
@@ -66,6 +69,11 @@
     return &all.back();
 }
 
+bool given_twice(const building& b, const ini_entry& e, config_error& last)
+{
+    return blame(b, e, "section [" + e.section + "] given twice", last);
+}
+
 bool not_in_base(const building& b, const ini_entry& e, config_error& last)
 {
     return blame(b, e,
@@ -82,7 +90,8 @@
         if (b.overlay)
             return not_in_base(b, e, last);
         it = b.config.teams.emplace(name, team_config{}).first;
-        it->second.name = name;
+    } else if (b.fresh && !b.overlay) {
+        return given_twice(b, e, last);
     }
     return set_entry(b, team_keys, it->second, e, last);
 }
@@ -105,11 +114,15 @@
     if (kind == "team")
         return set_team(b, name, e, last);
     if (kind == "service") {
+        if (b.fresh && !b.overlay && b.place.count(e.section) != 0)
+            return given_twice(b, e, last);
         auto* c = element_of(b, b.config.services, e.section, name);
         return c ? set_entry(b, service_keys, *c, e, last)
                  : not_in_base(b, e, last);
     }
     if (kind == "route") {
+        if (b.fresh && !b.overlay && b.place.count(e.section) != 0)
+            return given_twice(b, e, last);
         auto* c = element_of(b, b.config.routes, e.section, name);
         return c ? set_entry(b, route_keys, *c, e, last)
                  : not_in_base(b, e, last);
@@ -117,22 +130,39 @@
     return blame(b, e, "unknown section kind '" + kind + "'", last);
 }
 
+/// A section must stand in one piece: keys are looked up within it, and not
+/// among the hundreds of thousands that a base file may have.
+bool enter_section(building& b, const ini_entry& e, config_error& last)
+{
+    if (e.section == b.section)
+        return true;
+    b.section = e.section;
+    b.fresh = true;
+    b.keys.clear();
+    if (!b.overlay && e.section.rfind("route ", 0) == 0)
+        b.section_line.emplace(e.section, e.line);
+    // In the base an element that exists already tells; see element_of().
+    return !b.overlay || b.sections.insert(e.section).second ||
+           given_twice(b, e, last);
+}
+
 bool read_file(building& b, const config_file& f, config_error& last)
 {
     b.file = f.name;
-    b.seen.clear();
-    const auto entries = read_ini(f, last);
-    if (!entries)
-        return false;
-    for (const auto& e : *entries) {
-        if (!b.seen.insert(e.section + "\n" + e.key).second)
-            return blame(b, e, "key '" + e.key + "' given twice", last);
-        if (!b.overlay)
-            b.section_line.emplace(e.section, e.line);
-        if (!set_in_section(b, e, last))
+    b.section.clear();
+    b.keys.clear();
+    b.sections.clear();
+    const auto take = [&](const ini_entry& e) {
+        if (!enter_section(b, e, last))
             return false;
-    }
-    return true;
+        if (std::find(b.keys.begin(), b.keys.end(), e.key) != b.keys.end())
+            return blame(b, e, "key '" + e.key + "' given twice", last);
+        b.keys.push_back(e.key);
+        const bool good = set_in_section(b, e, last);
+        b.fresh = false;
+        return good;
+    };
+    return read_ini(f, take, last);
 }
 
 int line_of(const building& b, const std::string& section)
--- a/src/config/config_store.cpp
+++ b/src/config/config_store.cpp
@@ -15,6 +15,7 @@
 
 constexpr char head_key[] = "config-head";
 constexpr std::uint64_t chunk_share = 64; // one section in 64 starts a chunk
+constexpr std::uint64_t list_share = 64;  // one chunk in 64 starts a list
 constexpr std::size_t most_chunk = 65536; // bytes; cut at a line anyway
 
 std::string history_key(std::uint64_t version)
@@ -50,14 +51,18 @@
 {
     config_manifest m;
     for (const auto& f : files) {
-        manifest_file entry{f.name, {}};
+        std::vector<std::uint64_t> chunks;
         for (const auto& c : cut_chunks(f.content)) {
-            const auto hash = text_hash(c);
-            if (!p.put_object(chunk_name(hash), c, last))
+            chunks.push_back(text_hash(c));
+            if (!p.put_object(chunk_name(chunks.back()), c, last))
+                return std::nullopt;
+        }
+        m.files.push_back({f.name, {}});
+        for (const auto& l : cut_lists(chunks)) {
+            m.files.back().lists.push_back(text_hash(l));
+            if (!p.put_object(list_name(text_hash(l)), l, last))
                 return std::nullopt;
-            entry.chunks.push_back(hash);
         }
-        m.files.push_back(std::move(entry));
     }
     const auto text = to_text(m);
     const auto hash = text_hash(text);
@@ -163,10 +168,10 @@
 {
     json::array files;
     for (const auto& f : m.files) {
-        json::array chunks;
-        for (const auto hash : f.chunks)
-            chunks.push_back(json::string(to_hex(hash)));
-        files.push_back(json::object{{"name", f.name}, {"chunks", chunks}});
+        json::array lists;
+        for (const auto hash : f.lists)
+            lists.push_back(json::string(to_hex(hash)));
+        files.push_back(json::object{{"name", f.name}, {"lists", lists}});
     }
     return json::serialize(json::object{{"files", files}});
 }
@@ -179,16 +184,16 @@
         return std::nullopt;
     config_manifest m;
     for (const auto& f : files->as_array()) {
-        if (!f.is_object() || !f.as_object().contains("chunks"))
+        if (!f.is_object() || !f.as_object().contains("lists"))
             return std::nullopt;
         manifest_file entry{text_at(f.as_object(), "name"), {}};
-        const auto* chunks = f.at("chunks").if_array();
-        for (const auto& c : chunks ? *chunks : json::array()) {
+        const auto* lists = f.at("lists").if_array();
+        for (const auto& c : lists ? *lists : json::array()) {
             const auto hash =
                 c.is_string() ? parse_hex(c.as_string()) : std::nullopt;
             if (!hash)
                 return std::nullopt;
-            entry.chunks.push_back(*hash);
+            entry.lists.push_back(*hash);
         }
         m.files.push_back(std::move(entry));
     }
@@ -216,6 +221,22 @@
                        whole_at(*o, "rolled_back_to")};
 }
 
+std::vector<std::string> cut_lists(const std::vector<std::uint64_t>& chunks)
+{
+    std::vector<std::string> lists(1);
+    for (const auto hash : chunks) {
+        if (hash % list_share == 0 && !lists.back().empty())
+            lists.emplace_back();
+        lists.back() += to_hex(hash) + "\n";
+    }
+    return lists;
+}
+
+std::string list_name(std::uint64_t hash)
+{
+    return "list-" + to_hex(hash);
+}
+
 std::string chunk_name(std::uint64_t hash)
 {
     return "chunk-" + to_hex(hash);
@@ -285,32 +306,55 @@
     return r;
 }
 
-std::optional<std::vector<config_file>> load_files(
-    std::uint64_t hash,
-    const std::function<std::optional<std::string>(const std::string&)>& get,
-    std::string& why)
+namespace {
+
+using object_source =
+    std::function<std::optional<std::string>(const std::string&)>;
+
+/// An object that must match the hash it is named by.
+std::optional<std::string> load_object(const object_source& get,
+                                       const std::string& name,
+                                       std::uint64_t hash, std::string& why)
 {
-    const auto text = get(manifest_name(hash));
-    if (!text || text_hash(*text) != hash) {
-        why = "manifest " + to_hex(hash) + (text ? " is damaged" : " missing");
-        return std::nullopt;
+    auto text = get(name);
+    if (text && text_hash(*text) == hash)
+        return text;
+    why = name + (text ? " is damaged" : " is missing");
+    return std::nullopt;
+}
+
+/// Adds the chunks of a list to a file.
+bool load_list(const object_source& get, std::uint64_t hash,
+               std::string& content, std::string& why)
+{
+    const auto list = load_object(get, list_name(hash), hash, why);
+    for (const auto& text : split(list.value_or(""), '\n')) {
+        const auto chunk = parse_hex(text).value_or(0);
+        const auto part = load_object(get, chunk_name(chunk), chunk, why);
+        if (!part)
+            return false;
+        content += *part;
     }
-    const auto m = parse_manifest(*text);
-    if (!m) {
-        why = "manifest " + to_hex(hash) + " is malformed";
+    return list.has_value();
+}
+
+} // namespace
+
+std::optional<std::vector<config_file>>
+load_files(std::uint64_t hash, const object_source& get, std::string& why)
+{
+    const auto text = load_object(get, manifest_name(hash), hash, why);
+    const auto m = text ? parse_manifest(*text) : std::nullopt;
+    if (text && !m)
+        why = manifest_name(hash) + " is malformed";
+    if (!m)
         return std::nullopt;
-    }
     std::vector<config_file> files;
     for (const auto& f : m->files) {
         files.push_back({f.name, ""});
-        for (const auto c : f.chunks) {
-            const auto part = get(chunk_name(c));
-            if (!part || text_hash(*part) != c) {
-                why =
-                    "chunk " + to_hex(c) + (part ? " is damaged" : " missing");
+        for (const auto list : f.lists) {
+            if (!load_list(get, list, files.back().content, why))
                 return std::nullopt;
-            }
-            files.back().content += *part;
         }
     }
     return files;
--- a/src/config/config_store.hpp
+++ b/src/config/config_store.hpp
@@ -25,7 +25,7 @@
 struct manifest_file
 {
     std::string name;
-    std::vector<std::uint64_t> chunks; ///< hashes, in order
+    std::vector<std::uint64_t> lists; ///< hashes of lists of chunks, in order
 };
 
 /// What a version consists of.
@@ -80,7 +80,12 @@
 std::string to_text(const config_head& h);
 std::optional<config_head> parse_head(const std::string& text);
 
+/// Cuts hashes into lists, at hashes chosen by their own value: an edit
+/// changes one list of some dozens, and not one manifest of thousands.
+std::vector<std::string> cut_lists(const std::vector<std::uint64_t>& chunks);
+
 /// Names in the object store.
+std::string list_name(std::uint64_t hash);
 std::string chunk_name(std::uint64_t hash);
 std::string manifest_name(std::uint64_t hash);
 
--- a/src/config/config_type.hpp
+++ b/src/config/config_type.hpp
@@ -91,7 +91,6 @@
 /// A team's limit at one entry node.
 struct team_config
 {
-    std::string name; ///< value of the x-team header
     double rate = 0;  ///< requests a second; 0 for no limit
     double burst = 0; ///< requests at once
 };
--- a/src/config/ini_reader.cpp
+++ b/src/config/ini_reader.cpp
@@ -12,10 +12,12 @@
 
 struct reading
 {
-    std::string_view rest;          ///< text not yet handed to inih
-    int line = 0;                   ///< lines handed out so far
-    int too_long = 0;               ///< first line over inih's buffer; or 0
-    std::vector<ini_entry> entries; ///< collected so far
+    std::string_view rest; ///< text not yet handed to inih
+    int line = 0;          ///< lines handed out so far
+    int too_long = 0;      ///< first line over inih's buffer; or 0
+    ini_entry entry;       ///< handed to take, reused
+    const ini_taker* take = nullptr;
+    bool refused = false; ///< by take; the rest is passed over
 };
 
 // inih asks for one line at a time, which tells us the line of each entry.
@@ -42,11 +44,18 @@
     return buf;
 }
 
-int collect(void* user, const char* section, const char* name,
+int pass_on(void* user, const char* section, const char* name,
             const char* value)
 {
     auto& r = *static_cast<reading*>(user);
-    r.entries.push_back({std::string(trim(section)), name, value, r.line});
+    // Entries after a line that was cut may stand in the wrong section.
+    if (r.refused || r.too_long != 0)
+        return 1;
+    r.entry.section = trim(section);
+    r.entry.key = name;
+    r.entry.value = value;
+    r.entry.line = r.line;
+    r.refused = !(*r.take)(r.entry);
     return 1;
 }
 
@@ -57,21 +66,20 @@
     return file + ":" + std::to_string(line) + ": " + reason;
 }
 
-std::optional<std::vector<ini_entry>> read_ini(const config_file& file,
-                                               config_error& last)
+bool read_ini(const config_file& file, const ini_taker& take,
+              config_error& last)
 {
     reading r;
     r.rest = file.content;
-    const int failed = ini_parse_stream(next_line, &r, collect, &r);
-    if (r.too_long != 0) {
+    r.take = &take;
+    const int failed = ini_parse_stream(next_line, &r, pass_on, &r);
+    if (r.refused)
+        return false;
+    if (r.too_long != 0)
         last = {file.name, r.too_long, "line is too long"};
-        return std::nullopt;
-    }
-    if (failed != 0) {
+    else if (failed != 0)
         last = {file.name, failed, "expected [section] or key = value"};
-        return std::nullopt;
-    }
-    return std::move(r.entries);
+    return r.too_long == 0 && failed == 0;
 }
 
 } // namespace jasminetray
--- a/src/config/ini_reader.hpp
+++ b/src/config/ini_reader.hpp
@@ -4,7 +4,7 @@
 
 #include "config/config_type.hpp"
 
-#include <optional>
+#include <functional>
 
 namespace jasminetray {
 
@@ -17,10 +17,15 @@
     int line = 0; ///< line in the file, from 1
 };
 
-/// All entries of a text, in order, or nothing with `last` filled in.
+/// Takes one entry; false when it is wrong, which ends the reading.
+using ini_taker = std::function<bool(const ini_entry&)>;
+
+/// Reads a text entry by entry. A base file may have a million of them, so
+/// they are not collected.
 /// @param file the text and the name to blame
-/// @param last why there is no result; from inih or from the line bound
-std::optional<std::vector<ini_entry>> read_ini(const config_file& file,
-                                               config_error& last);
+/// @param take called in order
+/// @param last why the text is no INI; what `take` refuses it explains itself
+bool read_ini(const config_file& file, const ini_taker& take,
+              config_error& last);
 
 } // namespace jasminetray
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -40,14 +40,12 @@
     }
     std::ostringstream text;
     text << in.rdbuf();
-    const auto entries = read_ini({file, text.str()}, last);
-    if (!entries)
-        return std::nullopt;
     node_settings s;
-    for (const auto& e : *entries) {
-        if (!set_entry(s, file, e, last))
-            return std::nullopt;
-    }
+    const auto take = [&](const ini_entry& e) {
+        return set_entry(s, file, e, last);
+    };
+    if (!read_ini({file, text.str()}, take, last))
+        return std::nullopt;
     return s;
 }
 
--- a/src/event/event_log.cpp
+++ b/src/event/event_log.cpp
@@ -63,12 +63,24 @@
 void event_log::write(event_id id, std::string subject, std::string detail)
 {
     const auto wall_ms = wall_now_ms();
-    const auto n = static_cast<std::size_t>(family_of(id));
     const std::lock_guard lock(mutex_);
     if (may_write_line(id, wall_ms)) {
         LOG(INFO) << number_of(id) << ' ' << row_of(id).name << ' ' << subject
                   << " config=" << config_version_ << ' ' << detail;
     }
+    keep(id, wall_ms, std::move(subject), std::move(detail));
+}
+
+void event_log::note(event_id id, std::string subject, std::string detail)
+{
+    const std::lock_guard lock(mutex_);
+    keep(id, wall_now_ms(), std::move(subject), std::move(detail));
+}
+
+void event_log::keep(event_id id, std::int64_t wall_ms, std::string subject,
+                     std::string detail)
+{
+    const auto n = static_cast<std::size_t>(family_of(id));
     const auto limit = family_of(id) == event_family::routing
                            ? limits_.routing_records
                            : limits_.other_records;
--- a/src/event/event_log.hpp
+++ b/src/event/event_log.hpp
@@ -35,6 +35,9 @@
     /// @param detail evidence, as "key=value key=value"
     void write(event_id id, std::string subject, std::string detail);
 
+    /// Records without a log line, for what is no decision.
+    void note(event_id id, std::string subject, std::string detail);
+
     /// Configuration version that later records carry.
     void set_config_version(std::uint64_t version);
 
@@ -60,6 +63,8 @@
         std::uint64_t dropped = 0; ///< lines left out in it
     };
 
+    void keep(event_id id, std::int64_t wall_ms, std::string subject,
+              std::string detail);
     bool may_write_line(event_id id, std::int64_t wall_ms);
 
     mutable std::mutex mutex_;
--- a/src/member/member_cmd.cpp
+++ b/src/member/member_cmd.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::uint64_t relay_purpose = 0x52454c4159ULL;
-constexpr int most_trouble = 8;
+constexpr int most_trouble = 3;
 constexpr std::size_t most_relayed = 64;
 constexpr std::size_t most_rumours = 32;
 constexpr std::size_t most_summaries = 48;
--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -119,8 +119,8 @@
 {
     std::uint64_t ticket = 0; ///< of the asker
     service_id service{};
-    centre_id centre{};        ///< whose callers suffer; 0 for all
-    span_us back = 0; ///< how far back to look
+    centre_id centre{}; ///< whose callers suffer; 0 for all
+    span_us back = 0;   ///< how far back to look
     struct report
     {
         double seen = 0;
@@ -250,7 +250,7 @@
     std::vector<node_id> probe_order;   ///< shuffled; each turn ends a round
     std::size_t probe_next = 0;
     std::uint64_t probe_count = 0;
-    int own_trouble = 0; ///< 0..8; failed probes make us doubt ourselves
+    int own_trouble = 0; ///< 0..3; failed probes make us doubt ourselves
     bool behind = true;  ///< the last digest differed: repair soon
     mono_us flush_at = 0;
     mono_us probe_at = 0;
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -35,7 +35,7 @@
     std::function<void(std::uint32_t ip, std::uint16_t port, usual_question,
                        bool answer)>
         usual;
-    std::function<void(wire_error)> datagram_counted;
+    std::function<void(wire_error, std::size_t bytes)> datagram_counted;
 };
 
 /// Everything that the actors start from.
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -264,9 +264,9 @@
     answer.set(caller_field::outcome, "answered");
     answer.set(caller_field::request, to_text(r.id));
     count(*n.metrics.requests, "outcome", "answered");
-    n.events.write(event_id::request_answered, to_text(r.id),
-                   "attempts=" + std::to_string(r.tries.size()) +
-                       " us=" + std::to_string(mono_now() - r.began));
+    n.events.note(event_id::request_answered, to_text(r.id),
+                  "attempts=" + std::to_string(r.tries.size()) +
+                      " us=" + std::to_string(mono_now() - r.began));
     if (!t.parser->is_done()) {
         if (relay_answer(*t.link, *t.parser, answer.base(), c.stream,
                          write_bound, y))
--- a/src/node/member_actor.cpp
+++ b/src/node/member_actor.cpp
@@ -106,7 +106,7 @@
 {
     wire_error last{};
     const auto m = decode(d.bytes, k.context->start.keys, last);
-    k.context->sinks.datagram_counted(last);
+    k.context->sinks.datagram_counted(last, d.bytes.size());
     if (!m)
         return;
     if (m->kind == gossip_kind::ask_usual ||
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -37,6 +37,12 @@
                           "Verdicts on backend servers by step.");
     m->datagrams = counter(r, "jasminetray_datagrams_total",
                            "Datagrams received by fate.");
+    auto& bytes = prometheus::BuildCounter()
+                      .Name("jasminetray_datagram_bytes_total")
+                      .Help("Bytes of datagrams by direction.")
+                      .Register(r);
+    m->bytes_in = &bytes.Add({{"direction", "in"}});
+    m->bytes_out = &bytes.Add({{"direction", "out"}});
     m->duration = &prometheus::BuildHistogram()
                        .Name("jasminetray_request_duration_seconds")
                        .Help("From a request's last byte to its final answer.")
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -32,7 +32,7 @@
 
 constexpr span_us tick_every = 20 * us_per_ms;
 constexpr span_us slow_tick_every = us_per_s;
-constexpr span_us claims_every = us_per_s / 4;
+constexpr span_us claims_every = us_per_s;
 constexpr span_us idle_link = 30 * us_per_s;
 constexpr span_us platform_bound = us_per_s;
 constexpr span_us rpc_wait = 500 * us_per_ms; // for the request thread
@@ -128,11 +128,36 @@
                                 });
 }
 
+/// Log lines for what changed at another node's backend servers.
+void log_workers(node_parts& p, const node_record& r)
+{
+    const auto it = p.state.view.nodes.find(r.id);
+    for (const auto& w : r.workers) {
+        bool was = false;
+        bool known = false;
+        for (const auto& old : it == p.state.view.nodes.end()
+                                   ? r.workers
+                                   : it->second.record.workers) {
+            known = known || old.id == w.id;
+            was = was || (old.id == w.id && old.draining);
+        }
+        const auto subject = to_hex(static_cast<std::uint64_t>(w.id));
+        if (!known || it == p.state.view.nodes.end())
+            p.events.write(event_id::worker_announced, subject,
+                           "node=" + r.name);
+        if (w.draining && !was)
+            p.events.write(event_id::worker_draining, subject,
+                           "node=" + r.name);
+    }
+}
+
 void take_members(node_parts& p, const std::vector<member_news>& news)
 {
     auto& n = p.state;
     const auto now = mono_now();
     for (const auto& x : news) {
+        if (!x.removed)
+            log_workers(p, x.record);
         if (x.removed)
             view_remove(n.view, x.record.id, now);
         else
@@ -152,8 +177,16 @@
             n.events.write(event_id::node_doubted,
                            to_hex(static_cast<std::uint64_t>(id)), "");
     }
+    const bool all = doubted != n.view.doubted;
     n.view.doubted = std::move(doubted);
-    apply_all_claims(n);
+    if (all)
+        return apply_all_claims(n);
+    std::vector<service_id> services;
+    for (const auto& x : news) {
+        for (const auto& w : x.record.workers)
+            services.push_back(w.service);
+    }
+    apply_claims_of(n, services);
 }
 
 void take_config(node_parts& p, std::shared_ptr<const fleet_config> c)
@@ -164,6 +197,9 @@
         return;
     n.config = std::move(c);
     n.config_at = mono_now();
+    n.service_places.clear();
+    for (std::size_t k = 0; k < n.config->services.size(); ++k)
+        n.service_places[service_of(n.config->services[k].name)] = k;
     refresh_policies(n);
     apply_all_claims(n);
 }
@@ -176,6 +212,7 @@
                                  std::uint16_t port) {
         asio::post(ctx, [&p, bytes = std::move(bytes), ip, port] {
             beast::error_code ec;
+            p.metrics->bytes_out->Increment(static_cast<double>(bytes.size()));
             p.gossip.send_to(asio::buffer(bytes),
                              {asio::ip::address_v4(ip), port}, 0, ec);
         });
@@ -200,7 +237,8 @@
                 answer_usual(p.state, ip, port, q);
         });
     };
-    k.datagram_counted = [&p](wire_error e) {
+    k.datagram_counted = [&p](wire_error e, std::size_t bytes) {
+        p.metrics->bytes_in->Increment(static_cast<double>(bytes));
         count(*p.metrics->datagrams, "fate",
               e == wire_error::none
                   ? "taken"
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -70,22 +70,42 @@
     apply_all_claims(n);
 }
 
+namespace {
+
+void apply_service(node_state& n, const service_config& c, mono_us now)
+{
+    const auto id = service_of(c.name);
+    for (const auto& x : view_apply(n.view, id, c, n.paths, now)) {
+        if (!x.held)
+            continue;
+        n.events.write(
+            event_id::ejection_held_by_floor,
+            to_hex(static_cast<std::uint64_t>(x.id)),
+            "service=" + c.name + " floor_slots=" +
+                std::to_string(floor_slots(c, n.view.services[id].total)));
+    }
+}
+
+} // namespace
+
 void apply_all_claims(node_state& n)
 {
     if (!n.config)
         return;
     const auto now = mono_now();
-    for (const auto& c : n.config->services) {
-        const auto id = service_of(c.name);
-        for (const auto& x : view_apply(n.view, id, c, n.paths, now)) {
-            if (x.held) {
-                n.events.write(event_id::ejection_held_by_floor,
-                               to_hex(static_cast<std::uint64_t>(x.id)),
-                               "service=" + c.name + " floor_slots=" +
-                                   std::to_string(floor_slots(
-                                       c, n.view.services[id].total)));
-            }
-        }
+    for (const auto& c : n.config->services)
+        apply_service(n, c, now);
+}
+
+void apply_claims_of(node_state& n, const std::vector<service_id>& services)
+{
+    if (!n.config)
+        return;
+    const auto now = mono_now();
+    for (const auto id : services) {
+        const auto it = n.service_places.find(id);
+        if (it != n.service_places.end())
+            apply_service(n, n.config->services[it->second], now);
     }
 }
 
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -113,6 +113,9 @@
     mono_us config_at = 0; ///< when the configuration came into force
     std::shared_ptr<const fleet_config> config; ///< null until there is one
 
+    /// Places in config->services; made anew with each configuration.
+    std::unordered_map<service_id, std::size_t> service_places;
+
     gate door;
     std::map<worker_id, local_worker> workers;
     std::unordered_map<attempt_id, std::shared_ptr<gate_ticket>, attempt_hash>
@@ -144,4 +147,7 @@
 /// Applies all claims again and logs what changed.
 void apply_all_claims(node_state& n);
 
+/// The same for the services of some nodes' backend servers.
+void apply_claims_of(node_state& n, const std::vector<service_id>& services);
+
 } // namespace jasminetray
--- a/src/verdict/verdict_type.hpp
+++ b/src/verdict/verdict_type.hpp
@@ -83,7 +83,7 @@
     double above = 0; ///< of (ln took - usual mean), good ones only
 };
 
-constexpr std::size_t recent_buckets = 256; ///< kept; 64 s in all
+constexpr std::size_t recent_buckets = 256;       ///< kept; 64 s in all
 constexpr span_us recent_width = 250 * us_per_ms; ///< of each
 
 constexpr std::size_t recent_well = 8; ///< remembered by each stream
--- /dev/null
+++ b/tools/bench_fleet.py
@@ -0,0 +1,243 @@
+"""Real nodes on loopback at growing numbers: how long until a change, a
+draining and a dead backend server is known everywhere, and what a node costs
+at rest. Writes out/fleet.txt; the full size is extrapolated with
+bench_scale, which drives the protocol's own code with 3,700 records."""
+
+import json
+import os
+import subprocess
+import sys
+import threading
+import time
+import urllib.request
+
+import fleet
+
+SIZES = [int(n) for n in sys.argv[1].split(",")] if len(sys.argv) > 1 \
+    else [10, 30, 100, 200]
+CENTRES = 4
+CHANGES = 5
+REST = 10
+FULL = 3700
+CONFIG = "[fleet]\nname = bench-%d\n[service s]\nfloor = 50%%\n" \
+         "[route r]\npath = /\nservice = s\n"
+
+
+class Announcer(threading.Thread):
+    """Announces one backend server per node without a process for each."""
+
+    def __init__(self, f):
+        super().__init__(daemon=True)
+        self.f = f
+        self.draining = set()
+        self.silent = set()
+        self.stop = False
+
+    def announce(self, name):
+        port = self.f.nodes[name].address("admin_port")
+        fleet.post(port, "/announce", {
+            "name": "w", "service": "s", "port": 1, "slots": 6, "busy": 0,
+            "boot": 1, "draining": 1 if name in self.draining else 0})
+
+    def run(self):
+        while not self.stop:
+            began = time.monotonic()
+            for name in list(self.f.nodes):
+                if name not in self.silent and not self.stop:
+                    self.announce(name)
+            time.sleep(max(0.0, 2.5 - (time.monotonic() - began)))
+
+
+def log_time(line):
+    """Seconds of the day from a glog line."""
+    clock = line.split()[1]
+    hours, minutes, seconds = clock.split(":")
+    return 3600 * int(hours) + 60 * int(minutes) + float(seconds)
+
+
+def seen_at(f, text, without=()):
+    """When each node first logged a line with a text; None for never."""
+    times = {}
+    for name, node in f.nodes.items():
+        if name in without:
+            continue
+        times[name] = None
+        with open(node.log) as lines:
+            for line in lines:
+                if text in line:
+                    times[name] = log_time(line)
+                    break
+    return times
+
+
+def clock():
+    now = time.time()
+    utc = time.gmtime(now)
+    return 3600 * utc.tm_hour + 60 * utc.tm_min + utc.tm_sec + now % 1
+
+
+def wait_seen(f, text, without=(), bound=30):
+    f.wait(text + " everywhere", lambda: all(
+        t is not None for t in seen_at(f, text, without).values()), bound)
+    return list(seen_at(f, text, without).values())
+
+
+def start(f, count):
+    f.start_platform()
+    f.start_node("n0", "c0")  # the others' first contact
+    for first in range(1, count, 20):
+        nodes = [f.launch_node("n%d" % n, "c%d" % (n % CENTRES))
+                 for n in range(first, min(first + 20, count))]
+        for n in nodes:
+            n.wait_ready(60)
+    f.wait("members", lambda: all(
+        len(f.ask(n, {"query": "fleet"})["nodes"]) == count
+        for n in f.nodes), 60)
+
+
+def measure_config(f):
+    delays = []
+    for _ in range(CHANGES):
+        version = f.submit_text(CONFIG % len(delays))
+        accepted = clock()
+        times = wait_seen(f, "config_in_force version-%d " % version)
+        delays += [max(0.0, t - accepted) for t in times]
+        time.sleep(0.37)
+    return sorted(delays)
+
+
+def worker_of(f, name):
+    return f.ask(name, {"query": "status"})["workers"][0]["worker"]
+
+
+def measure_drain(f, announcer, name):
+    worker = worker_of(f, name)
+    announcer.draining.add(name)
+    began = clock()
+    announcer.announce(name)
+    times = wait_seen(f, "worker_draining " + worker, (name,))
+    return max(t - began for t in times)
+
+
+def measure_new(f, announcer, name):
+    announcer.silent.discard(name)
+    began = clock()
+    announcer.announce(name)
+    worker = worker_of(f, name)
+    times = wait_seen(f, "worker_announced " + worker, (name,))
+    return max(t - began for t in times)
+
+
+def measure_dead(f, announcer, name):
+    announcer.silent.add(name)
+    began = clock()
+    f.nodes[name].stop(9)
+    times = wait_seen(f, "node_dead " + name + " ", (name,), 60)
+    del f.nodes[name]
+    return max(t - began for t in times)
+
+
+def cpu_seconds(pid):
+    with open("/proc/%d/stat" % pid) as stat:
+        fields = stat.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def rss_mb(pid):
+    with open("/proc/%d/status" % pid) as status:
+        for line in status:
+            if line.startswith("VmRSS"):
+                return int(line.split()[1]) / 1024
+    return 0
+
+
+def datagram_bytes(node):
+    with urllib.request.urlopen("http://" + node.address("admin_port") +
+                                "/metrics", timeout=5) as answer:
+        text = answer.read().decode()
+    return sum(float(line.split()[1]) for line in text.splitlines()
+               if line.startswith("jasminetray_datagram_bytes_total{"))
+
+
+def measure_rest(f):
+    nodes = list(f.nodes.values())
+    before = [(cpu_seconds(n.popen.pid), datagram_bytes(n)) for n in nodes]
+    began = time.monotonic()
+    time.sleep(REST)
+    passed = time.monotonic() - began
+    after = [(cpu_seconds(n.popen.pid), datagram_bytes(n)) for n in nodes]
+    cpu = [100 * (a[0] - b[0]) / passed for a, b in zip(after, before)]
+    rate = [(a[1] - b[1]) / passed for a, b in zip(after, before)]
+    return (sum(cpu) / len(cpu), sum(rate) / len(rate),
+            sum(rss_mb(n.popen.pid) for n in nodes) / len(nodes))
+
+
+def run(count):
+    with fleet.Fleet(cluster="bench-%d" % count) as f:
+        start(f, count)
+        announcer = Announcer(f)
+        announcer.silent.add("n1")
+        announcer.start()
+        f.wait_config(f.submit_text(CONFIG % 999), 60)
+        time.sleep(6)
+        row = {"nodes": count}
+        delays = measure_config(f)
+        row["config_p50_s"] = delays[len(delays) // 2]
+        row["config_p99_s"] = delays[int(0.99 * (len(delays) - 1))]
+        row["config_max_s"] = delays[-1]
+        row["new_known_max_s"] = measure_new(f, announcer, "n1")
+        row["drain_known_max_s"] = measure_drain(f, announcer, "n2")
+        row["cpu_pct"], row["bytes_per_s"], row["rss_mb"] = measure_rest(f)
+        row["dead_known_max_s"] = measure_dead(f, announcer, "n3")
+        announcer.stop = True
+        announcer.join()
+        return row
+
+
+def projected(scale, row):
+    """Full size: the protocol's own cost with 3,700 records, on top of what
+    a real node costs at rest."""
+    lines = [x for x in scale.splitlines() if x.startswith(
+        "member nodes=%d " % FULL) and "changes_per_s=2 " in x]
+    member = fleet.numbers(lines[0])
+    config = fleet.numbers([x for x in scale.splitlines()
+                            if "teams=330000" in x][0])
+    view = fleet.numbers([x for x in scale.splitlines()
+                          if x.startswith("view nodes=3700")][0])
+    changes = 2900 / 86400.0
+    return (member["bytes_out_per_s"] + member["bytes_in_per_s"] +
+            2 * 1000 * config["edit_kb"] * changes,
+            row["cpu_pct"] + member["cpu_pct"] +
+            100 * config["build_s"] * changes +
+            100 * view["apply_all_ms"] / 1000,
+            row["rss_mb"] + member["table_mb"] + view["heap_mb"] +
+            2 * config["heap_mb"] + 2 * config["text_mb"])
+
+
+def main():
+    os.makedirs(os.path.join(fleet.ROOT, "out"), exist_ok=True)
+    scale = subprocess.run([fleet.BUILD + "/bench_scale"], check=True,
+                           capture_output=True, text=True).stdout
+    with open(os.path.join(fleet.ROOT, "out", "scale.txt"), "w") as out:
+        out.write(scale)
+    rows = []
+    with open(os.path.join(fleet.ROOT, "out", "fleet.txt"), "w") as out:
+        for count in SIZES:
+            rows.append(run(count))
+            text = "fleet " + json.dumps(rows[-1])
+            print(text, flush=True)
+            out.write(text + "\n")
+    last = rows[-1]
+    wide, cpu, rss = projected(scale, last)
+    print("fleet: nodes=%d config_max_s=%.2f drain_known_max_s=%.2f "
+          "bytes_per_s=%.0f cpu_pct=%.2f rss_mb=%.1f "
+          "projected_bytes_per_s_3700=%.0f projected_cpu_pct_3700=%.2f "
+          "projected_rss_mb_3700=%.1f" % (
+              last["nodes"], last["config_max_s"], last["drain_known_max_s"],
+              last["bytes_per_s"], last["cpu_pct"], last["rss_mb"], wide, cpu,
+              rss))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tools/churn.py
+++ b/tools/churn.py
@@ -4,7 +4,6 @@
 
 import signal
 import sys
-import tempfile
 
 import fleet
 
@@ -15,13 +14,6 @@
          "[route r]\npath = /%d\nservice = s\n"
 
 
-def folder(number):
-    path = tempfile.mkdtemp(prefix="jasminetray-config-")
-    with open(path + "/base.ini", "w") as out:
-        out.write(CONFIG % number)
-    return path
-
-
 def launch(f, numbers):
     nodes = [f.launch_node("n%d" % n, CENTRES[n % len(CENTRES)])
              for n in numbers]
@@ -55,7 +47,7 @@
         f.start_platform()
         launch(f, range(4))
         launch(f, range(4, NODES))
-        f.wait_config(f.submit(folder(1)), 60)
+        f.wait_config(f.submit_text(CONFIG % 1), 60)
         wait_members(f, 60)
         f.fault(mode="down")
         paused = "n%d" % (NODES - 1)
@@ -66,11 +58,12 @@
             f.nodes[paused].send(signal.SIGCONT)
         f.wait_config(1, 60)
         wait_members(f, 60)
-        code, out = f.ctl("config", "submit", folder(2),
+        code, out = f.ctl("config", "submit",
+                          fleet.ROOT + "/examples/hinoha",
                           "--platform=" + f.platform.address())
         print("store out: exit %d, %s" % (code, out.strip()))
         f.fault(mode="none")
-        f.wait_config(f.submit(folder(3)), 60)
+        f.wait_config(f.submit_text(CONFIG % 3), 60)
         print("churn: nodes=%d replaced=%d members_kept=1 config_kept=1 "
               "refused_while_out=%d" % (NODES, NODES - 1, code == 3))
         return 0 if code == 3 else 1
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -6,7 +6,6 @@
 import itertools
 import signal
 import sys
-import tempfile
 import time
 
 import fleet
@@ -35,18 +34,11 @@
 """
 
 
-def config_folder():
-    folder = tempfile.mkdtemp(prefix="jasminetray-config-")
-    with open(folder + "/base.ini", "w") as out:
-        out.write(CONFIG)
-    return folder
-
-
 def start(f, flags):
     f.start_platform()
     for name, centre in (("a1", "a"), ("a2", "a"), ("b1", "b")):
         f.start_node(name, centre, flags=flags)
-    version = f.submit(config_folder())
+    version = f.submit_text(CONFIG)
     seed = 0
     for node in ("a1", "a2", "b1"):
         for n in (1, 2):
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -122,7 +122,8 @@
             os.remove(ready)
         args = [binary("backend"), "--name=" + name, "--service=" + service,
                 "--slots=%d" % slots, "--ready_file=" + ready,
-                "--runs_file=" + self.runs_file(name),
+                "--runs_file=" + flags.pop("runs_file",
+                                           self.runs_file(name)),
                 "--node=" + self.nodes[node].address("admin_port")]
         args += ["--%s=%s" % item for item in flags.items()]
         self.backends[name] = Process(self.folder, name, args).wait_ready()
@@ -151,6 +152,13 @@
             raise RuntimeError(out)
         return int(out.split("version=")[1].split()[0])
 
+    def submit_text(self, base):
+        """Submits a configuration of one base file."""
+        folder = tempfile.mkdtemp(prefix="jasminetray-config-")
+        with open(folder + "/base.ini", "w") as out:
+            out.write(base)
+        return self.submit(folder)
+
     def wait(self, what, condition, bound=20.0):
         """Waits until a condition holds; fails loudly else."""
         end = time.monotonic() + bound
@@ -181,8 +189,8 @@
     def load(self, entries, wait=True, **flags):
         """Runs jasminetray-load; gives (exit code, output), or the process."""
         args = [binary("load"),
-                "--entries=" + ",".join(
-                    self.nodes[n].address("entry_port") for n in entries),
+                "--entries=" + flags.pop("targets", ",".join(
+                    self.nodes[n].address("entry_port") for n in entries)),
                 "--runs_files=" + ",".join(
                     self.runs_file(b) for b in self.backends)]
         args += ["--%s=%s" % item for item in flags.items()]
