--- a/src/config/config_check.cpp
+++ b/src/config/config_check.cpp
@@ -113,16 +113,15 @@
                      last);
     if (kind == "team")
         return set_team(b, name, e, last);
+    // Only services and routes have a place; teams are told by their table.
+    if (b.fresh && !b.overlay && b.place.count(e.section) != 0)
+        return given_twice(b, e, last);
     if (kind == "service") {
-        if (b.fresh && !b.overlay && b.place.count(e.section) != 0)
-            return given_twice(b, e, last);
         auto* c = element_of(b, b.config.services, e.section, name);
         return c ? set_entry(b, service_keys, *c, e, last)
                  : not_in_base(b, e, last);
     }
     if (kind == "route") {
-        if (b.fresh && !b.overlay && b.place.count(e.section) != 0)
-            return given_twice(b, e, last);
         auto* c = element_of(b, b.config.routes, e.section, name);
         return c ? set_entry(b, route_keys, *c, e, last)
                  : not_in_base(b, e, last);
@@ -141,7 +140,7 @@
     b.keys.clear();
     if (!b.overlay && e.section.rfind("route ", 0) == 0)
         b.section_line.emplace(e.section, e.line);
-    // In the base an element that exists already tells; see element_of().
+    // In the base an element that exists already tells: set_in_section().
     return !b.overlay || b.sections.insert(e.section).second ||
            given_twice(b, e, last);
 }
--- a/src/node/health_driver.cpp
+++ b/src/node/health_driver.cpp
@@ -47,11 +47,9 @@
 
 std::string scope_text(const node_state& n, std::uint32_t scope)
 {
-    for (const auto& [centre, index] : n.source_index) {
-        if (index == scope)
-            return to_hex(centre);
-    }
-    return "all";
+    const auto centre = scope_centre(n, scope);
+    return centre == centre_id{} ? "all"
+                                 : to_hex(static_cast<std::uint64_t>(centre));
 }
 
 void eject(node_state& n, local_worker& w, mono_us now)
--- a/src/verdict/verdict_cmd.hpp
+++ b/src/verdict/verdict_cmd.hpp
@@ -26,7 +26,7 @@
 
 /// Weighs the evidence again with what the peers saw in the same time.
 /// @param reports of peers; the own one left out
-/// @return eject or hold; hold also moves what counts as usual
+/// @return eject, hold, or none while a burst may still end by itself
 verdict_step health_judge(worker_health& h, const verdict_policy& p,
                           const std::vector<peer_report>& reports, mono_us now);
 
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -50,6 +50,25 @@
     return over / under, mean_y - over / under * mean_x
 
 
+def control_cost(scale, rest):
+    """Bytes a second, per cent of a core and MB of a node's control at full
+    size: what a real node costs at rest, and on top the core's own cost with
+    the full state.
+
+    scale: lines of bench_scale; rest: a row of bench_fleet."""
+    member = pick(scale, "member nodes=%d" % NODES, "changes_per_s=2")
+    config = pick(scale, "config", "teams=330000")
+    view = pick(scale, "view nodes=%d" % NODES)
+    changes = CHANGES_A_DAY / DAY
+    return (member["bytes_out_per_s"] + member["bytes_in_per_s"] +
+            2 * 1000 * config["edit_kb"] * changes,
+            rest["cpu_pct"] + member["cpu_pct"] +
+            100 * config["build_s"] * changes +
+            100 * view["apply_all_ms"] / 1000,
+            rest["rss_mb"] + member["table_mb"] + view["heap_mb"] +
+            2 * config["heap_mb"] + 2 * config["text_mb"])
+
+
 def figures():
     path = read_lines("path.txt")
     scale = read_lines("scale.txt")
@@ -70,12 +89,7 @@
     workers = WORKERS / NODES
     config_s = CHANGES_A_DAY / DAY
     path_pct = per_node * (low["entry_us"] + low["exit_us"]) / 1e4
-    control_cpu = rest["cpu_pct"] + member["cpu_pct"] + \
-        100 * config["build_s"] * config_s + 0.1 * view["apply_all_ms"]
-    control_bytes = member["bytes_in_per_s"] + member["bytes_out_per_s"] + \
-        2 * 1000 * config["edit_kb"] * config_s
-    control_mb = rest["rss_mb"] + member["table_mb"] + view["heap_mb"] + \
-        2 * config["heap_mb"] + 2 * config["text_mb"]
+    control_bytes, control_cpu, control_mb = control_cost(scale, rest)
     rss = slope([(r["nodes"], r["rss_mb"]) for r in nodes])
     table = slope([(m, pick(scale, "member nodes=%d" % m,
                             "changes_per_s=2")["table_mb"])
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -230,6 +230,22 @@
     return json.loads(text) if text.strip() else {}
 
 
+def cpu_seconds(pid):
+    """Processor time that a process has used."""
+    with open("/proc/%d/stat" % pid) as stat:
+        fields = stat.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def rss_kb(pid):
+    """Resident memory of a process."""
+    with open("/proc/%d/status" % pid) as status:
+        for line in status:
+            if line.startswith("VmRSS"):
+                return int(line.split()[1])
+    return 0
+
+
 def last_line(text):
     return text.strip().splitlines()[-1]
 
