--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -57,9 +57,17 @@
     out.push_back({kind, static_cast<std::uint32_t>(r.tracks.size())});
 }
 
+std::uint32_t reached_count(const request_state& r)
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(r.tracks.begin(), r.tracks.end(),
+                      [](const auto& t) { return t.reached; }));
+}
+
 bool may_send_more(const request_state& r, mono_us now)
 {
-    return r.tracks.size() < r.policy.most_attempts && !r.out_of_workers &&
+    return reached_count(r) < r.policy.most_attempts &&
+           r.tracks.size() < r.policy.most_tries && !r.out_of_workers &&
            now + r.policy.least_left < r.deadline;
 }
 
@@ -85,7 +93,8 @@
     // one is proven not to have run; else it could run twice.
     const bool safe =
         r.policy.idempotent || all_not_run(r) || !on.retry_only_proven;
-    if (safe && may_send_more(r, now) && spend_retry(budget)) {
+    const bool free = reached_count(r) == 0;
+    if (safe && may_send_more(r, now) && (free || spend_retry(budget))) {
         ++r.retries;
         return send(r, attempt_action_kind::send_fresh, now, out);
     }
@@ -130,6 +139,7 @@
         return;
     if (e.kind == attempt_event_kind::revoke_not_run) {
         t.phase = attempt_phase::not_run;
+        t.reached = false;
         if (t.connected)
             out.push_back({attempt_action_kind::cancel, e.count});
         return retry_or_settle(r, budget, now, out, on);
@@ -200,6 +210,7 @@
     case attempt_event_kind::not_run:
     case attempt_event_kind::unsent:
         t.phase = attempt_phase::not_run;
+        t.reached = e.reached;
         return retry_or_settle(r, budget, now, out, on);
     case attempt_event_kind::unknown:
         t.phase = attempt_phase::unknown;
@@ -208,6 +219,7 @@
         return on_lost(r, e.count, budget, now, out, on);
     case attempt_event_kind::no_worker:
         t.phase = attempt_phase::not_run;
+        t.reached = false;
         r.out_of_workers = true;
         return retry_or_settle(r, budget, now, out, on);
     default:
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -49,6 +49,8 @@
     attempt_event_kind kind{};
     std::uint32_t count = 0; ///< attempt; 0 when it is about the request
     std::string reason;      ///< for the refusal's body
+    /// not_run: a backend server turned it away, and not only its gate.
+    bool reached = false;
 };
 
 /// What the I/O layer is to do.
@@ -85,6 +87,9 @@
     bool connected = true; ///< an answer can still come on its connection
     bool asked = false;    ///< a revoke was sent once
     bool has_failed_answer = false; ///< can be delivered if nothing better
+    /// A backend server may have seen it. Attempts that only a gate refused
+    /// cost no backend server anything and are not counted as retries.
+    bool reached = true;
     mono_us sent_at = 0;
 };
 
@@ -92,7 +97,8 @@
 struct attempt_policy
 {
     bool idempotent = false;
-    std::uint32_t most_attempts = 3;
+    std::uint32_t most_attempts = 3; ///< that may reach a backend server
+    std::uint32_t most_tries = 8;    ///< with those that a gate refused
     span_us silence = 200000;       ///< without an answer, before acting
     span_us revoke_margin = 100000; ///< kept before the deadline to ask
     span_us least_left = 5000;      ///< no new attempt with less time left
--- a/src/config/config_check.cpp
+++ b/src/config/config_check.cpp
@@ -170,34 +170,20 @@
     return it == b.section_line.end() ? 0 : it->second;
 }
 
-bool index_routes(building& b, config_error& last)
+/// What is wrong with a route on its own; empty when nothing is.
+std::string blame_route(const fleet_config& c, const route_config& r)
 {
-    auto& c = b.config;
-    for (std::size_t n = 0; n < c.services.size(); ++n)
-        c.service_index.emplace(c.services[n].name, n);
-    for (std::size_t n = 0; n < c.routes.size(); ++n) {
-        const auto& r = c.routes[n];
-        const int line = line_of(b, "route " + r.name);
-        const std::string file(base_file_name);
-        if (r.path.empty() || r.service.empty()) {
-            last = {file, line,
-                    "route " + r.name + " needs both path and service"};
-            return false;
-        }
-        if (c.service_index.count(r.service) == 0) {
-            last = {file, line,
-                    "route " + r.name + " names service '" + r.service +
-                        "', which no [service] section defines"};
-            return false;
-        }
-        if (!c.route_index.emplace(r.host + "\n" + r.path, n).second) {
-            last = {file, line,
-                    "route " + r.name +
-                        " has the host and path of another route"};
-            return false;
-        }
+    if (r.path.empty() || r.service.empty())
+        return " needs both path and service";
+    std::vector<std::string> named{r.service};
+    for (const auto& p : r.parts)
+        named.push_back(p.service);
+    for (const auto& name : named) {
+        if (c.service_index.count(name) == 0)
+            return " names service '" + name +
+                   "', which no [service] section defines";
     }
-    return true;
+    return "";
 }
 
 const config_file* find_file(const std::vector<config_file>& files,
@@ -211,6 +197,24 @@
 
 } // namespace
 
+bool index_config(fleet_config& c, std::size_t& wrong, std::string& why)
+{
+    for (std::size_t n = 0; n < c.services.size(); ++n)
+        c.service_index.emplace(c.services[n].name, n);
+    for (std::size_t n = 0; n < c.routes.size(); ++n) {
+        const auto& r = c.routes[n];
+        wrong = n;
+        why = blame_route(c, r);
+        if (!why.empty())
+            return false;
+        if (!c.route_index.emplace(r.host + "\n" + r.path, n).second) {
+            why = " has the host and path of another route";
+            return false;
+        }
+    }
+    return true;
+}
+
 std::optional<fleet_config> build_config(const std::vector<config_file>& files,
                                          const std::string& site,
                                          std::uint64_t version,
@@ -229,8 +233,14 @@
     const auto* overlay = find_file(files, site + ".ini");
     if (overlay != nullptr && overlay != base && !read_file(b, *overlay, last))
         return std::nullopt;
-    if (!index_routes(b, last))
+    std::size_t wrong = 0;
+    std::string why;
+    if (!index_config(b.config, wrong, why)) {
+        const auto& name = b.config.routes[wrong].name;
+        last = {std::string(base_file_name), line_of(b, "route " + name),
+                "route " + name + why};
         return std::nullopt;
+    }
     b.config.version = version;
     return std::move(b.config);
 }
--- a/src/config/config_check.hpp
+++ b/src/config/config_check.hpp
@@ -22,6 +22,11 @@
                                          std::uint64_t version,
                                          config_error& last);
 
+/// Fills a configuration's indexes and checks what only the whole can show.
+/// @param wrong index of the route that is to blame
+/// @param why what is wrong with it, to follow its name
+bool index_config(fleet_config& c, std::size_t& wrong, std::string& why);
+
 /// Checks the base with every overlay of a set.
 /// @return false with `last` filled in
 bool check_files(const std::vector<config_file>& files, config_error& last);
--- a/src/config/config_query.cpp
+++ b/src/config/config_query.cpp
@@ -50,10 +50,26 @@
 
 bool is_idempotent(const route_config& r, std::string_view method)
 {
+    if (r.idempotent == "*")
+        return true;
     const auto methods = split(r.idempotent, ',');
     return std::find(methods.begin(), methods.end(), method) != methods.end();
 }
 
+const std::string& choose_part(const route_config& r, double at)
+{
+    double sum = 0;
+    for (const auto& p : r.parts)
+        sum += p.weight;
+    at *= sum;
+    for (const auto& p : r.parts) {
+        at -= p.weight;
+        if (at < 0)
+            return p.service;
+    }
+    return r.service;
+}
+
 double floor_slots(const service_config& s, double total)
 {
     return s.floor_kind == floor_unit::slots ? s.floor_value
--- a/src/config/config_query.hpp
+++ b/src/config/config_query.hpp
@@ -21,6 +21,10 @@
 /// Whether a method of a route may run more than once.
 bool is_idempotent(const route_config& r, std::string_view method);
 
+/// Service of a route's part at a place between 0 and 1, where each part
+/// takes as much room as its weight.
+const std::string& choose_part(const route_config& r, double at);
+
 /// Slots of a service that must stay in use.
 /// @param s the service
 /// @param total slots of all its backend servers that are alive
--- a/src/config/config_store.cpp
+++ b/src/config/config_store.cpp
@@ -13,6 +13,7 @@
 
 namespace json = boost::json;
 
+constexpr char config_table[] = "jasminetray-config";
 constexpr char head_key[] = "config-head";
 constexpr std::uint64_t chunk_share = 64; // one section in 64 starts a chunk
 constexpr std::uint64_t list_share = 64;  // one chunk in 64 starts a list
@@ -45,9 +46,9 @@
 }
 
 /// Writes chunks and manifest; gives the manifest's hash.
-std::optional<std::uint64_t> put_objects(const platform_api& p,
+std::optional<std::uint64_t> put_objects(const store_api& p,
                                          const std::vector<config_file>& files,
-                                         platform_error& last)
+                                         store_error& last)
 {
     config_manifest m;
     for (const auto& f : files) {
@@ -71,21 +72,21 @@
     return hash;
 }
 
-submit_result not_accepted(platform_error e, const std::string& step)
+submit_result not_accepted(store_error e, const std::string& step)
 {
     submit_result r;
     r.outcome = submit_outcome::not_accepted;
-    r.reason = "store " + std::string(name_of(platform_error_names, e)) +
+    r.reason = "store " + std::string(name_of(store_error_names, e)) +
                " while " + step + "; nothing is in force";
     return r;
 }
 
-std::vector<std::string> differing_files(const platform_api& p,
+std::vector<std::string> differing_files(const store_api& p,
                                          const config_head& winner,
                                          const std::vector<config_file>& ours)
 {
     std::string why;
-    platform_error last{};
+    store_error last{};
     const auto theirs = load_files(
         winner.manifest,
         [&](const std::string& name) { return p.get_object(name, last); }, why);
@@ -105,11 +106,11 @@
 
 /// Whose write became a version, by its history row. The row is written in
 /// the head's transaction and never changed, so it tells for certain.
-submit_result settle(const platform_api& p, const submission& s,
+submit_result settle(const store_api& p, const submission& s,
                      const config_head& ours, bool was_refused)
 {
     for (int n = 0; n < s.settle_tries; ++n) {
-        platform_error last{};
+        store_error last{};
         const auto row = read_history(p, ours.version, last);
         if (row && row->submission == s.id)
             return {submit_outcome::accepted, *row, "", {}};
@@ -121,9 +122,9 @@
         }
         // The row is absent and the write was refused, or it is absent and
         // the caller must try the same conditional write again.
-        if (last == platform_error::missing && was_refused)
-            return not_accepted(platform_error::conflict, "moving the head");
-        if (last == platform_error::missing) {
+        if (last == store_error::missing && was_refused)
+            return not_accepted(store_error::conflict, "moving the head");
+        if (last == store_error::missing) {
             submit_result r;
             r.outcome = submit_outcome::unsettled;
             r.reason = "again";
@@ -247,30 +248,33 @@
     return "manifest-" + to_hex(hash);
 }
 
-std::optional<config_head> read_head(const platform_api& p,
-                                     platform_error& last)
+std::optional<config_head> read_head(const store_api& p,
+                                     store_error& last)
 {
-    const auto row = p.read_row(head_key, last);
-    if (!row && last == platform_error::missing) {
-        last = platform_error::none;
+    const auto row = p.read_row({config_table, head_key}, last);
+    if (!row && last == store_error::missing) {
+        last = store_error::none;
         return config_head{};
     }
-    return row ? parse_head(row->value) : std::nullopt;
+    auto head = row ? parse_head(row->value) : std::nullopt;
+    if (head)
+        head->row = row->version;
+    return head;
 }
 
 std::optional<config_head>
-read_history(const platform_api& p, std::uint64_t version, platform_error& last)
+read_history(const store_api& p, std::uint64_t version, store_error& last)
 {
-    const auto row = p.read_row(history_key(version), last);
+    const auto row = p.read_row({config_table, history_key(version)}, last);
     return row ? parse_head(row->value) : std::nullopt;
 }
 
-submit_result submit_config(const platform_api& p, const submission& s)
+submit_result submit_config(const store_api& p, const submission& s)
 {
     config_error wrong;
     if (!check_files(s.files, wrong))
         return {submit_outcome::invalid, {}, wrong.text(), {}};
-    platform_error last{};
+    store_error last{};
     const auto head = read_head(p, last);
     if (!head)
         return not_accepted(last, "reading the head");
@@ -285,17 +289,16 @@
     if (!manifest)
         return not_accepted(last, "storing the files");
     const config_head ours{head->version + 1, *manifest, s.author, s.id,
-                           s.rolled_back_to};
-    // The row's version equals the configuration's: each moves by one.
-    const std::vector<table_write> writes = {
-        {head_key, head->version, to_text(ours)},
-        {history_key(ours.version), 0, to_text(ours)}};
+                           s.rolled_back_to, 0};
+    const std::vector<row_write> writes = {
+        {{config_table, head_key}, head->row, to_text(ours), false},
+        {{config_table, history_key(ours.version)}, 0, to_text(ours), false}};
     for (int n = 0; n < s.settle_tries; ++n) {
         if (p.write_rows(writes, last))
             return {submit_outcome::accepted, ours, "", {}};
-        if (last == platform_error::unreachable && n == 0)
+        if (last == store_error::unreachable && n == 0)
             return not_accepted(last, "moving the head");
-        auto r = settle(p, s, ours, last == platform_error::conflict);
+        auto r = settle(p, s, ours, last == store_error::conflict);
         if (r.reason != "again")
             return r;
     }
--- a/src/config/config_store.hpp
+++ b/src/config/config_store.hpp
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "config/config_type.hpp"
-#include "platform/platform_type.hpp"
+#include "store/store_type.hpp"
 
 #include <functional>
 #include <optional>
@@ -19,6 +19,7 @@
     std::string author;
     std::string submission;           ///< unique per submission
     std::uint64_t rolled_back_to = 0; ///< version whose files it repeats
+    std::uint64_t row = 0; ///< the store's version of the head row; 0: absent
 };
 
 /// One file of a manifest.
@@ -90,16 +91,16 @@
 std::string manifest_name(std::uint64_t hash);
 
 /// Submits files. Checks them first; changes nothing unless all is well.
-submit_result submit_config(const platform_api& p, const submission& s);
+submit_result submit_config(const store_api& p, const submission& s);
 
 /// Head row; version 0 when nothing was accepted yet.
-std::optional<config_head> read_head(const platform_api& p,
-                                     platform_error& last);
+std::optional<config_head> read_head(const store_api& p,
+                                     store_error& last);
 
 /// History row of a version.
-std::optional<config_head> read_history(const platform_api& p,
+std::optional<config_head> read_history(const store_api& p,
                                         std::uint64_t version,
-                                        platform_error& last);
+                                        store_error& last);
 
 /// Files of a manifest, read through any source of objects.
 /// @param hash of the manifest
--- a/src/config/config_type.hpp
+++ b/src/config/config_type.hpp
@@ -62,6 +62,8 @@
     double retry_share = 0.1;           ///< retries per first attempt
     span_us drain_us = 2 * us_per_s;    ///< new work after a drain began
     bool echo_required = true;          ///< answers must echo the request id
+    std::string health_path = "/health"; ///< answers 200 while it feels well
+    int most_connections = 256; ///< that a backend server accepts in all
 };
 
 /// How a caller's own retry of keyed work is recognised.
@@ -75,16 +77,28 @@
 inline constexpr std::array<std::string_view, 3> key_mode_names = {
     "claim", "home", "none"};
 
+/// One part of a route whose requests are split between services.
+struct route_part
+{
+    std::string service; ///< name of a service
+    double weight = 0;   ///< share of requests, relative to the others
+};
+
 /// A route: which requests go to which service.
 struct route_config
 {
     std::string name;                    ///< name in logs
     std::string host;                    ///< exact host; empty for any
     std::string path;                    ///< prefix, at a '/' boundary
-    std::string service;                 ///< name of a service
+    std::string service;                 ///< name of a service; of the first
+                                         ///< part when there are several
+    std::vector<route_part> parts;       ///< empty for all to `service`
     int priority = 5;                    ///< 0 first, 9 last
     span_us deadline_us = 2 * us_per_s;  ///< from the caller's first byte
-    std::string idempotent = "GET,HEAD"; ///< methods that may run twice
+    span_us target_us = 0;   ///< an answer is worth all until then; 0 for none
+    int attempts = 0;        ///< backend servers at most; 0 for the node's
+    std::string idempotent = "GET,HEAD"; ///< methods that may run twice; *
+                                         ///< for all
     key_mode keys = key_mode::claim;     ///< what idempotency keys mean
 };
 
@@ -95,6 +109,15 @@
     double burst = 0; ///< requests at once
 };
 
+/// What callers may send, and how long they may take.
+struct caller_limits
+{
+    std::int64_t header_bytes = 16384;    ///< of a request's head
+    std::int64_t body_bytes = 67108864;   ///< of a request's body
+    span_us header_us = 5 * us_per_s;     ///< for the head to arrive
+    span_us idle_us = 60 * us_per_s;      ///< of a connection between requests
+};
+
 /// Everything that is in force at one site.
 struct fleet_config
 {
@@ -102,6 +125,7 @@
     std::string fleet;             ///< name of the fleet
     double default_team_rate = 0;  ///< of teams without a section; 0 for none
     double default_team_burst = 0; ///< of teams without a section
+    caller_limits limits;
     std::vector<service_config> services;
     std::vector<route_config> routes;
     std::unordered_map<std::string, team_config> teams;
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -12,6 +12,22 @@
 
 namespace jasminetray {
 
+/// What the users' platform tells a node that it hosts. Only used when
+/// `control` is set.
+struct hosted_settings
+{
+    std::string control; ///< "ip:port" where the backend server announces
+                         ///< itself; empty when the platform hosts nobody
+    std::string ready;   ///< "ip:port" where the platform asks for readiness
+    std::string worker;  ///< "ip:port" of the VM's backend server
+    std::string service; ///< of that backend server
+    double retry_ratio = 0.2;             ///< retries per request, fleet-wide
+    span_us retry_window = 10 * us_per_s; ///< over which they are counted
+    double retry_slack = 60; ///< retries beyond the ratio, of the whole fleet
+    double floor_share = 0.7; ///< of a service's capacity, kept in use
+    span_us drain = 2 * us_per_s; ///< new work after a drain was acknowledged
+};
+
 /// Everything a node is told when it starts.
 struct node_settings
 {
@@ -43,6 +59,7 @@
     int service_in_flight = 1024; ///< of one service at the entry side
     int log_lines = 20000;        ///< a second, of one event
     std::string safeguards_off;   ///< test hook; names with commas
+    hosted_settings hosted;
 };
 
 /// Reads settings from a file, or says what is wrong with file and line.
--- a/src/ctl/ctl_config.cpp
+++ b/src/ctl/ctl_config.cpp
@@ -4,7 +4,7 @@
 #include "config/config_check.hpp"
 #include "config/config_store.hpp"
 #include "ctl/ctl_type.hpp"
-#include "platform/platform_http.hpp"
+#include "platform/store_client.hpp"
 
 #include <chrono>
 #include <filesystem>
@@ -73,14 +73,14 @@
     return exit_done;
 }
 
-std::optional<platform_api> platform()
+std::optional<store_api> platform()
 {
     const auto at = parse_host_port(FLAGS_platform);
     if (!at) {
         std::cerr << "--platform ip:port is needed\n";
         return std::nullopt;
     }
-    return make_platform_http(*at, call_bound);
+    return make_store_client(*at, call_bound);
 }
 
 int report(const submit_result& r)
@@ -135,25 +135,25 @@
              : exit_usage;
 }
 
-int store_failed(platform_error e)
+int store_failed(store_error e)
 {
-    std::cerr << "store: " << name_of(platform_error_names, e) << "\n";
+    std::cerr << "store: " << name_of(store_error_names, e) << "\n";
     return exit_not_accepted;
 }
 
 /// Head or a version's history row.
-std::optional<config_head> find_head(const platform_api& p,
-                                     platform_error& last)
+std::optional<config_head> find_head(const store_api& p,
+                                     store_error& last)
 {
     return FLAGS_number == 0 ? read_head(p, last)
                              : read_history(p, FLAGS_number, last);
 }
 
-std::optional<std::vector<config_file>> files_of(const platform_api& p,
+std::optional<std::vector<config_file>> files_of(const store_api& p,
                                                  const config_head& h)
 {
     std::string why;
-    platform_error last{};
+    store_error last{};
     auto files = load_files(
         h.manifest,
         [&](const std::string& name) { return p.get_object(name, last); }, why);
@@ -167,7 +167,7 @@
     const auto p = platform();
     if (!p)
         return exit_usage;
-    platform_error last{};
+    store_error last{};
     const auto h = find_head(*p, last);
     if (!h)
         return store_failed(last);
@@ -188,7 +188,7 @@
     const auto p = platform();
     if (!p)
         return exit_usage;
-    platform_error last{};
+    store_error last{};
     const auto head = read_head(*p, last);
     if (!head)
         return store_failed(last);
@@ -214,7 +214,7 @@
         std::cerr << "usage: config rollback --number N\n";
         return exit_usage;
     }
-    platform_error last{};
+    store_error last{};
     const auto h = read_history(*p, FLAGS_number, last);
     if (!h)
         return store_failed(last);
--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -96,6 +96,20 @@
         remember(g, a, gate_state::started, now);
 }
 
+/// Refuses all that waits, and remembers that it will never run.
+std::vector<gate_decision> refuse_waiting(gate& g, gate_worker& w,
+                                          gate_error why, mono_us now)
+{
+    std::vector<gate_decision> decisions;
+    for (const auto& x : w.queue) {
+        if (!x.idempotent)
+            remember(g, x.attempt, gate_state::revoked, now);
+        decisions.push_back({x.attempt, false, why});
+    }
+    w.queue.clear();
+    return decisions;
+}
+
 void adapt_limit(gate_worker& w, work_end end, span_us took, mono_us now)
 {
     if (end == work_end::answered) {
@@ -266,25 +280,25 @@
     w.limit = std::min(w.limit, n);
 }
 
-void gate_drain_worker(gate& g, worker_id id, bool draining)
+std::vector<gate_decision> gate_drain_worker(gate& g, worker_id id,
+                                             bool draining, mono_us now)
 {
     const auto it = g.workers.find(id);
-    if (it != g.workers.end())
-        it->second.draining = draining;
+    if (it == g.workers.end())
+        return {};
+    it->second.draining = draining;
+    return draining ? refuse_waiting(g, it->second, gate_error::draining, now)
+                    : std::vector<gate_decision>{};
 }
 
 std::vector<gate_decision> gate_remove_worker(gate& g, worker_id id,
                                               mono_us now)
 {
-    std::vector<gate_decision> decisions;
     const auto it = g.workers.find(id);
     if (it == g.workers.end())
-        return decisions;
-    for (const auto& x : it->second.queue) {
-        if (!x.idempotent)
-            remember(g, x.attempt, gate_state::revoked, now);
-        decisions.push_back({x.attempt, false, gate_error::no_worker});
-    }
+        return {};
+    auto decisions =
+        refuse_waiting(g, it->second, gate_error::no_worker, now);
     g.workers.erase(it);
     return decisions;
 }
--- a/src/gate/gate_cmd.hpp
+++ b/src/gate/gate_cmd.hpp
@@ -53,6 +53,9 @@
     lost,     ///< cut, timed out or cancelled after the first byte
 };
 
+inline constexpr std::array<std::string_view, 4> work_end_names = {
+    "answered", "shed", "unsent", "lost"};
+
 /// Ends started work and frees its slot.
 /// @param took time from start to end
 void gate_finish(gate& g, const gate_request& r, work_end end, span_us took,
@@ -73,8 +76,10 @@
 ///        was started through a former process and holds slots too
 void gate_set_worker(gate& g, worker_id id, int slots, int busy);
 
-/// Stops or resumes new work for a backend server.
-void gate_drain_worker(gate& g, worker_id id, bool draining);
+/// Stops or resumes new work for a backend server. What waits is refused as
+/// not run when it stops: elsewhere it need not wait for a slot that closes.
+std::vector<gate_decision> gate_drain_worker(gate& g, worker_id id,
+                                             bool draining, mono_us now);
 
 /// Forgets a backend server that has gone. Its queue is refused.
 std::vector<gate_decision> gate_remove_worker(gate& g, worker_id id,
--- a/src/platform/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,5 +1,5 @@
 // Blocking HTTP with a time bound; see http_client.hpp.
-#include "platform/http_client.hpp"
+#include "http/http_client.hpp"
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
--- a/src/member/member_cmd.cpp
+++ b/src/member/member_cmd.cpp
@@ -312,6 +312,7 @@
         if (m.state == liveness::dead &&
             now - m.state_at >= t.policy.forget_after) {
             toggle_digest(t, summary_of(m.record));
+            t.changes.push_back({member_change_kind::forgotten, it->first});
             it = t.members.erase(it);
         } else {
             ++it;
@@ -363,6 +364,19 @@
     }
 }
 
+/// A node that came back while the store was out, or after a cut, cannot
+/// find anybody: whoever held it for dead tries its last address again.
+void greet_dead(member_table& t, random_state& rng, std::vector<outgoing>& out)
+{
+    std::vector<const member*> dead;
+    for (const auto& [id, m] : t.members) {
+        if (m.state == liveness::dead)
+            dead.push_back(&m);
+    }
+    if (const auto* m = pick(dead, rng))
+        out.push_back(to_address(m->record.address, digest_message(t)));
+}
+
 std::vector<record_summary> bucket_summaries(const member_table& t,
                                              std::uint64_t buckets)
 {
@@ -582,6 +596,16 @@
     make_news(t, t.self.id);
 }
 
+std::vector<outgoing> member_add_contacts(member_table& t,
+                                          const std::vector<node_address>& a)
+{
+    std::vector<outgoing> out;
+    t.seeds = a;
+    for (const auto& to : a)
+        out.push_back(to_address(to, digest_message(t)));
+    return out;
+}
+
 void member_hear_config(member_table& t, std::uint64_t version,
                         std::uint64_t hash)
 {
@@ -611,6 +635,10 @@
         t.greet_at = now + t.policy.refresh_centre;
         greet_centres(t, rng, out);
     }
+    if (now >= t.greet_dead_at) {
+        t.greet_dead_at = now + t.policy.greet_dead_every;
+        greet_dead(t, rng, out);
+    }
     if (now >= t.flush_at) {
         t.flush_at = now + t.policy.flush_every;
         flush_news(t, rng, out);
--- a/src/member/member_cmd.hpp
+++ b/src/member/member_cmd.hpp
@@ -31,6 +31,10 @@
                                      std::uint32_t ip, std::uint16_t port,
                                      random_state& rng, mono_us now);
 
+/// Takes up first contacts that were found elsewhere, and greets them.
+std::vector<outgoing> member_add_contacts(member_table& t,
+                                          const std::vector<node_address>& a);
+
 /// Takes the changes since the last call.
 std::vector<member_change> member_take_changes(member_table& t);
 
--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -171,6 +171,7 @@
     span_us refresh_centre = us_per_s;     ///< relays greet other centres
     span_us forget_after = 600 * us_per_s; ///< a dead member
     std::size_t fanout = 2;                ///< peers per flush
+    span_us greet_dead_every = us_per_s; ///< one dead node is tried again
     std::size_t rounds = 2;                ///< flushes that repeat news
     std::size_t relays = 2;                ///< per foreign data centre
     std::size_t helpers = 3;               ///< asked to probe for us
@@ -222,6 +223,7 @@
     dead,
     clash,  ///< another process speaks under our name
     config, ///< a higher configuration version was heard of
+    forgotten, ///< dead for so long that nobody expects it back
 };
 
 struct member_change
@@ -256,6 +258,7 @@
     mono_us probe_at = 0;
     mono_us digest_at = 0;
     mono_us greet_at = 0;
+    mono_us greet_dead_at = 0;
     std::vector<member_change> changes; ///< taken by the owner
 };
 
--- a/src/node/admin_server.cpp
+++ b/src/node/admin_server.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-constexpr span_us idle_bound = 60 * us_per_s;
-constexpr std::uint64_t most_request = 65536;
-
 string_response make(http::status status, std::string body,
                      const char* type = "application/json")
 {
@@ -97,25 +94,14 @@
 
 void serve_admin(node_state& n, beast::tcp_stream stream, const yield& y)
 {
-    beast::flat_buffer buf;
     beast::error_code ec;
     const auto from = stream.socket().remote_endpoint(ec);
-    const bool loopback = !ec && from.address().is_loopback();
-    bool keep = !ec;
-    while (keep) {
-        http::request_parser<http::string_body> parser;
-        parser.body_limit(most_request);
-        stream.expires_after(std::chrono::microseconds(idle_bound));
-        http::async_read(stream, buf, parser, y[ec]);
-        if (ec)
-            break;
-        auto r = answer(n, parser.get(), loopback);
-        keep = parser.get().keep_alive();
-        r.keep_alive(keep);
-        r.prepare_payload();
-        http::async_write(stream, r, y[ec]);
-        keep = keep && !ec;
-    }
+    if (ec)
+        return;
+    const bool loopback = from.address().is_loopback();
+    serve_simple(stream, y, [&](const string_request& q) {
+        return answer(n, q, loopback);
+    });
 }
 
 } // namespace jasminetray
--- a/src/node/announce.cpp
+++ b/src/node/announce.cpp
@@ -22,17 +22,6 @@
         text_hash(n.settings.name + "/" + a.name + "/" + to_hex(a.boot)));
 }
 
-void refuse_queue(node_state& n, const std::vector<gate_decision>& decisions)
-{
-    for (const auto& d : decisions) {
-        const auto it = n.tickets.find(d.attempt);
-        if (it == n.tickets.end())
-            continue;
-        it->second->decision = d;
-        it->second->signal.cancel();
-    }
-}
-
 void remove_worker(node_state& n, worker_id id, const std::string& why)
 {
     const auto it = n.workers.find(id);
@@ -40,7 +29,7 @@
         return;
     n.events.write(event_id::worker_gone, it->second.name,
                    "service=" + it->second.service + " reason=" + why);
-    refuse_queue(n, gate_remove_worker(n.door, id, mono_now()));
+    refuse_queued(n, gate_remove_worker(n.door, id, mono_now()));
     n.workers.erase(it);
 }
 
@@ -57,9 +46,11 @@
 
 void remove_former(node_state& n, const announcement& a, worker_id id)
 {
+    // A hosted VM has one address with one process behind it at a time.
+    const bool single = !n.settings.hosted.control.empty();
     for (const auto& [other, w] : n.workers) {
-        if (other != id && w.name == a.name)
-            return remove_worker(n, other, "restarted");
+        if (other != id && (single || w.name == a.name))
+            return remove_worker(n, other, "replaced");
     }
 }
 
@@ -73,7 +64,8 @@
     w.service = a.service;
     w.boot = a.boot;
     w.health.usual = usual;
-    w.health.cold_until = mono_now() + n.balance.ramp;
+    w.health.cold_until =
+        mono_now() + (a.sequence != 0 ? a.cold_for : n.balance.ramp);
     refresh_policies(n);
     n.events.write(event_id::worker_announced, a.name,
                    "service=" + a.service +
@@ -143,7 +135,9 @@
     w.draining = a.draining;
     w.announced_at = mono_now();
     gate_set_worker(n.door, id, a.slots, a.busy);
-    gate_drain_worker(n.door, id, w.draining || w.drained_here);
+    refuse_queued(n, gate_drain_worker(n.door, id,
+                                       w.draining || w.drained_here,
+                                       mono_now()));
     if (changed)
         publish_self(n);
     return id;
@@ -168,8 +162,27 @@
     if (it == n.workers.end())
         return;
     it->second.drained_here = draining;
-    gate_drain_worker(n.door, id, draining || it->second.draining);
+    refuse_queued(n, gate_drain_worker(n.door, id,
+                                       draining || it->second.draining,
+                                       mono_now()));
+    publish_self(n);
+}
+
+void forget_worker(node_state& n, worker_id id, const std::string& why)
+{
+    remove_worker(n, id, why);
     publish_self(n);
 }
 
+void refuse_queued(node_state& n, const std::vector<gate_decision>& decisions)
+{
+    for (const auto& d : decisions) {
+        const auto it = n.tickets.find(d.attempt);
+        if (it == n.tickets.end())
+            continue;
+        it->second->decision = d;
+        it->second->signal.cancel();
+    }
+}
+
 } // namespace jasminetray
--- a/src/node/config_actor.cpp
+++ b/src/node/config_actor.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds poll_every(1000);
+constexpr std::chrono::milliseconds catch_up_every(200);
 constexpr span_us chunk_bound = us_per_s / 2;
 
 /// State of the actor.
@@ -26,6 +27,7 @@
     bool poll = false;
     bool reachable = true;           ///< the store, when it was last asked
     std::vector<std::uint64_t> used; ///< hashes that were read
+    std::uint64_t refused = 0;       ///< hash of a document that is wrong
 };
 
 std::uint64_t hash_in(const std::string& name)
@@ -52,20 +54,75 @@
             return found;
         }
     }
-    platform_error last{};
-    auto found = x.start.has_platform ? x.start.platform.get_object(name, last)
+    store_error last{};
+    auto found = x.start.has_store ? x.start.store.get_object(name, last)
                                       : std::nullopt;
     if (fits(found))
         x.cache->put(hash, *found);
     return found;
 }
 
+void bring_into_force(config_keeper& k, fleet_config c, std::uint64_t hash)
+{
+    auto& x = *k.context;
+    k.in_force = c.version;
+    x.cache->keep_only(k.used);
+    x.events->set_config_version(c.version);
+    x.events->write(event_id::config_in_force,
+                    "version-" + std::to_string(c.version),
+                    "hash=" + to_hex(hash) +
+                        " services=" + std::to_string(c.services.size()) +
+                        " routes=" + std::to_string(c.routes.size()));
+    x.sinks.config_ready(std::make_shared<const fleet_config>(std::move(c)));
+}
+
+/// Takes a document up when it is whole, valid and newer; else what is in
+/// force stays.
+void take_document(config_keeper& k, const std::string& text)
+{
+    auto& x = *k.context;
+    const auto hash = text_hash(text);
+    if (hash == k.refused)
+        return;
+    std::string why;
+    auto c = x.start.documents.parse(text, why);
+    if (!c) {
+        k.refused = hash;
+        x.events->write(event_id::config_refused, "hash-" + to_hex(hash), why);
+        return;
+    }
+    if (c->version <= k.in_force)
+        return;
+    k.used = {hash};
+    x.cache->put(hash, text);
+    if (c->version > k.heard.version)
+        k.heard = {c->version, hash};
+    bring_into_force(k, std::move(*c), hash);
+}
+
+/// Fetches a document that was heard of from a peer: this node may be cut
+/// off from the store, or the store's word may be on its way still.
+void catch_up_document(config_keeper& k)
+{
+    for (const auto& p : k.peers) {
+        const auto hash = k.heard.manifest;
+        const auto text = call_chunk(p.ip, p.rpc_port, hash, chunk_bound);
+        if (text && text_hash(*text) == hash)
+            return take_document(k, *text);
+    }
+}
+
 /// Brings the highest version that was heard of into force.
 void catch_up(config_keeper& k)
 {
     if (k.heard.version <= k.in_force)
         return;
     auto& x = *k.context;
+    if (x.start.documents.parse) {
+        if (k.heard.manifest != k.refused)
+            catch_up_document(k);
+        return;
+    }
     const auto version = k.heard.version;
     const auto subject = "version-" + std::to_string(version);
     std::string why;
@@ -83,14 +140,7 @@
         x.events->write(event_id::config_refused, subject, wrong.text());
         return;
     }
-    k.in_force = version;
-    x.cache->keep_only(k.used);
-    x.events->set_config_version(version);
-    x.events->write(event_id::config_in_force, subject,
-                    "manifest=" + to_hex(k.heard.manifest) +
-                        " services=" + std::to_string(c->services.size()) +
-                        " routes=" + std::to_string(c->routes.size()));
-    x.sinks.config_ready(std::make_shared<const fleet_config>(std::move(*c)));
+    bring_into_force(k, std::move(*c), k.heard.manifest);
 }
 
 void note_store(config_keeper& k, bool reachable)
@@ -109,8 +159,8 @@
 void poll_head(caf::event_based_actor* self, config_keeper& k,
                const caf::actor& members)
 {
-    platform_error last{};
-    const auto head = read_head(k.context->start.platform, last);
+    store_error last{};
+    const auto head = read_head(k.context->start.store, last);
     note_store(k, head.has_value());
     if (!head || head->version <= k.heard.version)
         return;
@@ -126,19 +176,30 @@
 {
     auto k = std::make_shared<config_keeper>();
     k->context = context;
+    const bool documents = static_cast<bool>(context->start.documents.parse);
     self->send(self, tick_atom::value);
     return {
+        [=](const document_message& m) {
+            const auto before = k->heard.version;
+            take_document(*k, m.text);
+            if (k->heard.version > before)
+                self->send(members, k->heard);
+        },
         [=](tick_atom) {
             const bool due = k->poll || k->in_force == 0;
-            if (due && context->start.has_platform)
+            if (due && !documents && context->start.has_store)
                 poll_head(self, *k, members);
             catch_up(*k);
-            self->delayed_send(self, poll_every, tick_atom::value);
+            self->delayed_send(self, documents ? catch_up_every : poll_every,
+                               tick_atom::value);
         },
         [=](const version_message& m) {
             if (m.version > k->heard.version)
                 k->heard = m;
-            catch_up(*k);
+            // A document is on its way from the store in most cases: asking
+            // peers for it at once would only cross it.
+            if (!documents)
+                catch_up(*k);
         },
         [=](const peers_message& m) {
             k->poll = m.poll;
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -22,6 +22,8 @@
     std::unique_ptr<caf::actor_system> system;
     caf::actor members;
     caf::actor configuration;
+    caf::actor feed;     ///< none without documents
+    caf::actor presence; ///< none without a store
 };
 
 control::control(control_start start, control_sinks sinks, event_log& events,
@@ -41,6 +43,12 @@
     r.configuration =
         r.system->spawn<caf::detached>(config_actor, context, r.members);
     caf::anon_send(r.members, members_atom::value, r.configuration);
+    if (context->start.documents.parse)
+        r.feed = r.system->spawn<caf::detached>(feed_actor, context,
+                                                r.configuration);
+    if (context->start.has_store)
+        r.presence =
+            r.system->spawn<caf::detached>(presence_actor, context, r.members);
 }
 
 control::~control()
@@ -48,6 +56,11 @@
     auto& r = *running_;
     caf::anon_send_exit(r.members, caf::exit_reason::user_shutdown);
     caf::anon_send_exit(r.configuration, caf::exit_reason::user_shutdown);
+    for (auto* a : {&r.feed, &r.presence}) {
+        if (*a)
+            caf::anon_send_exit(*a, caf::exit_reason::user_shutdown);
+        *a = nullptr;
+    }
     r.members = nullptr;
     r.configuration = nullptr;
     r.system.reset();
@@ -60,6 +73,12 @@
                    datagram_message{std::move(bytes), ip, port});
 }
 
+void control::leave()
+{
+    if (running_->presence)
+        caf::anon_send(running_->presence, leave_atom::value);
+}
+
 void control::update_self(node_record r)
 {
     caf::anon_send(running_->members, self_message{std::move(r)});
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -3,12 +3,13 @@
 // their news to it; neither side ever waits for the other.
 #pragma once
 
+#include "config/config_document.hpp"
 #include "config/config_type.hpp"
 #include "config/node_settings.hpp"
 #include "event/event_log.hpp"
 #include "member/member_type.hpp"
 #include "node/config_cache.hpp"
-#include "platform/platform_type.hpp"
+#include "store/store_type.hpp"
 #include "wire/wire_func.hpp"
 
 #include <functional>
@@ -45,8 +46,11 @@
     node_record self;
     std::vector<node_address> seeds;
     cluster_keys keys;
-    platform_api platform;
-    bool has_platform = false;
+    store_api store;
+    bool has_store = false;
+    /// Where a hosted node's configuration stands; the product's own files
+    /// are read when it has no parser.
+    document_source documents;
     std::uint64_t seed = 1; ///< of the actors' random numbers
 };
 
@@ -66,6 +70,9 @@
     /// The node's own record changed.
     void update_self(node_record r);
 
+    /// The node stops: takes its row out of the store.
+    void leave();
+
     /// Sends a question about a service, or an answer to one.
     void send_usual(std::uint32_t ip, std::uint16_t port, usual_question q,
                     bool answer);
--- a/src/node/control_type.hpp
+++ b/src/node/control_type.hpp
@@ -45,7 +45,20 @@
     std::vector<node_address> peers; ///< some to fetch from
 };
 
+/// Contacts for membership, found in the store.
+struct contacts_message
+{
+    std::vector<node_address> nodes;
+};
+
+/// A configuration document that was read from the store.
+struct document_message
+{
+    std::string text;
+};
+
 using tick_atom = caf::atom_constant<caf::atom("tick")>;
+using leave_atom = caf::atom_constant<caf::atom("leave")>;
 using members_atom = caf::atom_constant<caf::atom("members")>;
 
 /// Settings, sinks and shared objects of both actors.
@@ -66,6 +79,16 @@
                            std::shared_ptr<control_context> context,
                            caf::actor members);
 
+/// Follows the document in the store and hands each new one to `config`.
+caf::behavior feed_actor(caf::event_based_actor* self,
+                         std::shared_ptr<control_context> context,
+                         caf::actor config);
+
+/// Keeps this node's row in the store and finds other nodes by theirs.
+caf::behavior presence_actor(caf::event_based_actor* self,
+                             std::shared_ptr<control_context> context,
+                             caf::actor members);
+
 } // namespace jasminetray
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::datagram_message)
@@ -73,3 +96,5 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::usual_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::version_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::peers_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::contacts_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::document_message)
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -18,6 +18,7 @@
 {
     attempt_event_kind kind{};
     std::string reason;
+    bool reached = false; ///< not-run: a backend server turned it away
 };
 
 void take_stamp(node_state& n, node_id exit, const http::fields& f)
@@ -161,7 +162,7 @@
     const auto& head = t.parser->get();
     if (r.n.safeguards.check_echo && field_of(head, hop_field::attempt) !=
                                          to_text(attempt_id{r.id, count})) {
-        r.n.events.write(event_id::echo_mismatch, to_text(r.id),
+        r.n.events.write(event_id::echo_mismatch, r.label,
                          "exit=" + to_hex(static_cast<std::uint64_t>(t.exit)));
         return {attempt_event_kind::lost, "echo-mismatch"};
     }
@@ -178,7 +179,8 @@
                 failed ? "server-failure" : ""};
     }
     if (outcome == "not-run")
-        return {attempt_event_kind::not_run, reason};
+        return {attempt_event_kind::not_run, reason,
+                field_of(head, hop_field::reached) == "1"};
     return {attempt_event_kind::unknown, reason};
 }
 
@@ -268,7 +270,7 @@
     r.tried.push_back(x.id);
     r.n.events.write(
         count == 1 ? event_id::request_routed : event_id::request_retried,
-        to_text(r.id),
+        r.label,
         "service=" + r.service->name + " attempt=" + std::to_string(count) +
             " worker=" + to_hex(static_cast<std::uint64_t>(x.id)) + " exit=" +
             node->second.record.name + " cost=" + std::to_string(c->cost) +
@@ -302,9 +304,9 @@
 } // namespace
 
 void entry_run::tell(attempt_event_kind kind, std::uint32_t count,
-                     std::string reason)
+                     std::string reason, bool reached)
 {
-    inbox.push_back({kind, count, std::move(reason)});
+    inbox.push_back({kind, count, std::move(reason), reached});
     signal.cancel();
 }
 
@@ -329,7 +331,7 @@
             const auto result = run_try(*r, t, count, fresh, y);
             release(*r, t, result);
             if (!t.cancelled)
-                r->tell(result.kind, count, result.reason);
+                r->tell(result.kind, count, result.reason, result.reached);
         },
         asio::detached);
 }
@@ -343,7 +345,7 @@
         t.address, attempt_id{r->id, count}, t.boot, bound,
         [r, count](std::optional<revoke_reply> reply) {
             r->n.events.write(
-                event_id::attempt_revoked, to_text(r->id),
+                event_id::attempt_revoked, r->label,
                 "attempt=" + std::to_string(count) + " reply=" +
                     std::string(reply ? name_of(revoke_reply_names, *reply)
                                       : "none"));
--- /dev/null
+++ b/src/node/entry_refusal.cpp
@@ -0,0 +1,80 @@
+// Refusals; see entry_refusal.hpp.
+#include "node/entry_refusal.hpp"
+
+#include <boost/json.hpp>
+#include <cstdio>
+
+namespace jasminetray {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr span_us default_retry = 100 * us_per_ms;
+
+/// Seconds with three fractional digits, as callers of an adapter read them.
+std::string seconds_text(span_us t)
+{
+    std::array<char, 32> buf{};
+    std::snprintf(buf.data(), buf.size(), "%.3f",
+                  static_cast<double>(t) / us_per_s);
+    return buf.data();
+}
+
+void explain_refusal(string_response& m, const request_id& id,
+                     const refusal& x)
+{
+    const std::string outcome(name_of(final_outcome_names, x.outcome));
+    m.set(caller_field::outcome, outcome);
+    m.set(caller_field::reason, x.reason);
+    m.set(caller_field::event, std::to_string(number_of(x.event)));
+    m.set(caller_field::request, to_text(id));
+    m.set(http::field::content_type, "application/json");
+    json::object body{{"outcome", outcome},
+                      {"reason", x.reason},
+                      {"event", number_of(x.event)},
+                      {"request", to_text(id)}};
+    if (x.retry_after > 0) {
+        const auto ms = std::max<span_us>(1, x.retry_after / us_per_ms);
+        m.set(http::field::retry_after, std::to_string((ms + 999) / 1000));
+        m.set(caller_field::retry_ms, std::to_string(ms));
+        body["retry_after_ms"] = ms;
+    }
+    m.body() = json::serialize(body) + "\n";
+}
+
+} // namespace
+
+string_response make_refusal(const request_id& id, const refusal& x,
+                             bool explain)
+{
+    string_response m(x.status, 11);
+    if (explain)
+        explain_refusal(m, id, x);
+    else if (x.retry_after > 0)
+        m.set(http::field::retry_after, seconds_text(x.retry_after));
+    return m;
+}
+
+refusal final_refusal(const entry_run& r)
+{
+    refusal x;
+    x.outcome = r.machine.outcome;
+    x.reason = r.machine.reason.empty() ? "no-worker" : r.machine.reason;
+    if (x.outcome == final_outcome::unknown) {
+        x.status = http::status::gateway_timeout;
+        x.event = event_id::refused_unknown;
+        return x;
+    }
+    x.retry_after = default_retry;
+    for (const auto& t : r.tries)
+        x.retry_after = std::max(x.retry_after, t.retry_after);
+    if (x.reason == "queue-full" || x.reason == "shed" ||
+        x.reason == "deadline-short")
+        x.event = event_id::refused_overload;
+    else if (x.reason == "no-worker")
+        x.event = event_id::refused_no_worker;
+    return x;
+}
+
+} // namespace jasminetray
--- a/src/node/entry_run.hpp
+++ b/src/node/entry_run.hpp
@@ -31,6 +31,7 @@
 
     node_state& n;
     request_id id;
+    std::string label; ///< id in logs: the caller's own where it has one
     std::shared_ptr<const fleet_config> config; ///< in force at its start
     const route_config* route = nullptr;        ///< within config
     const service_config* service = nullptr;    ///< within config
@@ -48,7 +49,7 @@
 
     /// Puts an event into the inbox.
     void tell(attempt_event_kind kind, std::uint32_t count,
-              std::string reason = {});
+              std::string reason = {}, bool reached = false);
 };
 
 /// Starts an attempt.
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -63,6 +63,20 @@
     return w;
 }
 
+/// Id of a request in log lines: the caller's own where it has one.
+std::string label_of(const node_state& n, const exit_work& w)
+{
+    return n.dialect.callers_id
+               ? field_of(w.message, beast_text(n.dialect.request))
+               : to_text(w.request.attempt);
+}
+
+std::string name_at(const node_state& n, worker_id id)
+{
+    const auto it = n.workers.find(id);
+    return it == n.workers.end() ? "gone" : it->second.name;
+}
+
 /// Fields that ride on every answer of the exit side.
 template <typename Message>
 void set_hop_fields(node_state& n, const exit_work& w, Message& m,
@@ -82,12 +96,15 @@
         m.set(hop_field::reason, reason);
 }
 
+/// @param reached a backend server turned it away
 bool send_refusal(node_state& n, const exit_work& w, beast::tcp_stream& to,
-                  const char* outcome, const std::string& reason,
+                  const char* outcome, const std::string& reason, bool reached,
                   const yield& y)
 {
     string_response r(http::status::service_unavailable, 11);
     set_hop_fields(n, w, r, outcome, reason);
+    if (reached)
+        r.set(hop_field::reached, "1");
     r.set(hop_field::retry_us,
           std::to_string(gate_retry_after(n.door, w.request.worker)));
     r.keep_alive(true);
@@ -186,12 +203,18 @@
         end_on_worker(n, w.request, a, whole);
     }
     gate_finish(n.door, w.request, a.end, mono_now() - began, mono_now());
+    n.events.write(event_id::work_ended, label_of(n, w),
+                   "worker=" + name_at(n, w.request.worker) + " end=" +
+                       std::string(name_of(work_end_names, a.end)) +
+                       (a.reason.empty() ? "" : " reason=" + a.reason) +
+                       " us=" + std::to_string(mono_now() - began));
     advance_gate(n, w.request.worker);
     count(*n.metrics.gate, "decision", a.reason.empty() ? "ran" : a.reason);
     if (a.end == work_end::answered || a.parser_sent)
         return alive;
     const bool ran = a.end == work_end::lost;
-    return send_refusal(n, w, stream, ran ? "unknown" : "not-run", a.reason, y);
+    return send_refusal(n, w, stream, ran ? "unknown" : "not-run", a.reason,
+                        a.end == work_end::shed, y);
 }
 
 bool handle_work(node_state& n, string_request message,
@@ -207,7 +230,12 @@
     count(*n.metrics.gate, "decision", reason);
     // A duplicate is the one refusal after which the work may have run.
     const bool ran = refused == gate_error::duplicate;
-    return send_refusal(n, *w, stream, ran ? "unknown" : "not-run", reason, y);
+    n.events.write(event_id::work_refused, label_of(n, *w),
+                   "worker=" + to_hex(static_cast<std::uint64_t>(
+                                   w->request.worker)) +
+                       " reason=" + reason);
+    return send_refusal(n, *w, stream, ran ? "unknown" : "not-run", reason,
+                        false, y);
 }
 
 bool send_pong(node_state& n, beast::tcp_stream& to, const yield& y)
--- /dev/null
+++ b/src/node/feed_actor.cpp
@@ -0,0 +1,101 @@
+// The actor that follows the configuration document in the store. It blocks
+// on the store's feed of changes, so it has a thread of its own.
+#include "base/random_func.hpp"
+#include "node/control_type.hpp"
+
+#include <algorithm>
+
+namespace jasminetray {
+
+namespace {
+
+/// Longest wait on the feed. Connections may go silent without a reset; each
+/// node waits for another length, so that in a fleet of 21 some node asks
+/// anew every 0.3 s and tells the others.
+constexpr span_us least_wait = 4 * us_per_s;
+constexpr span_us most_wait = 8 * us_per_s;
+constexpr span_us first_pause = 100 * us_per_ms; // after a failed call
+constexpr span_us most_pause = us_per_s;
+
+/// State of the actor.
+struct feed_reader
+{
+    std::shared_ptr<control_context> context;
+    random_state rng;
+    std::optional<std::uint64_t> position; ///< read up to here
+    bool reachable = true;
+    span_us pause = 0; ///< before the next call
+};
+
+void note_store(feed_reader& k, bool reachable, store_error why)
+{
+    if (reachable != k.reachable) {
+        k.context->events->write(
+            reachable ? event_id::store_reachable : event_id::store_unreachable,
+            k.context->start.settings.platform,
+            "error=" + std::string(name_of(store_error_names, why)));
+    }
+    k.reachable = reachable;
+    k.context->sinks.store_state(reachable);
+}
+
+/// The next rows: all of them at first and when history is gone, changes
+/// else.
+std::optional<row_list> read_rows(feed_reader& k, store_error& last)
+{
+    const auto& store = k.context->start.store;
+    const auto& table = k.context->start.documents.at.table;
+    if (!k.position)
+        return store.list_rows(table, last);
+    const auto span = static_cast<std::uint64_t>(most_wait - least_wait);
+    const auto wait =
+        least_wait + static_cast<span_us>(random_below(k.rng, span));
+    return store.follow_rows(table, *k.position, wait, last);
+}
+
+void read_next(caf::event_based_actor* self, feed_reader& k,
+               const caf::actor& config)
+{
+    store_error last{};
+    const auto found = read_rows(k, last);
+    if (!found && last == store_error::too_old) {
+        k.position.reset();
+        return;
+    }
+    note_store(k, found.has_value(), last);
+    if (!found) {
+        k.pause = std::clamp(k.pause * 2, first_pause, most_pause);
+        return;
+    }
+    k.pause = 0;
+    k.position = std::max(found->version, k.position.value_or(0));
+    for (const auto& r : found->rows) {
+        if (r.key == k.context->start.documents.at.key && !r.removed)
+            self->send(config, document_message{r.row.value});
+    }
+}
+
+} // namespace
+
+caf::behavior feed_actor(caf::event_based_actor* self,
+                         std::shared_ptr<control_context> context,
+                         caf::actor config)
+{
+    auto k = std::make_shared<feed_reader>();
+    k->context = std::move(context);
+    k->rng.value = k->context->start.seed + 1;
+    self->send(self, tick_atom::value);
+    return {[=](tick_atom) {
+        read_next(self, *k, config);
+        // Spread, so that nodes that failed together do not return together.
+        const auto jitter =
+            k->pause == 0 ? 0
+                          : random_below(k->rng,
+                                         static_cast<std::uint64_t>(k->pause));
+        const auto pause = k->pause / 2 + static_cast<span_us>(jitter);
+        self->delayed_send(self, std::chrono::microseconds(pause),
+                           tick_atom::value);
+    }};
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/hosted_worker.cpp
@@ -0,0 +1,203 @@
+// The hosted backend server; see hosted_worker.hpp.
+#include "node/hosted_worker.hpp"
+
+#include "base/text_func.hpp"
+#include "config/config_query.hpp"
+#include "gate/gate_query.hpp"
+#include "node/exit_server.hpp"
+#include "node/http_func.hpp"
+
+namespace jasminetray {
+
+namespace {
+
+constexpr span_us probe_bound = us_per_s; // a probe waits for a slot, 25 ms
+constexpr span_us probe_pause = us_per_s / 2; // at most two probes a second
+constexpr span_us silence_bound = 5 * us_per_s; // three check-ins missed
+constexpr int most_missed = 2;            // probes, until it is forgotten
+constexpr std::size_t most_known = 256;   // process ids remembered
+
+const std::string& health_path_of(const node_state& n,
+                                  const std::string& service)
+{
+    static const std::string usual = service_config{}.health_path;
+    const auto* c = n.config ? find_service(*n.config, service) : nullptr;
+    return c == nullptr ? usual : c->health_path;
+}
+
+local_worker* in_use(node_state& n)
+{
+    return n.workers.empty() ? nullptr : &n.workers.begin()->second;
+}
+
+void admit(node_state& n, announcement a, const worker_probe& p)
+{
+    a.busy = p.running;
+    if (a.slots < 1)
+        a.slots = std::max(1, p.slots);
+    n.hosted.candidate.reset();
+    take_announcement(n, a);
+}
+
+/// Whether the address has answered as a process that may have work.
+bool may_admit(const node_state& n, const announcement& a,
+               const worker_probe& p)
+{
+    const auto it = n.hosted.known.find(p.name);
+    if (p.name != a.name || (it != n.hosted.known.end() && it->second.left))
+        return false;
+    // A health path may lie. An unhealthy one that goes on checking in as
+    // ready is believed; a single such check-in may be older than its drain.
+    constexpr int ready_twice = 2;
+    return p.healthy ||
+           (it != n.hosted.known.end() && it->second.ready >= ready_twice);
+}
+
+void settle(node_state& n, const worker_probe& p)
+{
+    auto& h = n.hosted;
+    h.missed = p.reached ? 0 : h.missed + 1;
+    auto* w = in_use(n);
+    if (w != nullptr && p.name == w->name) {
+        w->announced_at = mono_now();
+        return;
+    }
+    if (h.candidate && may_admit(n, *h.candidate, p))
+        return admit(n, *h.candidate, p);
+    if (!h.candidate && w == nullptr && p.healthy && !p.name.empty()) {
+        announcement a;
+        a.name = p.name;
+        a.service = n.settings.hosted.service;
+        const auto at = parse_host_port(n.settings.hosted.worker);
+        a.ip = at->ip;
+        a.port = at->port;
+        a.slots = p.slots;
+        if (may_admit(n, a, p))
+            admit(n, a, p);
+    }
+    if (w != nullptr && h.missed >= most_missed &&
+        mono_now() - w->announced_at > silence_bound)
+        forget_worker(n, w->id, "silent");
+}
+
+void start_probe(node_state& n)
+{
+    auto& h = n.hosted;
+    const auto at = parse_host_port(
+        h.candidate ? h.candidate->ip + ":" + std::to_string(h.candidate->port)
+                    : n.settings.hosted.worker);
+    if (h.probing || !at)
+        return;
+    h.probing = true;
+    h.probe_at = mono_now() + probe_pause;
+    const tcp::endpoint to(asio::ip::make_address_v4(at->ip), at->port);
+    const auto path = health_path_of(
+        n, h.candidate ? h.candidate->service : n.settings.hosted.service);
+    asio::spawn(
+        n.ctx,
+        [&n, to, path](const yield& y) {
+            const auto p = probe_worker(n, to, path, y);
+            n.hosted.probing = false;
+            n.events.note(event_id::worker_probed, p.name,
+                          "reached=" + std::to_string(p.reached) +
+                              " healthy=" + std::to_string(p.healthy));
+            settle(n, p);
+        },
+        asio::detached);
+}
+
+/// Shuts the gate for a process that leaves; work in flight goes on.
+void leave(node_state& n, const announcement& a)
+{
+    n.hosted.known[a.name].left = true;
+    if (n.hosted.candidate && n.hosted.candidate->name == a.name)
+        n.hosted.candidate.reset();
+    for (auto& [id, w] : n.workers) {
+        if (w.name != a.name || w.draining)
+            continue;
+        w.draining = true;
+        n.events.write(event_id::worker_draining, w.name,
+                       a.leaving ? "left=1" : "left=0");
+        refuse_queued(n, gate_drain_worker(n.door, id, true, mono_now()));
+        publish_self(n);
+    }
+}
+
+} // namespace
+
+void take_hosted(node_state& n, const announcement& a)
+{
+    auto& h = n.hosted;
+    if (h.known.size() >= most_known && h.known.count(a.name) == 0)
+        h.known.erase(h.known.begin());
+    auto& k = h.known[a.name];
+    if (a.draining || a.leaving)
+        return leave(n, a);
+    // A delayed check-in says nothing that a later one has not changed; and
+    // a process that has once said that it leaves never comes back.
+    if (k.left || (k.sequence != 0 && a.sequence <= k.sequence))
+        return;
+    k.sequence = a.sequence;
+    ++k.ready;
+    auto* w = in_use(n);
+    if (w != nullptr && w->name == a.name) {
+        take_announcement(n, a);
+        return;
+    }
+    h.candidate = a;
+    start_probe(n);
+}
+
+void tick_hosted(node_state& n, mono_us now)
+{
+    if (!n.config || now < n.hosted.probe_at || n.stopping)
+        return;
+    const auto* w = in_use(n);
+    if (w == nullptr || now - w->announced_at > silence_bound)
+        start_probe(n);
+}
+
+worker_probe probe_worker(node_state& n, const tcp::endpoint& at,
+                          const std::string& path, const yield& y)
+{
+    worker_probe p;
+    http_link link(n.ctx);
+    link.stream.expires_after(std::chrono::microseconds(probe_bound));
+    beast::error_code ec;
+    link.stream.async_connect(at, y[ec]);
+    http::request<http::empty_body> q(http::verb::get, path, 11);
+    q.set(http::field::host, at.address().to_string());
+    q.keep_alive(false);
+    if (!ec)
+        http::async_write(link.stream, q, y[ec]);
+    string_response r;
+    if (!ec)
+        http::async_read(link.stream, link.buf, r, y[ec]);
+    if (ec)
+        return p;
+    p.reached = true;
+    p.healthy = r.result() == http::status::ok;
+    p.name = field_of(r, n.dialect.worker);
+    if (const auto load = parse_load(field_of(r, n.dialect.load))) {
+        p.running = (*load)[0];
+        p.slots = (*load)[2];
+    }
+    return p;
+}
+
+std::optional<std::array<int, 3>> parse_load(const std::string& text)
+{
+    const auto parts = split(text, ',');
+    std::array<int, 3> load{};
+    if (parts.size() != load.size())
+        return std::nullopt;
+    for (std::size_t k = 0; k < load.size(); ++k) {
+        const auto n = parse_whole(trim(parts[k]));
+        if (!n || *n < 0 || *n > INT32_MAX)
+            return std::nullopt;
+        load[k] = static_cast<int>(*n);
+    }
+    return load;
+}
+
+} // namespace jasminetray
--- a/src/node/http_func.hpp
+++ b/src/node/http_func.hpp
@@ -15,6 +15,38 @@
     return it == m.end() ? std::string() : std::string(it->value());
 }
 
+/// A name as Beast's functions take it.
+inline beast::string_view beast_text(std::string_view s)
+{
+    return {s.data(), s.size()};
+}
+
+/// Serves small requests on a connection until it closes.
+/// @param answer gives the response to each
+template <typename Answer>
+void serve_simple(beast::tcp_stream& stream, const yield& y, Answer answer)
+{
+    constexpr std::uint64_t most_request = 65536;
+    constexpr std::chrono::seconds idle_bound(60);
+    beast::flat_buffer buf;
+    bool keep = true;
+    while (keep) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(most_request);
+        stream.expires_after(idle_bound);
+        beast::error_code ec;
+        http::async_read(stream, buf, parser, y[ec]);
+        if (ec)
+            break;
+        string_response r = answer(parser.get());
+        keep = parser.get().keep_alive();
+        r.keep_alive(keep);
+        r.prepare_payload();
+        http::async_write(stream, r, y[ec]);
+        keep = keep && !ec;
+    }
+}
+
 /// Takes the newest idle connection that is still clean, or nothing. One
 /// with unread bytes holds part of an answer to someone else's request; it
 /// is closed and never used again.
--- a/src/node/http_type.hpp
+++ b/src/node/http_type.hpp
@@ -41,6 +41,7 @@
 inline constexpr char reason[] = "jt-reason";     ///< of a refusal
 inline constexpr char load[] = "jt-load";         ///< of the gate
 inline constexpr char severity[] = "jt-severity"; ///< claim about the worker
+inline constexpr char reached[] = "jt-reached"; ///< 1: the server refused
 inline constexpr char failed[] = "jt-failed";     ///< 1: the server's failure
 inline constexpr char retry_us[] = "jt-retry-us"; ///< when to come back
 inline constexpr char prefix[] = "jt-";
@@ -57,13 +58,6 @@
 inline constexpr char key[] = "idempotency-key";
 } // namespace caller_field
 
-/// Fields between exit node and backend server.
-namespace worker_field {
-inline constexpr char request[] = "x-request-id";   ///< echoed
-inline constexpr char deadline[] = "x-deadline-ms"; ///< remaining time
-inline constexpr char shed[] = "x-shed";            ///< 1: it was not run
-} // namespace worker_field
-
 /// Path that a node answers itself with its boot id and a fresh stamp.
 inline constexpr char ping_path[] = "/.jasminetray/ping";
 
--- /dev/null
+++ b/src/node/key_claim.cpp
@@ -0,0 +1,88 @@
+// Idempotency keys; see key_claim.hpp.
+#include "node/key_claim.hpp"
+
+#include "base/text_func.hpp"
+#include "node/http_func.hpp"
+
+namespace jasminetray {
+
+namespace {
+
+constexpr char key_table[] = "jasminetray-keys";
+constexpr int most_claims = 256; // waiting for the table service
+
+/// Writes the claim on an idempotency key, off the request thread.
+/// @return none when this request owns the key
+store_error claim_key(node_state& n, const std::string& row,
+                         const std::string& owner, std::string& first,
+                         const yield& y)
+{
+    struct claim_state
+    {
+        store_error error = store_error::unclear;
+        std::string first;
+    };
+    if (n.slow_calls == nullptr || n.claims_open >= most_claims)
+        return store_error::unreachable;
+    ++n.claims_open;
+    auto state = std::make_shared<claim_state>();
+    auto signal = std::make_shared<asio::steady_timer>(n.ctx);
+    signal->expires_at(asio::steady_timer::time_point::max());
+    auto store = n.store;
+    asio::post(*n.slow_calls, [=, &ctx = n.ctx] {
+        store_error last{};
+        store.write_rows({{{key_table, row}, 0, owner, false}}, last);
+        // A lost answer or a conflict is settled by reading whose it is.
+        if (last != store_error::none) {
+            store_error read{};
+            const auto found = store.read_row({key_table, row}, read);
+            if (found)
+                state->first = found->value;
+            last = !found                  ? store_error::unclear
+                   : found->value == owner ? store_error::none
+                                           : store_error::conflict;
+        }
+        state->error = last;
+        asio::post(ctx, [signal] { signal->cancel(); });
+    });
+    beast::error_code ec;
+    signal->async_wait(y[ec]);
+    --n.claims_open;
+    first = state->first;
+    return state->error;
+}
+
+} // namespace
+
+std::optional<refusal> settle_key(node_state& n, entry_run& r, const yield& y)
+{
+    const auto key = field_of(r.message, caller_field::key);
+    if (key.empty() || r.machine.policy.idempotent ||
+        r.route->keys == key_mode::none)
+        return std::nullopt;
+    const auto hash = text_hash(r.route->name + "\n" + key);
+    refusal x;
+    if (r.route->keys == key_mode::home) {
+        const auto& all = n.view.services[r.service_key].candidates;
+        const auto at = home_worker(all, hash);
+        if (at)
+            r.home = all[*at].id;
+        return std::nullopt;
+    }
+    std::string first;
+    const auto e = claim_key(n, "key-" + to_hex(hash), to_text(r.id), first, y);
+    if (e == store_error::none)
+        return std::nullopt;
+    if (e == store_error::conflict) {
+        x.status = http::status::conflict;
+        x.event = event_id::refused_key_claimed;
+        x.reason = "key-claimed-by-" + first;
+        return x;
+    }
+    x.event = event_id::refused_key_unproven;
+    x.reason = "key-unproven";
+    x.retry_after = us_per_s;
+    return x;
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/key_claim.hpp
@@ -0,0 +1,11 @@
+// Idempotency keys of callers: who may run the request that bears one.
+#pragma once
+
+#include "node/entry_refusal.hpp"
+
+namespace jasminetray {
+
+/// What a request's idempotency key demands before its first attempt.
+std::optional<refusal> settle_key(node_state& n, entry_run& r, const yield& y);
+
+} // namespace jasminetray
--- a/src/node/member_actor.cpp
+++ b/src/node/member_actor.cpp
@@ -52,6 +52,9 @@
     case member_change_kind::clash:
         events.write(event_id::identity_clash, name, "");
         break;
+    case member_change_kind::forgotten:
+        events.write(event_id::node_forgotten, name, "");
+        break;
     case member_change_kind::updated:
     case member_change_kind::config:
         break;
@@ -75,6 +78,13 @@
             continue;
         }
         const auto it = k.table.members.find(c.about);
+        if (c.kind == member_change_kind::forgotten) {
+            log_change(k, c, to_hex(static_cast<std::uint64_t>(c.about)));
+            node_record gone;
+            gone.id = c.about;
+            news.push_back({gone, liveness::dead, true});
+            continue;
+        }
         if (it == k.table.members.end()) {
             log_change(k, c, k.table.self.name);
             continue;
@@ -158,6 +168,9 @@
             member_hear_config(k->table, m.version, m.manifest);
             pass_changes(self, *k);
         },
+        [=](const contacts_message& m) {
+            send_all(*k, member_add_contacts(k->table, m.nodes));
+        },
         [=](members_atom, const caf::actor& config) { k->config = config; },
     };
 }
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -10,7 +10,11 @@
 #include "node/entry_server.hpp"
 #include "node/exit_server.hpp"
 #include "node/health_driver.hpp"
-#include "platform/platform_http.hpp"
+#include "node/hosted_worker.hpp"
+#include "platform/check_in.hpp"
+#include "platform/dialect.hpp"
+#include "platform/operator_config.hpp"
+#include "platform/store_client.hpp"
 #include "rpc/peer_rpc.hpp"
 
 #include <array>
@@ -46,6 +50,7 @@
         : settings(s),
           events({4096, 1024, static_cast<std::size_t>(s.log_lines)}),
           metrics(make_node_metrics()), entry(ctx), exit(ctx), admin(ctx),
+          hosted_control(ctx), hosted_ready(ctx),
           gossip(ctx), ticker(ctx), signals(ctx, SIGTERM, SIGINT),
           slow(slow_threads), state(settings, ctx, events, *metrics)
     {
@@ -59,6 +64,8 @@
     tcp::acceptor entry;
     tcp::acceptor exit;
     tcp::acceptor admin;
+    tcp::acceptor hosted_control; ///< of the platform; closed without one
+    tcp::acceptor hosted_ready;   ///< the same
     udp::socket gossip;
     asio::steady_timer ticker;
     asio::signal_set signals;
@@ -377,13 +384,34 @@
     }
 }
 
+bool is_hosted(const node_settings& s)
+{
+    return !s.hosted.control.empty();
+}
+
+bool open_hosted(node_parts& p, std::string& why)
+{
+    const auto& h = p.settings.hosted;
+    const auto control = parse_host_port(h.control);
+    const auto ready = parse_host_port(h.ready);
+    if (!is_hosted(p.settings))
+        return true;
+    if (!ready) {
+        why = "[hosted] ready is missing";
+        return false;
+    }
+    return listen(p.hosted_control, control->ip, control->port, why) &&
+           listen(p.hosted_ready, ready->ip, ready->port, why);
+}
+
 bool open_sockets(node_parts& p, std::string& why)
 {
     const auto& s = p.settings;
     beast::error_code ec;
     if (!listen(p.entry, s.ip, s.entry_port, why) ||
         !listen(p.exit, s.ip, s.exit_port, why) ||
-        !listen(p.admin, s.admin_ip, s.admin_port, why))
+        !listen(p.admin, s.admin_ip, s.admin_port, why) ||
+        !open_hosted(p, why))
         return false;
     p.gossip.open(udp::v4(), ec);
     p.gossip.bind({asio::ip::make_address_v4(s.ip),
@@ -410,9 +438,12 @@
     if (!p.settings.second_key.empty())
         c.keys.keys.push_back(p.settings.second_key);
     if (const auto at = parse_host_port(p.settings.platform)) {
-        c.platform = make_platform_http(*at, platform_bound);
-        c.has_platform = true;
-        p.state.platform = c.platform;
+        c.store = make_store_client(*at, platform_bound);
+        c.has_store = true;
+        p.state.store = c.store;
+        if (is_hosted(p.settings))
+            c.documents =
+                make_operator_source(p.settings.hosted.floor_share);
     } else {
         p.state.slow_calls = nullptr;
     }
@@ -437,7 +468,8 @@
 void slow_tick(node_parts& p, mono_us now)
 {
     auto& n = p.state;
-    tick_announcements(n, now);
+    if (!is_hosted(n.settings))
+        tick_announcements(n, now);
     drop_idle_links(n, now);
     if (n.config)
         forget_idle_teams(n.teams, *n.config, now);
@@ -475,6 +507,8 @@
         tick_gate(p.state, now);
         tick_health(p.state, now);
         tick_paths(p.state, now);
+        if (is_hosted(p.settings))
+            tick_hosted(p.state, now);
         if (now >= p.claims_at) {
             p.claims_at = now + claims_every;
             apply_all_claims(p.state);
@@ -499,6 +533,7 @@
     p.close_at = now + p.settings.drain;
     p.stop_at = now + p.settings.stop_bound;
     publish_self(p.state);
+    p.slow_state->leave();
 }
 
 void write_ready_file(const node_parts& p)
@@ -533,6 +568,11 @@
     accept_on(p, p.entry, serve_caller);
     accept_on(p, p.exit, serve_exit);
     accept_on(p, p.admin, serve_admin);
+    if (is_hosted(s)) {
+        p.state.dialect = make_platform_dialect();
+        accept_on(p, p.hosted_control, serve_platform);
+        accept_on(p, p.hosted_ready, serve_platform);
+    }
     receive_datagrams(p);
     tick(p);
     p.signals.async_wait([&p](beast::error_code ec, int) {
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -35,6 +35,11 @@
 
 } // namespace
 
+bool is_ready(const node_state& n)
+{
+    return n.config != nullptr && !n.view.services.empty() && !n.stopping;
+}
+
 centre_id scope_centre(const node_state& n, std::uint32_t scope)
 {
     for (const auto& [centre, index] : n.source_index) {
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -10,9 +10,10 @@
 #include "event/event_log.hpp"
 #include "gate/gate_cmd.hpp"
 #include "limit/limit_type.hpp"
+#include "node/dialect_type.hpp"
 #include "node/http_type.hpp"
 #include "node/node_metrics.hpp"
-#include "platform/platform_type.hpp"
+#include "store/store_type.hpp"
 #include "verdict/verdict_type.hpp"
 
 #include <boost/asio/thread_pool.hpp>
@@ -55,6 +56,22 @@
     bool caller_left = false;
 };
 
+/// What a backend server says about itself, about once a second.
+struct announcement
+{
+    std::string name; ///< unique on this VM
+    std::string service;
+    std::string ip = "127.0.0.1";
+    std::uint16_t port = 0;
+    int slots = 1;          ///< work that it takes at once
+    int busy = 0;           ///< its own count of running work
+    bool draining = false;  ///< takes no new work
+    bool leaving = false;   ///< its last word
+    std::uint64_t boot = 0; ///< changes when its process does
+    std::uint64_t sequence = 0; ///< rises with each; 0 when not numbered
+    span_us cold_for = 0;       ///< it stays slow for as long after its start
+};
+
 /// Peers' reports that are still awaited.
 struct usual_ask
 {
@@ -63,6 +80,24 @@
     std::vector<peer_report> reports;
 };
 
+/// One process id that checked in at a hosted VM.
+struct hosted_process
+{
+    std::uint64_t sequence = 0; ///< of its newest check-in
+    int ready = 0;              ///< check-ins as ready
+    bool left = false;          ///< said that it drains or leaves; for good
+};
+
+/// Who is behind the address of a hosted VM's backend server.
+struct hosted_state
+{
+    std::map<std::string, hosted_process> known; ///< by process id
+    std::optional<announcement> candidate; ///< checked in, not proven yet
+    bool probing = false;                  ///< the address is being asked
+    mono_us probe_at = 0;                  ///< not before
+    int missed = 0;                        ///< probes without an answer
+};
+
 /// What the request thread asks the slow state to do.
 struct control_hooks
 {
@@ -102,7 +137,7 @@
     node_metrics& metrics;
     control_hooks control;
     node_safeguards safeguards;
-    platform_api platform;
+    store_api store;
     asio::thread_pool* slow_calls = nullptr; ///< for blocking claims
     int claims_open = 0;                     ///< invariant: <= most_claims
     node_record self;                        ///< as last published
@@ -116,6 +151,8 @@
     /// Places in config->services; made anew with each configuration.
     std::unordered_map<service_id, std::size_t> service_places;
 
+    http_dialect dialect;
+    hosted_state hosted;
     gate door;
     std::map<worker_id, local_worker> workers;
     std::unordered_map<attempt_id, std::shared_ptr<gate_ticket>, attempt_hash>
@@ -133,8 +170,14 @@
     std::unordered_map<std::string, int> in_flight_by_service;
     int in_flight = 0;
     team_buckets teams;
+    /// Where the next request of a route falls among its parts, by route.
+    std::unordered_map<std::string, double> split_places;
 };
 
+/// Whether callers may come: there is a configuration to serve by, somebody
+/// to send work to, and the node is not stopping.
+bool is_ready(const node_state& n);
+
 /// Data centre that a verdict's scope means; 0 for all.
 centre_id scope_centre(const node_state& n, std::uint32_t scope);
 
--- a/src/node/worker_work.cpp
+++ b/src/node/worker_work.cpp
@@ -17,6 +17,8 @@
 constexpr span_us keep_idle = 30 * us_per_s;
 constexpr std::size_t most_idle = 16; // connections per backend server
 constexpr double late_factor = 4;     // of the usual time, to be evidence
+/// The backend server answers at its deadline; that answer is on its way.
+constexpr span_us answer_margin = 30 * us_per_ms;
 
 /// A connection to a backend server; a quiet one is not trusted with
 /// non-idempotent work, because opening a new one costs a millisecond and
@@ -40,15 +42,20 @@
     return link;
 }
 
-string_request make_message(const string_request& from, const gate_request& r,
+string_request make_message(const node_state& n, const local_worker& w,
+                            const string_request& from, const gate_request& r,
                             mono_us now)
 {
+    const auto& d = n.dialect;
     string_request q = from;
     strip_hop_fields(q);
     q.version(11);
     q.keep_alive(true);
-    q.set(worker_field::request, to_text(r.attempt));
-    q.set(worker_field::deadline,
+    if (!d.callers_id)
+        q.set(beast_text(d.request), to_text(r.attempt));
+    if (!d.expected_worker.empty())
+        q.set(beast_text(d.expected_worker), w.name);
+    q.set(beast_text(d.deadline),
           std::to_string(std::max<span_us>(0, r.deadline - now) / us_per_ms));
     q.prepare_payload();
     return q;
@@ -91,36 +98,79 @@
                : outcome_kind::neutral;
 }
 
-bool echo_fits(node_state& n, const local_worker& w, const gate_request& r,
+/// What an answer is judged by. The backend server itself may have left the
+/// node's list meanwhile; its answer is delivered all the same.
+struct answer_facts
+{
+    std::string worker; ///< name, for the log
+    std::string echo;   ///< that the answer must carry; empty for any
+    bool echo_required = true;
+};
+
+answer_facts make_facts(const node_state& n, const local_worker& w,
+                        const string_request& sent)
+{
+    answer_facts f;
+    f.worker = w.name;
+    f.echo = field_of(sent, beast_text(n.dialect.request));
+    const auto* c = n.config ? find_service(*n.config, w.service) : nullptr;
+    f.echo_required = c == nullptr || c->echo_required;
+    return f;
+}
+
+bool echo_fits(const node_state& n, const answer_facts& f,
                const response_parser& p)
 {
     if (!n.safeguards.check_echo)
         return true;
-    const auto echo = field_of(p.get(), worker_field::request);
-    const auto* c = n.config ? find_service(*n.config, w.service) : nullptr;
-    if (echo.empty())
-        return c != nullptr && !c->echo_required;
-    return echo == to_text(r.attempt);
+    const auto echo = field_of(p.get(), beast_text(n.dialect.request));
+    return echo.empty() ? !f.echo_required : echo == f.echo;
 }
 
-void judge_answer(node_state& n, const local_worker& w, const gate_request& r,
+/// Whether the backend server says that it did not run the work.
+bool is_not_run(const node_state& n, const http::response_header<>& head)
+{
+    const auto status = head.result_int();
+    constexpr unsigned too_many = 429;
+    constexpr unsigned unavailable = 503;
+    constexpr unsigned misdirected = 421;
+    if (!n.dialect.expected_worker.empty() && status == misdirected)
+        return true;
+    const auto word = field_of(head, beast_text(n.dialect.not_run));
+    return word == "1" && (status == unavailable || status == too_many);
+}
+
+/// Whether a success is the backend server's own whole answer, as far as its
+/// head tells. Bytes that something else made must not pass for it.
+bool is_proven(const node_state& n, const http::response_header<>& head)
+{
+    if (n.dialect.proof.empty())
+        return true;
+    return !field_of(head, beast_text(n.dialect.proof)).empty() &&
+           head.count(http::field::content_encoding) == 0;
+}
+
+void judge_answer(node_state& n, const answer_facts& f, const gate_request& r,
                   worker_answer& a)
 {
-    const auto status = a.parser->get().result_int();
-    if (status == 503 && field_of(a.parser->get(), worker_field::shed) == "1") {
+    const auto& head = a.parser->get();
+    const auto status = head.result_int();
+    if (is_not_run(n, head)) {
         a.end = work_end::shed;
         a.reason = "shed";
         return;
     }
-    if (!echo_fits(n, w, r, *a.parser)) {
+    const bool success = status / 100 == 2;
+    if (!echo_fits(n, f, *a.parser) || (success && !is_proven(n, head))) {
         // Another request's answer: it must not reach this caller, and this
         // connection's later answers would be off by one too.
         a.end = work_end::lost;
         a.seen = outcome_kind::failed;
         a.reason = "echo-mismatch";
-        n.events.write(event_id::echo_mismatch, to_text(r.attempt),
-                       "worker=" + w.name + " got=" +
-                           field_of(a.parser->get(), worker_field::request));
+        n.events.write(
+            event_id::echo_mismatch, to_text(r.attempt),
+            "worker=" + f.worker + " expected=" + f.echo + " got=" +
+                field_of(head, beast_text(n.dialect.request)));
         return;
     }
     a.end = work_end::answered;
@@ -132,48 +182,67 @@
         a.seen = outcome_kind::good;
 }
 
+/// Reads an answer's held part. A second answer to an earlier request may
+/// stand in front of it on a kept connection; the echo tells, and it is read
+/// past, because the right one is still to come.
+beast::error_code read_answer(node_state& n, const answer_facts& f,
+                              worker_answer& a, bool head_only, const yield& y)
+{
+    constexpr int most_strays = 4;
+    beast::error_code ec;
+    for (int k = 0; k < most_strays; ++k) {
+        a.parser = std::make_unique<response_parser>();
+        a.parser->body_limit(boost::none);
+        a.parser->skip(head_only);
+        ec = read_held(*a.link, *a.parser,
+                       static_cast<std::size_t>(n.settings.hold_bytes), y);
+        const bool stray = !ec && a.link->used && a.parser->is_done() &&
+                           a.parser->keep_alive() &&
+                           !echo_fits(n, f, *a.parser);
+        if (!stray)
+            break;
+        n.events.write(event_id::echo_mismatch, f.echo,
+                       "worker=" + f.worker + " stray=1");
+    }
+    return ec;
+}
+
 /// Writes the request and reads the answer's held part.
 void exchange(node_state& n, local_worker& w, const string_request& message,
               const gate_request& r, worker_answer& a, beast::tcp_stream& entry,
               const yield& y)
 {
-    auto q = make_message(message, r, mono_now());
-    const auto left = std::max<span_us>(1, r.deadline - mono_now());
-    a.link->stream.expires_after(std::chrono::microseconds(left));
-    beast::error_code ec;
+    auto q = make_message(n, w, message, r, mono_now());
+    const auto facts = make_facts(n, w, q);
     const auto id = w.id;
-    const auto sent = http::async_write(a.link->stream, q, y[ec]);
-    if (ec) {
-        a.end = sent == 0 ? work_end::unsent : work_end::lost;
-        a.seen = outcome_kind::failed;
-        a.reason = "worker-write";
-        return;
-    }
-    a.parser = std::make_unique<response_parser>();
-    a.parser->body_limit(boost::none);
-    if (message.method() == http::verb::head)
-        a.parser->skip(true);
+    const auto left = std::max<span_us>(1, r.deadline - mono_now());
+    a.link->stream.expires_after(
+        std::chrono::microseconds(left + answer_margin));
     std::shared_ptr<caller_watch> watch;
     if (r.idempotent)
         watch = watch_caller(entry, *a.link);
-    ec = read_held(*a.link, *a.parser,
-                   static_cast<std::size_t>(n.settings.hold_bytes), y);
+    beast::error_code ec;
+    const auto sent = http::async_write(a.link->stream, q, y[ec]);
+    const bool written = !ec;
+    if (written)
+        ec = read_answer(n, facts, a, message.method() == http::verb::head, y);
     if (watch) {
         watch->link = nullptr;
         beast::error_code ignored;
         entry.socket().cancel(ignored);
     }
+    if (!ec)
+        return judge_answer(n, facts, r, a);
+    const bool left_early = watch && watch->left;
+    a.end = !written && sent == 0 ? work_end::unsent : work_end::lost;
+    a.reason = left_early ? "caller-left"
+               : written  ? "worker-silent"
+                          : "worker-write";
     const auto it = n.workers.find(id);
-    if (it == n.workers.end() || ec) {
-        a.end = work_end::lost;
-        const bool left_early = watch && watch->left;
-        a.reason = left_early ? "caller-left" : "worker-silent";
-        if (it != n.workers.end() && !left_early)
-            a.seen =
-                judge_silence(it->second, a.klass, ec, mono_now() - a.began);
-        return;
-    }
-    judge_answer(n, it->second, r, a);
+    if (it != n.workers.end() && !left_early)
+        a.seen = written ? judge_silence(it->second, a.klass, ec,
+                                         mono_now() - a.began)
+                         : outcome_kind::failed;
 }
 
 } // namespace
--- a/src/stand_in/backend_main.cpp
+++ b/src/stand_in/backend_main.cpp
@@ -4,7 +4,7 @@
 //   POST /mode {"mode": NAME, "share": 0..1, "factor": N, "centre": NAME}
 //     none fail slow silent late crossed cut shed extra
 //   GET /health, GET /load: fine and late, whatever the real work does
-#include "platform/http_client.hpp"
+#include "http/http_client.hpp"
 #include "stand_in/stand_in_server.hpp"
 
 #include "base/random_func.hpp"
--- a/src/table/config_table.hpp
+++ b/src/table/config_table.hpp
@@ -64,6 +64,40 @@
     return member || s == "no";
 }
 
+/// Reads a whole number within bounds into a member.
+inline bool set_whole(std::int64_t& member, std::string_view s,
+                      std::int64_t least, std::int64_t most)
+{
+    const auto n = parse_whole(s);
+    if (!n || *n < least || *n > most)
+        return false;
+    member = *n;
+    return true;
+}
+
+/// Reads "NAME:WEIGHT, NAME:WEIGHT" into a route's parts.
+inline bool set_parts(route_config& c, std::string_view s)
+{
+    c.parts.clear();
+    double sum = 0;
+    for (const auto& text : split(s, ',')) {
+        const auto colon = text.rfind(':');
+        const auto weight = colon == std::string::npos
+                                ? std::nullopt
+                                : parse_real(trim(text.substr(colon + 1)));
+        route_part part;
+        part.service = trim(std::string_view(text).substr(0, colon));
+        part.weight = weight.value_or(-1);
+        if (part.service.empty() || part.weight < 0)
+            return false;
+        sum += part.weight;
+        c.parts.push_back(std::move(part));
+    }
+    if (sum > 0)
+        c.service = c.parts.front().service;
+    return sum > 0;
+}
+
 inline constexpr std::array fleet_keys = {
     key_row<fleet_config>{"name",
                           [](fleet_config& c, std::string_view s) {
@@ -82,6 +116,30 @@
                               return set_real(c.default_team_burst, s, 0, 1e9);
                           },
                           "requests", "burst of teams without a section"},
+    key_row<fleet_config>{"header_bytes",
+                          [](fleet_config& c, std::string_view s) {
+                              return set_whole(c.limits.header_bytes, s, 1024,
+                                               1 << 20);
+                          },
+                          "1024 to 1048576 bytes", "of a request's head"},
+    key_row<fleet_config>{"body_bytes",
+                          [](fleet_config& c, std::string_view s) {
+                              return set_whole(c.limits.body_bytes, s, 0,
+                                               1 << 30);
+                          },
+                          "0 to 1073741824 bytes", "of a request's body"},
+    key_row<fleet_config>{"header_ms",
+                          [](fleet_config& c, std::string_view s) {
+                              return set_ms(c.limits.header_us, s, 100, 60000);
+                          },
+                          "100 to 60000 milliseconds",
+                          "for a request's head to arrive"},
+    key_row<fleet_config>{"idle_ms",
+                          [](fleet_config& c, std::string_view s) {
+                              return set_ms(c.limits.idle_us, s, 1000, 600000);
+                          },
+                          "1000 to 600000 milliseconds",
+                          "of a caller's connection between two requests"},
 };
 
 inline constexpr std::array service_keys = {
@@ -121,6 +179,22 @@
         },
         "required or optional",
         "whether answers must carry the request id they answer"},
+    key_row<service_config>{"health_path",
+                            [](service_config& c, std::string_view s) {
+                                c.health_path = s;
+                                return !s.empty() && s.front() == '/';
+                            },
+                            "a path that begins with /",
+                            "answers 200 while a backend server feels well"},
+    key_row<service_config>{"most_connections",
+                            [](service_config& c, std::string_view s) {
+                                std::int64_t n = 0;
+                                const bool good = set_whole(n, s, 1, 65535);
+                                c.most_connections = static_cast<int>(n);
+                                return good;
+                            },
+                            "1 to 65535",
+                            "that a backend server accepts in all"},
 };
 
 inline constexpr std::array route_keys = {
@@ -142,6 +216,21 @@
                               return !s.empty();
                           },
                           "the name of a service", "where requests go"},
+    key_row<route_config>{"split", set_parts, "NAME:WEIGHT with commas",
+                          "several services with their shares of requests"},
+    key_row<route_config>{"attempts",
+                          [](route_config& c, std::string_view s) {
+                              const auto n = parse_whole(s);
+                              c.attempts = static_cast<int>(n.value_or(0));
+                              return c.attempts >= 1 && c.attempts <= 8;
+                          },
+                          "1 to 8", "backend servers that a request may reach"},
+    key_row<route_config>{"target_ms",
+                          [](route_config& c, std::string_view s) {
+                              return set_ms(c.target_us, s, 1, 120000);
+                          },
+                          "1 to 120000 milliseconds",
+                          "time within which an answer is worth all"},
     key_row<route_config>{"priority",
                           [](route_config& c, std::string_view s) {
                               const auto n = parse_whole(s);
@@ -151,16 +240,16 @@
                           "0 (first) to 9 (last)", "place in a full queue"},
     key_row<route_config>{"deadline_ms",
                           [](route_config& c, std::string_view s) {
-                              return set_ms(c.deadline_us, s, 10, 30000);
+                              return set_ms(c.deadline_us, s, 10, 120000);
                           },
-                          "10 to 30000 milliseconds",
+                          "10 to 120000 milliseconds",
                           "time until a request gets its final answer"},
     key_row<route_config>{"idempotent",
                           [](route_config& c, std::string_view s) {
                               c.idempotent = s;
                               return !s.empty();
                           },
-                          "methods with commas, or none",
+                          "methods with commas, none, or * for all",
                           "methods that may run more than once"},
     key_row<route_config>{"keys",
                           [](route_config& c, std::string_view s) {
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -47,6 +47,48 @@
     return set_int(member, s, 0, 65535);
 }
 
+/// Reads "ip:port" into a member.
+inline bool set_address(std::string& member, std::string_view s)
+{
+    member = s;
+    return parse_host_port(s).has_value();
+}
+
+/// Reads "ip:port" into the node's address and one of its ports.
+inline bool set_node_address(node_settings& n, int& port, std::string_view s)
+{
+    const auto at = parse_host_port(s);
+    if (!at)
+        return false;
+    n.ip = at->ip;
+    port = at->port;
+    return true;
+}
+
+/// Reads the first of "FIRST,LAST" and gives the ports between nodes their
+/// numbers: gossip the first one, RPC the next.
+inline bool set_port_range(node_settings& n, std::string_view s)
+{
+    const auto ends = split(s, ',');
+    const auto first = ends.size() == 2 ? parse_whole(trim(ends[0])) : std::nullopt;
+    const auto last = ends.size() == 2 ? parse_whole(trim(ends[1])) : std::nullopt;
+    if (!first || !last || *first < 1 || *last <= *first || *last > 65535)
+        return false;
+    n.gossip_port = static_cast<int>(*first);
+    n.rpc_port = static_cast<int>(*first) + 1;
+    return true;
+}
+
+/// Reads seconds with fractions into a member.
+inline bool set_seconds(span_us& member, std::string_view s, double most)
+{
+    const auto n = parse_real(s);
+    if (!n || *n < 0 || *n > most)
+        return false;
+    member = static_cast<span_us>(*n * static_cast<double>(us_per_s));
+    return true;
+}
+
 inline constexpr std::array settings_table =
     {
         settings_row{"node",
@@ -227,6 +269,77 @@
                       },
                       "1 to 1000000",
                       "of one service, so that none starves another"}},
+        settings_row{"node",
+                     {"entry",
+                      [](node_settings& s, std::string_view v) {
+                          return set_node_address(s, s.entry_port, v);
+                      },
+                      "ip:port", "ip and entry_port in one"}},
+        settings_row{"node",
+                     {"exit",
+                      [](node_settings& s, std::string_view v) {
+                          return set_node_address(s, s.exit_port, v);
+                      },
+                      "ip:port", "ip and exit_port in one"}},
+        settings_row{"node",
+                     {"port_range", set_port_range, "FIRST,LAST",
+                      "gossip_port and rpc_port out of a range"}},
+        settings_row{"hosted",
+                     {"control",
+                      [](node_settings& s, std::string_view v) {
+                          return set_address(s.hosted.control, v);
+                      },
+                      "ip:port",
+                      "where the VM's backend server announces itself; turns "
+                      "the platform's adapter on"}},
+        settings_row{"hosted",
+                     {"ready",
+                      [](node_settings& s, std::string_view v) {
+                          return set_address(s.hosted.ready, v);
+                      },
+                      "ip:port", "where the platform asks for readiness"}},
+        settings_row{"hosted",
+                     {"worker",
+                      [](node_settings& s, std::string_view v) {
+                          return set_address(s.hosted.worker, v);
+                      },
+                      "ip:port", "the VM's backend server"}},
+        settings_row{"hosted",
+                     {"service",
+                      [](node_settings& s, std::string_view v) {
+                          return set_text(s.hosted.service, v);
+                      },
+                      "a name", "service of the VM's backend server"}},
+        settings_row{"hosted",
+                     {"retry_ratio",
+                      [](node_settings& s, std::string_view v) {
+                          return set_real(s.hosted.retry_ratio, v, 0, 1);
+                      },
+                      "0 to 1", "retries per request that the fleet may send"}},
+        settings_row{"hosted",
+                     {"retry_window_s",
+                      [](node_settings& s, std::string_view v) {
+                          return set_seconds(s.hosted.retry_window, v, 3600);
+                      },
+                      "seconds", "over which retries are counted"}},
+        settings_row{"hosted",
+                     {"retry_slack",
+                      [](node_settings& s, std::string_view v) {
+                          return set_real(s.hosted.retry_slack, v, 0, 1e6);
+                      },
+                      "retries", "beyond the ratio, of the whole fleet"}},
+        settings_row{"hosted",
+                     {"floor_share",
+                      [](node_settings& s, std::string_view v) {
+                          return set_real(s.hosted.floor_share, v, 0, 1);
+                      },
+                      "0 to 1", "of a service's capacity that stays in use"}},
+        settings_row{"hosted",
+                     {"drain_s",
+                      [](node_settings& s, std::string_view v) {
+                          return set_seconds(s.hosted.drain, v, 600);
+                      },
+                      "seconds", "for new work after a drain was announced"}},
         settings_row{"log",
                      {"lines_per_second",
                       [](node_settings& s, std::string_view v) {
--- a/src/verdict/verdict_peers.cpp
+++ b/src/verdict/verdict_peers.cpp
@@ -13,10 +13,11 @@
 namespace {
 
 constexpr double kept_share = 0.5; // of the peers, the best ones
-constexpr double clear_ratio = 3;  // log likelihood; about 1 in 100 by chance
+constexpr double clear_ratio = 1.5; // log likelihood; about 1 in 12 by chance
 constexpr double bad_source_share = 0.3;       // of a threshold, at a peer
 constexpr double same_share = 0.34;            // of the peers
 constexpr double rounding = 1e-6;              // of sums against scores
+constexpr double clear_better = 6;         // log likelihood; picked by luck too
 constexpr double clear_errors = 2.5;           // standard errors
 constexpr span_us least_wait = 50 * us_per_ms; // between two questions
 constexpr span_us most_wait = 2 * us_per_s;
@@ -81,10 +82,27 @@
     return chi < freedom + alike_limit * std::sqrt(2 * freedom);
 }
 
+/// Whether the better half fails so much less often than all peers that
+/// neither chance nor its having been picked for it explains that.
+/// @param rate failure rate of all peers together
+bool is_clearly_better(const sample& better, double rate)
+{
+    if (rate <= 0 || better.seen <= 0)
+        return true;
+    const double own = std::clamp(better.sum / better.seen, least_rate, rate);
+    const double ratio =
+        (better.seen - better.sum) * std::log((1 - own) / (1 - rate)) +
+        better.sum * std::log(own / rate);
+    return ratio >= clear_better;
+}
+
 /// All peers together while they look alike. Else only the better half: a
 /// bad release on half of them must not become the usual. Taking the better
 /// half always would call a shared dip a sickness, because the best of a few
-/// noisy samples look better than the truth.
+/// noisy samples look better than the truth. For the same reason failures
+/// split the peers only once the better half was heard enough: at the onset
+/// of a shared dip a few have not failed yet, and each of the others would
+/// be ejected for failing first.
 sample usual_of(std::vector<sample> all, double variance, bool is_rate)
 {
     const auto whole = pool(all, all.size());
@@ -99,7 +117,8 @@
     });
     const auto kept = static_cast<std::size_t>(
         std::ceil(kept_share * static_cast<double>(all.size())));
-    return pool(all, kept);
+    const auto better = pool(all, kept);
+    return !is_rate || is_clearly_better(better, mean) ? better : whole;
 }
 
 /// Failure rate that the peers' sample speaks for: the long memory's, unless
--- a/test/fake_platform.hpp
+++ b/test/fake_store.hpp
@@ -1,8 +1,8 @@
-// A fake of the platform in memory, with its faults: down, and an answer
+// A fake of the store in memory, with its faults: down, and an answer
 // lost after the write took effect.
 #pragma once
 
-#include "platform/platform_type.hpp"
+#include "store/store_type.hpp"
 
 #include <map>
 #include <memory>
@@ -10,9 +10,10 @@
 namespace jasminetray {
 
 /// State of the fake; shared by all that call it.
-struct fake_platform
+struct fake_store
 {
-    std::map<std::string, table_row> table;
+    std::map<std::string, store_row> table; ///< by key; one table
+    std::uint64_t version = 0;              ///< of the last transaction
     std::map<std::string, std::string> objects;
     bool down = false;          ///< calls are never sent
     int lose_answers = 0;       ///< so many writes lose their answer
@@ -21,6 +22,6 @@
 };
 
 /// Functions over a fake.
-platform_api make_fake_platform(const std::shared_ptr<fake_platform>& p);
+store_api make_fake_store(const std::shared_ptr<fake_store>& p);
 
 } // namespace jasminetray
--- a/test/fuzz_member.cpp
+++ b/test/fuzz_member.cpp
@@ -1,7 +1,7 @@
 // Stateful fuzzing of membership and configuration. The real protocol, its
 // codec included, runs on five nodes in two data centres over a fake network
 // and a fake store; operators race. The oracle knows every submission.
-#include "fake_platform.hpp"
+#include "fake_store.hpp"
 #include "fuzz_frame.hpp"
 
 #include "config/config_store.hpp"
@@ -53,8 +53,8 @@
     jt::mono_us now = jt::us_per_s;
     jt::random_state rng{7};
     std::uint64_t generation = 1;
-    std::shared_ptr<jt::fake_platform> store =
-        std::make_shared<jt::fake_platform>();
+    std::shared_ptr<jt::fake_store> store =
+        std::make_shared<jt::fake_store>();
     std::vector<told> submissions;
     double loss = 0;
     std::size_t commands = 0;
@@ -149,8 +149,8 @@
     auto& x = w.all[n];
     if (!jt::is_ranked(x.table, purpose, 2))
         return;
-    jt::platform_error last{};
-    const auto head = jt::read_head(jt::make_fake_platform(w.store), last);
+    jt::store_error last{};
+    const auto head = jt::read_head(jt::make_fake_store(w.store), last);
     if (head)
         jt::member_hear_config(x.table, head->version, head->manifest);
 }
@@ -179,27 +179,30 @@
     s.expected = based_on;
     s.settle_tries = 5;
     s.files = {{"base.ini", "[fleet]\nname = fuzz-" + s.id + "\n"}};
-    const auto r = jt::submit_config(jt::make_fake_platform(w.store), s);
+    const auto r = jt::submit_config(jt::make_fake_store(w.store), s);
     w.submissions.push_back({s.id, r.outcome});
 }
 
 /// Whether two operators that begin at the same version can both win.
 std::string race(member_world& w, std::size_t n)
 {
-    jt::platform_error last{};
-    const auto head = jt::read_head(jt::make_fake_platform(w.store), last);
+    jt::store_error last{};
+    const auto head = jt::read_head(jt::make_fake_store(w.store), last);
     if (!head || head->version == 0)
         return "";
     // Both read the same head; the second one's write comes late.
-    const auto api = jt::make_fake_platform(w.store);
+    const auto api = jt::make_fake_store(w.store);
     const auto& late = *head;
     submit(w, n, 0);
     const jt::config_head ours{late.version + 1, late.manifest, "late",
-                               "late-" + std::to_string(w.commands), 0};
+                               "late-" + std::to_string(w.commands), 0, 0};
     const bool won =
-        api.write_rows({{"config-head", late.version, jt::to_text(ours)},
-                        {"config-history-" + std::to_string(ours.version), 0,
-                         jt::to_text(ours)}},
+        api.write_rows(
+            {{{"", "config-head"}, late.row, jt::to_text(ours), false},
+             {{"", "config-history-" + std::to_string(ours.version)},
+              0,
+              jt::to_text(ours),
+              false}},
                        last);
     const bool first =
         w.submissions.back().outcome == jt::submit_outcome::accepted;
--- a/test/test_config.cpp
+++ b/test/test_config.cpp
@@ -3,7 +3,7 @@
 #include "config/config_query.hpp"
 #include "config/config_store.hpp"
 #include "config/node_settings.hpp"
-#include "fake_platform.hpp"
+#include "fake_store.hpp"
 
 #include <fstream>
 #include <gtest/gtest.h>
@@ -118,9 +118,9 @@
 // same transaction, tells whose it was.
 TEST(config_submit, lost_answer_is_settled_by_reading_back)
 {
-    auto p = std::make_shared<fake_platform>();
+    auto p = std::make_shared<fake_store>();
     p->lose_answers = 1;
-    const auto r = submit_config(make_fake_platform(p), make("one"));
+    const auto r = submit_config(make_fake_store(p), make("one"));
     EXPECT_EQ(r.outcome, submit_outcome::accepted);
     EXPECT_EQ(r.head.version, 1U);
 }
@@ -129,9 +129,9 @@
 // out before the head could be moved.
 TEST(config_submit, store_down_means_not_accepted)
 {
-    auto p = std::make_shared<fake_platform>();
+    auto p = std::make_shared<fake_store>();
     p->down_after_writes = 2; // chunk and manifest, then it is out
-    const auto r = submit_config(make_fake_platform(p), make("one"));
+    const auto r = submit_config(make_fake_store(p), make("one"));
     EXPECT_EQ(r.outcome, submit_outcome::not_accepted);
     EXPECT_EQ(p->table.count("config-head"), 0U);
 }
@@ -140,10 +140,10 @@
 // write, loses the answer and goes out. Saying either way would be a guess.
 TEST(config_submit, outage_after_the_write_is_not_guessed)
 {
-    auto p = std::make_shared<fake_platform>();
+    auto p = std::make_shared<fake_store>();
     p->lose_answers = 1;
     p->down_after_writes = 4; // chunk, list, manifest, head
-    const auto r = submit_config(make_fake_platform(p), make("one"));
+    const auto r = submit_config(make_fake_store(p), make("one"));
     EXPECT_EQ(r.outcome, submit_outcome::unsettled);
     EXPECT_NE(r.reason.find("one"), std::string::npos);
 }
@@ -152,8 +152,8 @@
 // files on version 1, and the first moved the head to 2.
 TEST(config_submit, loser_learns_winner_and_difference)
 {
-    auto p = std::make_shared<fake_platform>();
-    const auto api = make_fake_platform(p);
+    auto p = std::make_shared<fake_store>();
+    const auto api = make_fake_store(p);
     submit_config(api, make("zero"));
     auto first = make("first", std::string(base) + "[team a]\nrate = 1\n");
     auto second = make("second");
@@ -167,15 +167,15 @@
 
 TEST(config_submit, damaged_object_is_noticed)
 {
-    auto p = std::make_shared<fake_platform>();
-    const auto api = make_fake_platform(p);
+    auto p = std::make_shared<fake_store>();
+    const auto api = make_fake_store(p);
     const auto r = submit_config(api, make("one"));
     for (auto& [name, content] : p->objects) {
         if (name.rfind("chunk-", 0) == 0)
             content += "x";
     }
     std::string why;
-    platform_error last{};
+    store_error last{};
     const auto files = load_files(
         r.head.manifest,
         [&](const std::string& name) { return api.get_object(name, last); },
