Admit by what can still be worth its wait; guard paths against silence

Queues order by priority, short targets, what can be in time; the gate refuses at once what would start too late. Entry nodes ask the gates again for a while instead of refusing. Silent paths end by user timeout and keep-alive; suspicion spares failures of nested calls.

--- a/src/balance/balance_type.hpp
+++ b/src/balance/balance_type.hpp
@@ -22,6 +22,7 @@
     double slots = 1;
     double weight = 1;    ///< after claims and floor; 0 for never
     bool trickle = false; ///< ejected: idempotent work only
+    bool path_bad = false; ///< this node's way there loses work
     bool held = false;    ///< deserves ejection; the floor forbids it
     double load = 0;      ///< of its gate, on its last answer
     mono_us load_at = 0;  ///< when that answer came
--- a/src/balance/place_func.cpp
+++ b/src/balance/place_func.cpp
@@ -34,7 +34,7 @@
     return fails * (r.idempotent ? p.retry_share : 1) +
            (c.near ? 0 : p.far_share) + p.late_share * wait +
            p.busy_share * std::min(1.0, load) +
-           (c.trickle ? p.ejected_share : 0);
+           (c.trickle ? p.ejected_share : 0) + (c.path_bad ? p.path_share : 0);
 }
 
 std::optional<choice> place(const std::vector<candidate>& all,
@@ -49,7 +49,7 @@
         const auto& c = all[n];
         const bool was_tried =
             std::find(tried.begin(), tried.end(), c.id) != tried.end();
-        if (c.weight <= 0 || was_tried)
+        if ((c.weight <= 0 && !c.path_bad) || was_tried)
             continue;
         const double loss =
             expected_loss(c, p, b, r, now) + p.noise * random_unit(rng);
--- a/src/balance/place_type.hpp
+++ b/src/balance/place_type.hpp
@@ -18,7 +18,9 @@
     double retry_share = 0.25; ///< of idempotent work that fails once
     double late_share = 0.7;   ///< of work whose wait equals its target
     double busy_share = 0.1;   ///< at full slots: it runs slower there
-    double ejected_share = 0.5; ///< of a backend server that was ejected
+    double ejected_share = 0.1; ///< of a backend server that was ejected;
+                                ///< doubt has told most of it already
+    double path_share = 0.9;    ///< of a path that lost its last work
     double noise = 0.04; ///< random, so that entry nodes do not all agree
 };
 
--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -64,7 +64,7 @@
 bool is_held_back(const gate& g, const gate_worker& w, const gate_request& r,
                   mono_us now)
 {
-    if (!g.limits.doubt.on || !w.doubt.suspect || r.insists)
+    if (!g.limits.doubt.on || !w.doubt.suspect)
         return false;
     // Doubt fades by itself, so that nobody is shut out for good.
     if (doubt_now(w.doubt, g.limits.doubt, now) <= g.limits.doubt.trust_at)
@@ -72,6 +72,52 @@
     return !r.idempotent || now < w.doubt.probe_at;
 }
 
+gate_waiting waiting_of(const gate_request& r, std::uint64_t serial)
+{
+    return {r.attempt, r.idempotent, r.priority, r.deadline,
+            r.due,     r.target,     r.klass,    serial};
+}
+
+/// Time that work of a class takes here.
+span_us took_by(const gate_worker& w, std::uint32_t klass)
+{
+    const auto own = w.usual_by_class[klass % work_kinds];
+    return own == 0 ? w.usual : own;
+}
+
+/// Order of the queue. The load that it answers: more work than slots for
+/// seconds. First by priority. Then short targets: these are lookups that
+/// running work elsewhere waits for, with a slot of its own spent, and a
+/// quarter as long as the work that they would wait behind; in one FIFO six
+/// in ten of them failed at 1.25 times capacity, and their parents with them.
+/// Then what can still be in time, because a late answer is worth a third;
+/// behind it the late ones, oldest first, which are worth more than none.
+/// @param now the moment; work must start its own duration before it is due
+bool comes_before(const gate_worker& w, const gate_waiting& a,
+                  const gate_waiting& b, mono_us now)
+{
+    if (a.priority != b.priority)
+        return a.priority < b.priority;
+    if (a.target != b.target)
+        return a.target < b.target;
+    const bool late_a = a.due - took_by(w, a.klass) < now;
+    const bool late_b = b.due - took_by(w, b.klass) < now;
+    if (late_a != late_b)
+        return late_b;
+    return a.serial < b.serial;
+}
+
+/// Moment after which work is not started any more.
+mono_us latest_start(const gate_limits& l, mono_us due, span_us target,
+                     double late_share)
+{
+    if (due == mono_never)
+        return mono_never;
+    const auto late = static_cast<span_us>(
+        (1 + late_share) * static_cast<double>(target));
+    return due - target + std::max(l.least_wait, late);
+}
+
 gate_error refuse_capacity(const gate& g, const gate_worker& w,
                            const gate_request& r, mono_us now)
 {
@@ -85,11 +131,16 @@
         return gate_error::queue_full;
     // Work that would only time out in the queue is refused while there is
     // still time to try another backend server.
-    const auto ahead = static_cast<span_us>(w.queue.size()) + 1;
-    const auto wait =
-        ahead * w.usual / std::max<span_us>(1, static_cast<span_us>(w.limit));
-    return now + wait < r.deadline ? gate_error::none
-                                   : gate_error::deadline_short;
+    const auto mine = waiting_of(r, UINT64_MAX); // last among equals
+    span_us ahead = w.usual;
+    for (const auto& x : w.queue)
+        ahead += comes_before(w, x, mine, now) ? took_by(w, x.klass) : 0;
+    const auto wait = ahead / std::max<span_us>(1, static_cast<span_us>(w.limit));
+    const auto start = now + wait;
+    const bool in_time =
+        start + took_by(w, r.klass) / 2 < r.deadline &&
+        start <= latest_start(g.limits, r.due, r.target, g.limits.late_admit);
+    return in_time ? gate_error::none : gate_error::deadline_short;
 }
 
 /// Notes a refusal down: once "not run" was said of an attempt, a repeated
@@ -128,10 +179,13 @@
     return decisions;
 }
 
-void adapt_limit(gate_worker& w, work_end end, span_us took, mono_us now)
+void adapt_limit(gate_worker& w, std::uint32_t klass, work_end end,
+                 span_us took, mono_us now)
 {
     if (end == work_end::answered) {
         w.usual += (took - w.usual) / usual_weight;
+        auto& own = w.usual_by_class[klass % work_kinds];
+        own = own == 0 ? took : own + (took - own) / usual_weight;
         if (w.in_flight + 1 >= static_cast<int>(w.limit))
             w.limit = std::min(w.slots, w.limit + 1 / w.limit);
     }
@@ -167,8 +221,7 @@
     if (mode == command_mode::apply && start)
         take_slot(g, w, r.attempt, r.idempotent, now);
     if (mode == command_mode::apply && !start) {
-        w.queue.push_back(
-            {r.attempt, r.idempotent, r.priority, r.deadline, ++g.serial});
+        w.queue.push_back(waiting_of(r, ++g.serial));
         if (!r.idempotent)
             remember(g, r.attempt, gate_state::queued, now);
     }
@@ -183,13 +236,15 @@
         return decisions;
     auto& w = it->second;
     auto& q = w.queue;
-    std::sort(q.begin(), q.end(), [](const auto& a, const auto& b) {
-        return a.priority != b.priority ? a.priority < b.priority
-                                        : a.serial < b.serial;
+    std::sort(q.begin(), q.end(), [&w, now](const auto& a, const auto& b) {
+        return comes_before(w, a, b, now);
     });
     std::vector<gate_waiting> left;
     for (const auto& x : q) {
-        if (x.deadline <= now) {
+        // Started now it would end after its deadline in most cases: a slot
+        // spent for nobody. Refused while its caller can still be told.
+        const auto latest = latest_start(g.limits, x.due, x.target, g.limits.late_keep);
+        if (x.deadline - took_by(w, x.klass) / 2 <= now || latest <= now) {
             if (!x.idempotent)
                 remember(g, x.attempt, gate_state::revoked, now);
             decisions.push_back({x.attempt, false, gate_error::deadline_short});
@@ -209,7 +264,7 @@
 {
     const auto it = g.workers.find(r.worker);
     if (it != g.workers.end()) {
-        adapt_limit(it->second, end, took, now);
+        adapt_limit(it->second, r.klass, end, took, now);
         it->second.in_flight = std::max(0, it->second.in_flight - 1);
     }
     if (r.idempotent)
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -64,6 +64,8 @@
 inline constexpr std::array<std::string_view, 5> revoke_reply_names = {
     "not-run", "started", "finished", "ended", "wrong-boot"};
 
+constexpr std::size_t work_kinds = 8; ///< classes with durations of their own
+
 /// Work that asks to be let in.
 struct gate_request
 {
@@ -74,7 +76,9 @@
     worker_id worker{};      ///< which backend server
     int priority = 5;        ///< 0 first, 9 last
     mono_us deadline = 0;    ///< on this process's clock
-    bool insists = false;    ///< nobody better is left: a suspect will do
+    mono_us due = mono_never; ///< until then an answer is worth all
+    span_us target = 0;      ///< from the caller's first byte to `due`
+    std::uint32_t klass = 0; ///< of the route, below work_kinds
 };
 
 /// What was decided about work that was let in.
@@ -99,8 +103,18 @@
     span_us stamp_bound = 5 * us_per_s;
     span_us longest_deadline = 30 * us_per_s; ///< of any route
     std::size_t records = 65536;              ///< remembered attempts
-    std::size_t queue = 12;                   ///< waiting per backend server
+    /// Waiting per backend server. The forecast bounds it long before; this
+    /// is for memory.
+    std::size_t queue = 64;
     doubt_policy doubt;                       ///< when work is held back
+    /// How late work may start, as a share of its target: whoever is let in
+    /// beyond it waits long and mostly in vain, and a refusal at once lets
+    /// its caller do something else.
+    double late_admit = 0.0;
+    double late_keep = 0.5; ///< the same for work that waits already
+    /// Work may always wait so long: lookups with short targets are part of
+    /// somebody's request, which fails with them.
+    span_us least_wait = us_per_s;
 
     /// How long an attempt is remembered after its last change. A copy can
     /// still arrive until its stamp is too old, and a question can come
@@ -118,6 +132,9 @@
     bool idempotent = false;
     int priority = 5;
     mono_us deadline = 0;
+    mono_us due = mono_never;
+    span_us target = 0;
+    std::uint32_t klass = 0;
     std::uint64_t serial = 0; ///< order of arrival among equals
 };
 
@@ -131,6 +148,7 @@
     int foreign = 0;        ///< started through a former process
     bool draining = false;  ///< takes no new work
     span_us usual = 20000;  ///< moving mean of the time that work takes
+    std::array<span_us, work_kinds> usual_by_class{}; ///< 0 for not seen
     mono_us lowered_at = 0; ///< when the limit was last lowered
     worker_doubt doubt;     ///< from the outcomes that were seen here
     std::vector<gate_waiting> queue; ///< invariant: size <= limits.queue
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -157,6 +157,11 @@
     q.set(hop_field::idempotent, r.machine.policy.idempotent ? "1" : "0");
     q.set(hop_field::worker, to_hex(static_cast<std::uint64_t>(t.worker)));
     q.set(hop_field::priority, std::to_string(r.route->priority));
+    if (r.route->target_us > 0) {
+        q.set(hop_field::due,
+              std::to_string(r.began + r.route->target_us - mono_now()));
+        q.set(hop_field::target, std::to_string(r.route->target_us));
+    }
     q.set(hop_field::centre, n.settings.centre);
     q.set(hop_field::klass, std::to_string(r.klass));
     q.prepare_payload();
@@ -202,6 +207,9 @@
             note_path(n, t.exit, true);
         return {attempt_event_kind::unsent, "exit-unreachable"};
     }
+    // Work that must not run twice is not given up for a path that may heal:
+    // its answer can still come.
+    guard_path(t.link->stream.socket(), r.machine.policy.idempotent);
     auto q = make_message(r, t, count);
     // A little longer than the machine waits: it decides, not the socket.
     t.link->stream.expires_after(std::chrono::microseconds(
@@ -329,9 +337,25 @@
              path_seen(n.paths, n.path_settings, exit, lost, mono_now()));
 }
 
+namespace {
+
+/// A new round may go where only a gate refused it before.
+void begin_round(entry_run& r)
+{
+    r.tried.clear();
+    for (std::size_t k = 0; k < r.machine.round_begin; ++k) {
+        if (r.machine.tracks[k].reached)
+            r.tried.push_back(r.tries[k].worker);
+    }
+}
+
+} // namespace
+
 void start_attempt(const std::shared_ptr<entry_run>& r, std::uint32_t count,
                    bool fresh)
 {
+    if (count - 1 == r->machine.round_begin)
+        begin_round(*r);
     r->tries.emplace_back();
     auto& t = r->tries.back();
     if (!aim(*r, t, count))
@@ -376,6 +400,10 @@
 void cancel_attempt(entry_run& r, std::uint32_t count)
 {
     auto& t = r.tries[count - 1];
+    // Another attempt was faster. If it is the path and not the work, the
+    // next request need not find out by waiting as long.
+    if (!t.parser)
+        start_path_probe(r.n, t.exit);
     t.cancelled = true;
     if (t.link)
         t.link->stream.cancel();
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -56,11 +56,14 @@
         static_cast<int>(whole(hop_field::priority).value_or(5));
     w.request.deadline =
         now + std::min(*remaining, n.door.limits.longest_deadline);
-    w.request.insists = field_of(message, hop_field::insists) == "1";
+    if (const auto due = whole(hop_field::due))
+        w.request.due = now + *due;
+    w.request.target = whole(hop_field::target).value_or(0);
     w.source = source_of(n, field_of(message, hop_field::centre));
     w.klass =
         static_cast<std::uint32_t>(whole(hop_field::klass).value_or(0) &
                                    static_cast<std::int64_t>(work_classes - 1));
+    w.request.klass = w.klass;
     w.message = std::move(message);
     return w;
 }
@@ -195,21 +198,6 @@
     return !ec;
 }
 
-/// Doubt moves before the answer goes out, so that the answer carries it.
-void note_doubt(node_state& n, worker_id id, outcome_kind seen)
-{
-    if (seen == outcome_kind::neutral)
-        return;
-    const bool was = is_suspect(n.door, id);
-    const bool failed = seen == outcome_kind::failed;
-    refuse_queued(n, gate_outcome(n.door, id, failed, mono_now()));
-    if (is_suspect(n.door, id) == was)
-        return;
-    n.events.write(was ? event_id::worker_trusted : event_id::worker_suspected,
-                   name_at(n, id), "");
-    publish_self(n);
-}
-
 /// Runs started work to its end and answers the entry node.
 bool run_started(node_state& n, exit_work& w, beast::tcp_stream& stream,
                  const yield& y)
@@ -217,6 +205,7 @@
     const auto began = mono_now();
     auto a =
         run_on_worker(n, w.message, w.request, w.source, w.klass, stream, y);
+    // Doubt moves before the answer goes out, so that the answer carries it.
     note_doubt(n, w.request.worker, a.seen);
     bool alive = true;
     if (a.end == work_end::answered) {
--- a/src/node/health_driver.cpp
+++ b/src/node/health_driver.cpp
@@ -3,6 +3,8 @@
 
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
+#include "gate/gate_query.hpp"
+#include "node/announce.hpp"
 #include "verdict/verdict_cmd.hpp"
 #include "verdict/verdict_query.hpp"
 
@@ -17,6 +19,8 @@
 constexpr std::size_t most_asked = 8;         // peers per question
 constexpr span_us ask_bound = 30 * us_per_ms; // for their answers
 constexpr double assumed_rate = 18;           // requests/s at a worker
+constexpr double overdue_factor = 8; // of the median; calls may add as much
+constexpr span_us least_overdue = us_per_s;     // work of 0.1 s has a tail
 constexpr int publish_step = 50;              // severity, in the record
 
 double floor_of(const node_state& n, const local_worker& w)
@@ -189,10 +193,31 @@
     check(n, w, now);
 }
 
+void note_doubt(node_state& n, worker_id id, outcome_kind seen)
+{
+    if (seen == outcome_kind::neutral)
+        return;
+    const bool was = is_suspect(n.door, id);
+    const bool failed = seen == outcome_kind::failed;
+    refuse_queued(n, gate_outcome(n.door, id, failed, mono_now()));
+    if (is_suspect(n.door, id) == was)
+        return;
+    n.events.write(was ? event_id::worker_trusted : event_id::worker_suspected,
+                   n.workers[id].name, "");
+    publish_self(n);
+}
+
 void tick_health(node_state& n, mono_us now)
 {
-    for (auto& [id, w] : n.workers)
+    for (auto& [id, w] : n.workers) {
         check(n, w, now);
+        // A backend server that hangs gives no outcome at all; without this
+        // it would keep work until the first timeout, 8 to 10 s later.
+        const auto overdue =
+            health_overdue(w.health, overdue_factor, least_overdue, now);
+        for (std::size_t k = 0; k < overdue; ++k)
+            note_doubt(n, id, outcome_kind::failed);
+    }
 }
 
 int claim_for(const local_worker& w, std::uint32_t source)
--- a/src/node/health_driver.hpp
+++ b/src/node/health_driver.hpp
@@ -10,6 +10,10 @@
 void note_outcome(node_state& n, local_worker& w, std::uint64_t key,
                   const observation& o, mono_us now);
 
+/// Takes an outcome into a backend server's doubt; tells the fleet when work
+/// is held back from now on, or no more.
+void note_doubt(node_state& n, worker_id id, outcome_kind seen);
+
 /// Looks at all backend servers of this VM: silence is evidence too.
 void tick_health(node_state& n, mono_us now);
 
--- a/src/node/http_func.cpp
+++ b/src/node/http_func.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace jasminetray {
@@ -32,6 +33,23 @@
 
 } // namespace
 
+void guard_path(tcp::socket& s, bool on)
+{
+    constexpr int unsent_ms = 1500; // three sends at the usual first timeouts
+    constexpr int idle_s = 1;       // until the first keep-alive probe
+    constexpr int interval_s = 1;
+    constexpr int probes = 2; // lost in a row: three in ten may be on bad days
+    const int fd = s.native_handle();
+    const int enabled = on ? 1 : 0;
+    const int bound = on ? unsent_ms : 0;
+    ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof(enabled));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
+                 sizeof(interval_s));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &bound, sizeof(bound));
+}
+
 std::unique_ptr<http_link> take_idle(link_pool& pool, mono_us idle_since)
 {
     while (!pool.empty()) {
@@ -52,6 +70,7 @@
 {
     if (pool.size() >= most)
         return;
+    guard_path(link->stream.socket(), false);
     link->last_used = now;
     link->used = true;
     link->stream.expires_never();
--- a/src/node/http_func.hpp
+++ b/src/node/http_func.hpp
@@ -47,6 +47,12 @@
     }
 }
 
+/// Bounds how long a path may swallow what is sent on a connection, and how
+/// long it may be silent while an answer is awaited: then the kernel ends it
+/// with an error. Without this a one-way cut looks like slow work until the
+/// deadline. Off again for idle connections, which would cost probes.
+void guard_path(tcp::socket& s, bool on);
+
 /// Takes the newest idle connection that is still clean, or nothing. One
 /// with unread bytes holds part of an answer to someone else's request; it
 /// is closed and never used again.
--- a/src/node/worker_work.cpp
+++ b/src/node/worker_work.cpp
@@ -160,6 +160,10 @@
     return mono_now() - a.began > at_once && n.call_failed_at >= a.began;
 }
 
+/// Says that the deadline passed, not whose fault that was: it may have come
+/// short. A backend server that hangs shows by its silence long before.
+constexpr unsigned gateway_timeout = 504;
+
 void judge_answer(node_state& n, const answer_facts& f, const gate_request& r,
                   worker_answer& a)
 {
@@ -184,7 +188,7 @@
         return;
     }
     a.end = work_end::answered;
-    if (status >= 500 && is_calls_fault(n, a))
+    if (status == gateway_timeout || (status >= 500 && is_calls_fault(n, a)))
         a.seen = outcome_kind::neutral;
     else if (status >= 500)
         a.seen = outcome_kind::failed;
--- a/src/verdict/verdict_cmd.cpp
+++ b/src/verdict/verdict_cmd.cpp
@@ -235,6 +235,23 @@
         follow_climb(h, p, now);
 }
 
+std::size_t health_overdue(worker_health& h, double factor, span_us least,
+                           mono_us now)
+{
+    std::size_t marked = 0;
+    for (auto& o : h.open) {
+        const auto& usual = h.usual.times[o.klass % work_classes];
+        const auto bound = std::max(
+            least, static_cast<span_us>(factor *
+                                        static_cast<double>(usual.median)));
+        if (o.overdue || now - o.started < bound)
+            continue;
+        o.overdue = true;
+        ++marked;
+    }
+    return marked;
+}
+
 verdict_step health_check(worker_health& h, const verdict_policy& p,
                           mono_us now)
 {
--- a/src/verdict/verdict_type.hpp
+++ b/src/verdict/verdict_type.hpp
@@ -131,6 +131,7 @@
     mono_us started = 0;
     std::uint32_t source = 0;
     std::uint32_t klass = 0;
+    bool overdue = false; ///< its silence was taken as a failure
 };
 
 /// A climb of the evidence that reached the threshold and may yet end by
