End every request before a stopping process does

Cause: requests that waited in a queue when SIGTERM came outlived the process, and their callers saw closed connections; exits waited for threads in long polls until they were killed. Now deadlines are cut to the stop, late newcomers are refused as not run, the process exits at once. Ruled out: the worker's own drain.

--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -110,6 +110,13 @@
         x.retry_after = us_per_s;
         return x;
     }
+    // What is begun now could not end before the process does, and its
+    // caller would see a closed connection.
+    if (mono_now() >= n.refuse_at) {
+        x.reason = "stopping";
+        x.retry_after = us_per_s;
+        return x;
+    }
     // Each service has its own share, so that one whose backend servers
     // hang cannot take the places of the others.
     if (n.in_flight >= n.settings.most_in_flight ||
@@ -316,7 +323,9 @@
     ++n.in_flight;
     ++of_service;
     watch_caller(r, c);
+    n.open_runs.insert(r.get());
     const auto delivered = drive(r, y);
+    n.open_runs.erase(r.get());
     unwatch_caller(*r, c);
     n.metrics.duration->Observe(static_cast<double>(mono_now() - r->began) /
                                 us_per_s);
@@ -344,8 +353,9 @@
                    : to_text(r->id);
     if (const auto x = route_request(n, *r))
         return send_refusal(n, c, r->id, r->label, *x, y);
-    r->machine =
-        make_request(policy_of(n, *r), r->began + patience_of(n, *r));
+    r->machine = make_request(
+        policy_of(n, *r),
+        std::min(n.last_answer_at, r->began + patience_of(n, *r)));
     prepare_message(n, *r);
     if (const auto x = settle_key(n, *r, y))
         return send_refusal(n, c, r->id, r->label, *x, y);
@@ -375,6 +385,14 @@
     stream.socket().shutdown(tcp::socket::shutdown_send, ec);
 }
 
+void shorten_requests(node_state& n)
+{
+    for (auto* r : n.open_runs) {
+        r->machine.deadline = std::min(r->machine.deadline, n.last_answer_at);
+        r->tell(attempt_event_kind::timer, 0);
+    }
+}
+
 void tick_paths(node_state& n, mono_us now)
 {
     for (const auto id : path_probes(n.paths, n.path_settings, now))
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -39,6 +39,7 @@
 constexpr span_us claims_every = us_per_s;
 constexpr span_us idle_link = 30 * us_per_s;
 constexpr span_us platform_bound = us_per_s;
+constexpr span_us answer_margin = 300 * us_per_ms; // to hand out answers
 constexpr span_us rpc_wait = 500 * us_per_ms; // for the request thread
 constexpr std::size_t slow_threads = 8;       // revokes and claims
 constexpr int most_revokes = 256;             // waiting for a thread
@@ -532,6 +533,9 @@
     p.state.stopping = true;
     p.close_at = now + p.settings.drain;
     p.stop_at = now + p.settings.stop_bound;
+    p.state.refuse_at = p.close_at;
+    p.state.last_answer_at = p.stop_at - answer_margin;
+    shorten_requests(p.state);
     publish_self(p.state);
     p.slow_state->leave();
 }
@@ -585,11 +589,11 @@
                    "data_centre=" + s.centre);
     write_ready_file(p);
     p.ctx.run();
-    p.slow_state.reset();
-    p.rpc.reset();
-    p.slow.stop();
-    p.slow.join();
-    return exit_stopped;
+    // Threads may be waiting on the store for seconds yet; the platform kills
+    // what outlives its grace, and nothing is left to be saved.
+    google::FlushLogFiles(google::GLOG_INFO);
+    std::cout.flush();
+    std::_Exit(exit_stopped);
 }
 
 } // namespace jasminetray
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -21,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace jasminetray {
 
@@ -99,6 +100,8 @@
     int missed = 0;                        ///< probes without an answer
 };
 
+struct entry_run;
+
 /// What the request thread asks the slow state to do.
 struct control_hooks
 {
@@ -145,6 +148,9 @@
     random_state rng;
     std::uint64_t next_request = 1;
     bool stopping = false; ///< doors are closing
+    mono_us refuse_at = mono_never; ///< stopping: new requests come too late
+    mono_us last_answer_at = mono_never; ///< stopping: all must have theirs
+    std::set<entry_run*> open_runs;      ///< requests without a final answer
     bool store_reachable = false;
     mono_us config_at = 0; ///< when the configuration came into force
     std::shared_ptr<const fleet_config> config; ///< null until there is one
