One short field between nodes; share the retry allowance over the fleet

Cause: header fields and refusals between data centres took more bytes than bodies; known suspects were asked again and again; each node held a retry budget of 10.

--- a/src/balance/place_func.cpp
+++ b/src/balance/place_func.cpp
@@ -17,6 +17,17 @@
     return std::max(said, c.in_flight / c.slots);
 }
 
+/// Whether a candidate would refuse this work for what it has just said.
+bool would_refuse(const candidate& c, const place_policy& p,
+                  const place_request& r, random_state& rng, mono_us now)
+{
+    if (!c.doubt.suspect || now - c.doubt.at > p.refusal_memory)
+        return false;
+    const bool probes =
+        r.idempotent && c.near && random_unit(rng) < p.probe_share;
+    return !probes;
+}
+
 } // namespace
 
 double expected_loss(const candidate& c, const place_policy& p,
@@ -49,7 +60,8 @@
         const auto& c = all[n];
         const bool was_tried =
             std::find(tried.begin(), tried.end(), c.id) != tried.end();
-        if ((c.weight <= 0 && !c.path_bad) || was_tried)
+        if ((c.weight <= 0 && !c.path_bad) || was_tried ||
+            would_refuse(c, p, r, rng, now))
             continue;
         const double loss =
             expected_loss(c, p, b, r, now) + p.noise * random_unit(rng);
--- a/src/balance/place_type.hpp
+++ b/src/balance/place_type.hpp
@@ -21,6 +21,11 @@
     double ejected_share = 0.1; ///< of a backend server that was ejected;
                                 ///< doubt has told most of it already
     double path_share = 0.9;    ///< of a path that lost its last work
+    /// How long a suspect, or one whose queue is full, is not asked again
+    /// after it said so; its refusal is known.
+    span_us refusal_memory = 300 * us_per_ms;
+    double probe_share = 0.3; ///< of idempotent work that may ask a near
+                              ///< suspect all the same, to be its probe
     double noise = 0.04; ///< random, so that entry nodes do not all agree
 };
 
--- a/src/balance/view_func.cpp
+++ b/src/balance/view_func.cpp
@@ -67,6 +67,7 @@
         c.told_doubt = w.doubt;
         constexpr double percent = 100;
         c.doubt.sick = w.doubt / percent;
+        c.doubt.suspect = w.doubt >= percent * doubt_policy{}.suspect_at;
         c.doubt.at = now;
     }
     s.total += c.slots - s.claims[n].slots;
--- a/src/config/node_settings.cpp
+++ b/src/config/node_settings.cpp
@@ -41,6 +41,7 @@
     std::ostringstream text;
     text << in.rdbuf();
     node_settings s;
+    s.file = file;
     const auto take = [&](const ini_entry& e) {
         return set_entry(s, file, e, last);
     };
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -31,6 +31,7 @@
 /// Everything a node is told when it starts.
 struct node_settings
 {
+    std::string file;             ///< that this was read from; empty for none
     std::string name;             ///< unique in the fleet; kept over restarts
     std::string centre;           ///< data centre; also the site of its overlay
     std::string ip = "127.0.0.1"; ///< address that others reach it at
--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -67,6 +67,8 @@
     process_started = 6001,
     process_stopping = 6002,
     log_lines_dropped = 6003,
+    settings_reloaded = 6004,
+    settings_refused = 6005,
 };
 
 /// What an event is about; each family has a ring of its own, so that a
--- a/src/limit/limit_func.cpp
+++ b/src/limit/limit_func.cpp
@@ -30,6 +30,22 @@
 
 } // namespace
 
+void share_allowance(retry_budget& b, const fleet_allowance& a, mono_us now)
+{
+    // In a window a node can spend what it has at its start and what comes
+    // back meanwhile. A tenth is kept for nodes that do not know each other.
+    constexpr double used_share = 0.9;
+    constexpr double half = 0.5;
+    const double part = used_share * a.slack / static_cast<double>(a.nodes);
+    const bool fresh = b.filled_at == 0;
+    b.most = std::max(1.0, half * part);
+    b.per_second = half * part * us_per_s / static_cast<double>(a.window);
+    const auto passed = static_cast<double>(now - b.filled_at) / us_per_s;
+    // A node that starts anew may have spent its part before.
+    b.tokens = fresh ? 0 : std::min(b.most, b.tokens + passed * b.per_second);
+    b.filled_at = now;
+}
+
 void earn_retry(retry_budget& b, double share)
 {
     b.tokens = std::min(b.most, b.tokens + share);
--- a/src/limit/limit_type.hpp
+++ b/src/limit/limit_type.hpp
@@ -17,8 +17,22 @@
 {
     double tokens = 10; ///< invariant: 0 <= tokens <= most
     double most = 10;   ///< lets a quiet service retry at once
+    double per_second = 0;  ///< that come back by themselves
+    mono_us filled_at = 0;  ///< when they last did
 };
 
+/// The fleet's allowance: retries in any window are at most a share of its
+/// requests and a fixed number. Each node takes its part without asking.
+struct fleet_allowance
+{
+    double slack = 0; ///< the fixed number, of the whole fleet; 0 for none
+    span_us window = 10 * us_per_s;
+    std::size_t nodes = 1; ///< that share it
+};
+
+/// Sizes a budget to this node's part of the fleet's allowance.
+void share_allowance(retry_budget& b, const fleet_allowance& a, mono_us now);
+
 /// A first attempt was sent.
 /// @param share retries earned per first attempt
 void earn_retry(retry_budget& b, double share);
--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -174,6 +174,9 @@
     std::size_t fanout = 2;                ///< peers per flush
     span_us greet_dead_every = us_per_s; ///< one dead node is tried again
     std::size_t rounds = 2;                ///< flushes that repeat news
+    /// Flushes that repeat news to other data centres. Two relays send each
+    /// already; digests repair what both lose, and bytes there are dear.
+    std::size_t far_rounds = 1;
     std::size_t relays = 2;                ///< per foreign data centre
     std::size_t helpers = 3;               ///< asked to probe for us
     std::size_t datagram_bytes = 1200;     ///< room for records
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -21,53 +21,45 @@
     bool reached = false; ///< not-run: a backend server turned it away
 };
 
-void take_stamp(node_state& n, node_id exit, const http::fields& f)
+void take_stamp(node_state& n, node_id exit, const hop_answer& a)
 {
     const auto it = n.view.nodes.find(exit);
-    const auto boot = parse_hex(field_of(f, hop_field::boot));
-    const auto stamp = parse_whole(field_of(f, hop_field::stamp));
-    if (it == n.view.nodes.end() || !boot || !stamp)
+    if (it == n.view.nodes.end())
         return;
     auto& v = it->second;
     const auto now = mono_now();
+    v.good_at = now;
+    if (a.boot == boot_id{})
+        return;
     // Stamps of one process only move forward; another process starts anew.
-    if (v.stamp_boot != static_cast<boot_id>(*boot) || *stamp > v.stamp) {
-        v.stamp_boot = static_cast<boot_id>(*boot);
-        v.stamp = *stamp;
+    if (v.stamp_boot != a.boot || a.stamp > v.stamp) {
+        v.stamp_boot = a.boot;
+        v.stamp = a.stamp;
         v.stamp_at = now;
     }
-    v.good_at = now;
 }
 
 void take_claim(node_state& n, const entry_run& r, const entry_try& t,
-                const http::fields& f)
+                const hop_answer& a)
 {
-    const auto load = parse_real(field_of(f, hop_field::load));
-    const auto severity = parse_whole(field_of(f, hop_field::severity));
     const auto it = n.view.services.find(r.service_key);
     auto* c = view_candidate(n.view, r.service_key, t.worker);
     if (c == nullptr || it == n.view.services.end())
         return;
     const auto now = mono_now();
-    if (load) {
-        c->load = *load;
-        c->load_at = now;
-    }
     constexpr double percent = 100;
-    if (const auto doubt = parse_real(field_of(f, hop_field::doubt))) {
-        c->doubt.sick = *doubt / percent;
-        c->doubt.at = now;
-    }
-    if (const auto work = parse_whole(field_of(f, hop_field::work_us)))
-        c->work_us = *work;
-    if (!severity)
-        return;
+    c->load = a.load;
+    c->load_at = now;
+    c->work_us = a.work;
+    c->doubt.sick = a.doubt / percent;
+    c->doubt.suspect = a.suspect;
+    c->doubt.at = now;
     const auto place =
         static_cast<std::size_t>(c - it->second.candidates.data());
     auto& spoken = it->second.spoken[place];
     // A verdict acts on the next request, not when gossip brings it.
-    const bool moved = spoken.severity / 25 != *severity / 25;
-    spoken = {static_cast<int>(*severity), now};
+    const bool moved = spoken.severity / 25 != a.severity / 25;
+    spoken = {a.severity, now};
     if (moved && r.service != nullptr)
         view_apply(n.view, r.service_key, *r.service, n.paths, now);
 }
@@ -103,8 +95,10 @@
     http::async_read(link.stream, link.buf, r, y[ec]);
     if (ec)
         return false;
-    take_stamp(n, exit, r);
-    return true;
+    const auto a = parse_hop_answer(field_of(r, hop_name));
+    if (a)
+        take_stamp(n, exit, *a);
+    return a.has_value();
 }
 
 bool needs_ping(const entry_run& r, const http_link& link, node_id exit)
@@ -149,51 +143,49 @@
     const auto it = n.view.nodes.find(t.exit);
     const bool known =
         it != n.view.nodes.end() && it->second.stamp_boot == t.boot;
-    q.set(hop_field::attempt, to_text(attempt_id{r.id, count}));
-    q.set(hop_field::boot, to_hex(static_cast<std::uint64_t>(t.boot)));
-    q.set(hop_field::stamp, std::to_string(known ? it->second.stamp : 0));
-    q.set(hop_field::remaining,
-          std::to_string(r.machine.deadline - mono_now()));
-    q.set(hop_field::idempotent, r.machine.policy.idempotent ? "1" : "0");
-    q.set(hop_field::worker, to_hex(static_cast<std::uint64_t>(t.worker)));
-    q.set(hop_field::priority, std::to_string(r.route->priority));
-    if (r.route->target_us > 0) {
-        q.set(hop_field::due,
-              std::to_string(r.began + r.route->target_us - mono_now()));
-        q.set(hop_field::target, std::to_string(r.route->target_us));
-    }
-    q.set(hop_field::centre, n.settings.centre);
-    q.set(hop_field::klass, std::to_string(r.klass));
+    hop_request h;
+    h.attempt = {r.id, count};
+    h.worker = t.worker;
+    h.idempotent = r.machine.policy.idempotent;
+    h.priority = r.route->priority;
+    h.klass = r.klass;
+    h.centre = static_cast<std::uint32_t>(n.self.centre);
+    const auto now = mono_now();
+    h.remaining = r.machine.deadline - now;
+    h.elapsed = now - r.began;
+    h.target = r.route->target_us;
+    h.boot = t.boot;
+    h.stamp = known ? it->second.stamp : 0;
+    q.set(hop_name, to_text(h));
     q.prepare_payload();
     return q;
 }
 
 /// Turns the exit node's answer into an event.
-try_result read_outcome(const entry_run& r, entry_try& t, std::uint32_t count)
+try_result read_outcome(const entry_run& r, entry_try& t, std::uint32_t count,
+                        const hop_answer& a)
 {
-    const auto& head = t.parser->get();
-    if (r.n.safeguards.check_echo && field_of(head, hop_field::attempt) !=
-                                         to_text(attempt_id{r.id, count})) {
+    if (r.n.safeguards.check_echo &&
+        a.echo != echo_of(attempt_id{r.id, count})) {
         r.n.events.write(event_id::echo_mismatch, r.label,
                          "exit=" + to_hex(static_cast<std::uint64_t>(t.exit)));
         return {attempt_event_kind::lost, "echo-mismatch"};
     }
-    const auto outcome = field_of(head, hop_field::outcome);
-    const auto reason = field_of(head, hop_field::reason);
-    t.retry_after =
-        parse_whole(field_of(head, hop_field::retry_us)).value_or(0);
-    if (outcome == "answer") {
-        const bool failed = field_of(head, hop_field::failed) == "1";
-        const bool whole = t.parser->is_done();
-        return {failed && whole && r.machine.policy.idempotent
-                    ? attempt_event_kind::failed_answer
-                    : attempt_event_kind::answer,
-                failed ? "server-failure" : ""};
+    t.retry_after = a.retry;
+    switch (a.outcome) {
+    case hop_outcome::answer: {
+        const bool again =
+            a.failed && t.parser->is_done() && r.machine.policy.idempotent;
+        return {again ? attempt_event_kind::failed_answer
+                      : attempt_event_kind::answer,
+                a.failed ? "server-failure" : ""};
+    }
+    case hop_outcome::not_run:
+        return {attempt_event_kind::not_run, a.reason, a.reached};
+    case hop_outcome::unknown:
+        break;
     }
-    if (outcome == "not-run")
-        return {attempt_event_kind::not_run, reason,
-                field_of(head, hop_field::reached) == "1"};
-    return {attempt_event_kind::unknown, reason};
+    return {attempt_event_kind::unknown, a.reason};
 }
 
 /// Sends an attempt and waits for its answer's held part.
@@ -232,9 +224,12 @@
         return {attempt_event_kind::lost, "exit-lost"};
     }
     note_path(n, t.exit, false);
-    take_stamp(n, t.exit, t.parser->get());
-    take_claim(n, r, t, t.parser->get());
-    return read_outcome(r, t, count);
+    const auto a = parse_hop_answer(field_of(t.parser->get(), hop_name));
+    if (!a)
+        return {attempt_event_kind::lost, "exit-malformed"};
+    take_stamp(n, t.exit, *a);
+    take_claim(n, r, t, *a);
+    return read_outcome(r, t, count, *a);
 }
 
 void release(entry_run& r, entry_try& t, const try_result& result)
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -222,7 +222,14 @@
 std::uint32_t drive(const std::shared_ptr<entry_run>& r, const yield& y)
 {
     auto& budget = r->n.budgets[r->service->name];
-    earn_retry(budget, r->service->retry_share);
+    const auto& h = r->n.settings.hosted;
+    if (r->n.balance.doubt.on) {
+        share_allowance(budget, {h.retry_slack, h.retry_window,
+                                 std::max<std::size_t>(1, r->n.most_nodes)},
+                        mono_now());
+    }
+    earn_retry(budget, r->n.balance.doubt.on ? h.retry_ratio
+                                             : r->service->retry_share);
     const auto& on = r->n.safeguards.attempt;
     auto delivered = carry_out(
         r, attempt_step(r->machine, {attempt_event_kind::begin, 0, ""}, budget,
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -25,9 +25,8 @@
     std::uint32_t klass = 0;
 };
 
-std::uint32_t source_of(node_state& n, const std::string& centre)
+std::uint32_t source_of(node_state& n, std::uint32_t id)
 {
-    const auto id = static_cast<std::uint32_t>(centre_of(centre));
     const auto next = static_cast<std::uint32_t>(n.source_index.size());
     return n.source_index.emplace(id, next).first->second;
 }
@@ -36,33 +35,23 @@
 std::optional<exit_work> parse_work(node_state& n, string_request message,
                                     mono_us now)
 {
-    exit_work w;
-    const auto whole = [&](const char* name) {
-        return parse_whole(field_of(message, name));
-    };
-    const auto attempt =
-        parse_attempt_id(field_of(message, hop_field::attempt));
-    const auto boot = parse_hex(field_of(message, hop_field::boot));
-    const auto worker = parse_hex(field_of(message, hop_field::worker));
-    const auto remaining = whole(hop_field::remaining);
-    if (!attempt || !boot || !worker || !remaining)
+    const auto h = parse_hop_request(field_of(message, hop_name));
+    if (!h)
         return std::nullopt;
-    w.request.attempt = *attempt;
-    w.request.boot = static_cast<boot_id>(*boot);
-    w.request.worker = static_cast<worker_id>(*worker);
-    w.request.stamp = whole(hop_field::stamp).value_or(0);
-    w.request.idempotent = field_of(message, hop_field::idempotent) == "1";
-    w.request.priority =
-        static_cast<int>(whole(hop_field::priority).value_or(5));
+    exit_work w;
+    w.request.attempt = h->attempt;
+    w.request.boot = h->boot;
+    w.request.worker = h->worker;
+    w.request.stamp = h->stamp;
+    w.request.idempotent = h->idempotent;
+    w.request.priority = h->priority;
     w.request.deadline =
-        now + std::min(*remaining, n.door.limits.longest_deadline);
-    if (const auto due = whole(hop_field::due))
-        w.request.due = now + *due;
-    w.request.target = whole(hop_field::target).value_or(0);
-    w.source = source_of(n, field_of(message, hop_field::centre));
-    w.klass =
-        static_cast<std::uint32_t>(whole(hop_field::klass).value_or(0) &
-                                   static_cast<std::int64_t>(work_classes - 1));
+        now + std::min(h->remaining, n.door.limits.longest_deadline);
+    w.request.target = h->target;
+    if (h->target > 0)
+        w.request.due = now + h->target - h->elapsed;
+    w.source = source_of(n, h->centre);
+    w.klass = h->klass % work_classes;
     w.request.klass = w.klass;
     w.message = std::move(message);
     return w;
@@ -82,42 +71,41 @@
     return it == n.workers.end() ? "gone" : it->second.name;
 }
 
-/// Fields that ride on every answer of the exit side.
-template <typename Message>
-void set_hop_fields(node_state& n, const exit_work& w, Message& m,
-                    const char* outcome, const std::string& reason)
+/// What rides on every answer of the exit side.
+hop_answer make_hop_answer(const node_state& n, const exit_work& w,
+                           hop_outcome outcome, const std::string& reason)
 {
-    m.set(hop_field::attempt, to_text(w.request.attempt));
-    m.set(hop_field::boot, to_hex(static_cast<std::uint64_t>(n.door.boot)));
-    m.set(hop_field::stamp, std::to_string(mono_now()));
-    m.set(hop_field::outcome, outcome);
-    const auto load = gate_load(n.door, w.request.worker);
-    m.set(hop_field::load, std::to_string(load));
-    m.set(hop_field::work_us,
-          std::to_string(gate_usual(n.door, w.request.worker)));
-    if (n.door.limits.doubt.on) {
-        const auto doubt = gate_doubt(n.door, w.request.worker, mono_now());
-        m.set(hop_field::doubt, std::to_string(percent_of(doubt)));
-    }
-    const auto it = n.workers.find(w.request.worker);
+    const auto now = mono_now();
+    const auto id = w.request.worker;
+    hop_answer a;
+    a.echo = echo_of(w.request.attempt);
+    a.outcome = outcome;
+    a.reason = reason;
+    a.load = gate_load(n.door, id);
+    a.work = gate_usual(n.door, id);
+    a.doubt = percent_of(gate_doubt(n.door, id, now));
+    a.suspect = is_suspect(n.door, id);
+    const auto it = n.workers.find(id);
     if (it != n.workers.end())
-        m.set(hop_field::severity,
-              std::to_string(claim_for(it->second, w.source)));
-    if (!reason.empty())
-        m.set(hop_field::reason, reason);
+        a.severity = claim_for(it->second, w.source);
+    // Only work that must not run twice needs to know whose process this is.
+    if (!w.request.idempotent) {
+        a.boot = n.door.boot;
+        a.stamp = now;
+    }
+    return a;
 }
 
 /// @param reached a backend server turned it away
 bool send_refusal(node_state& n, const exit_work& w, beast::tcp_stream& to,
-                  const char* outcome, const std::string& reason, bool reached,
+                  hop_outcome outcome, const std::string& reason, bool reached,
                   const yield& y)
 {
     string_response r(http::status::service_unavailable, 11);
-    set_hop_fields(n, w, r, outcome, reason);
-    if (reached)
-        r.set(hop_field::reached, "1");
-    r.set(hop_field::retry_us,
-          std::to_string(gate_retry_after(n.door, w.request.worker)));
+    auto a = make_hop_answer(n, w, outcome, reason);
+    a.reached = reached;
+    a.retry = gate_retry_after(n.door, w.request.worker);
+    r.set(hop_name, to_text(a));
     r.keep_alive(true);
     r.prepare_payload();
     beast::error_code ec;
@@ -180,9 +168,9 @@
     auto& answer = a.parser->get();
     const bool whole = a.parser->is_done();
     strip_hop_fields(answer);
-    set_hop_fields(n, w, answer, "answer", "");
-    if (a.seen == outcome_kind::failed)
-        answer.set(hop_field::failed, "1");
+    auto h = make_hop_answer(n, w, hop_outcome::answer, "");
+    h.failed = a.seen == outcome_kind::failed;
+    answer.set(hop_name, to_text(h));
     if (!whole) {
         const auto bound = w.request.deadline - mono_now() + us_per_s;
         return relay_answer(*a.link, *a.parser, answer.base(), to, bound, y);
@@ -231,7 +219,7 @@
     if (a.end == work_end::answered || a.parser_sent)
         return alive;
     const bool ran = a.end == work_end::lost;
-    return send_refusal(n, w, stream, ran ? "unknown" : "not-run", a.reason,
+    return send_refusal(n, w, stream, ran ? hop_outcome::unknown : hop_outcome::not_run, a.reason,
                         a.end == work_end::shed, y);
 }
 
@@ -252,15 +240,18 @@
                    "worker=" + to_hex(static_cast<std::uint64_t>(
                                    w->request.worker)) +
                        " reason=" + reason);
-    return send_refusal(n, *w, stream, ran ? "unknown" : "not-run", reason,
+    return send_refusal(n, *w, stream, ran ? hop_outcome::unknown : hop_outcome::not_run, reason,
                         false, y);
 }
 
 bool send_pong(node_state& n, beast::tcp_stream& to, const yield& y)
 {
     string_response r(http::status::no_content, 11);
-    r.set(hop_field::boot, to_hex(static_cast<std::uint64_t>(n.door.boot)));
-    r.set(hop_field::stamp, std::to_string(mono_now()));
+    hop_answer a;
+    a.outcome = hop_outcome::answer;
+    a.boot = n.door.boot;
+    a.stamp = mono_now();
+    r.set(hop_name, to_text(a));
     r.keep_alive(true);
     beast::error_code ec;
     http::async_write(to, r, y[ec]);
--- a/src/node/http_func.cpp
+++ b/src/node/http_func.cpp
@@ -86,12 +86,7 @@
 {
     for (const auto name : connection_fields)
         f.erase(name);
-    for (auto it = f.begin(); it != f.end();) {
-        if (beast::iequals(it->name_string().substr(0, 3), hop_field::prefix))
-            it = f.erase(it);
-        else
-            ++it;
-    }
+    f.erase(hop_name);
 }
 
 beast::error_code read_held(http_link& link, response_parser& parser,
--- a/src/node/http_type.hpp
+++ b/src/node/http_type.hpp
@@ -4,6 +4,7 @@
 
 #include "base/id_type.hpp"
 #include "base/time_type.hpp"
+#include "node/hop_type.hpp"
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -26,31 +27,6 @@
 using string_response = http::response<http::string_body>;
 using response_parser = http::response_parser<http::string_body>;
 
-/// Fields between entry node and exit node; callers never see them.
-namespace hop_field {
-inline constexpr char attempt[] = "jt-attempt";        ///< echoed
-inline constexpr char boot[] = "jt-boot";              ///< of the exit node
-inline constexpr char stamp[] = "jt-stamp";            ///< of its clock
-inline constexpr char remaining[] = "jt-remaining-us"; ///< until the deadline
-inline constexpr char idempotent[] = "jt-idempotent";  ///< 1 or 0
-inline constexpr char worker[] = "jt-worker";          ///< chosen one, hex
-inline constexpr char priority[] = "jt-priority";      ///< of the route
-inline constexpr char centre[] = "jt-centre";          ///< of the entry node
-inline constexpr char klass[] = "jt-class";            ///< of the route
-inline constexpr char outcome[] = "jt-outcome";   ///< answer, not-run, unknown
-inline constexpr char reason[] = "jt-reason";     ///< of a refusal
-inline constexpr char load[] = "jt-load";         ///< of the gate
-inline constexpr char due[] = "jt-due-us";     ///< until it is late; signed
-inline constexpr char target[] = "jt-target-us"; ///< of the route
-inline constexpr char doubt[] = "jt-doubt";   ///< percent, of the worker
-inline constexpr char work_us[] = "jt-work-us"; ///< that work usually takes
-inline constexpr char severity[] = "jt-severity"; ///< claim about the worker
-inline constexpr char reached[] = "jt-reached"; ///< 1: the server refused
-inline constexpr char failed[] = "jt-failed";     ///< 1: the server's failure
-inline constexpr char retry_us[] = "jt-retry-us"; ///< when to come back
-inline constexpr char prefix[] = "jt-";
-} // namespace hop_field
-
 /// Fields that callers see.
 namespace caller_field {
 inline constexpr char outcome[] = "jasminetray-outcome";
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -52,7 +52,7 @@
           events({4096, 1024, static_cast<std::size_t>(s.log_lines)}),
           metrics(make_node_metrics()), entry(ctx), exit(ctx), admin(ctx),
           hosted_control(ctx), hosted_ready(ctx),
-          gossip(ctx), ticker(ctx), signals(ctx, SIGTERM, SIGINT),
+          gossip(ctx), ticker(ctx), signals(ctx, SIGTERM, SIGINT), reload(ctx, SIGHUP),
           slow(slow_threads), state(settings, ctx, events, *metrics)
     {
     }
@@ -70,6 +70,7 @@
     udp::socket gossip;
     asio::steady_timer ticker;
     asio::signal_set signals;
+    asio::signal_set reload; ///< the settings file may have changed
     asio::thread_pool slow;
     node_state state;
     std::unique_ptr<peer_server> rpc;
@@ -171,6 +172,7 @@
         else
             view_update(n.view, x.record, x.state, now);
     }
+    n.most_nodes = std::max(n.most_nodes, n.view.nodes.size());
     std::vector<path_complaint> complaints;
     for (const auto& [id, v] : n.view.nodes) {
         for (const auto about : v.record.complaints) {
@@ -540,6 +542,44 @@
     p.slow_state->leave();
 }
 
+/// Reads the settings again. Addresses stay those of the start; limits and
+/// what the platform tells about the VM are taken up. A file that is wrong
+/// changes nothing.
+void reload_settings(node_parts& p)
+{
+    config_error last;
+    const auto s = read_settings(p.settings.file, last);
+    if (!s || !check_settings(*s, p.settings.file, last)) {
+        p.events.write(event_id::settings_refused, p.settings.name,
+                       last.text());
+        return;
+    }
+    auto& now = p.settings;
+    now.stamp_bound = s->stamp_bound;
+    now.silence = s->silence;
+    now.quiet = s->quiet;
+    now.drain = s->drain;
+    now.stop_bound = s->stop_bound;
+    now.most_in_flight = s->most_in_flight;
+    now.service_in_flight = s->service_in_flight;
+    now.most_attempts = s->most_attempts;
+    now.hosted.service = s->hosted.service;
+    now.hosted.worker = s->hosted.worker;
+    p.state.door.limits.stamp_bound = now.stamp_bound;
+    p.events.write(event_id::settings_reloaded, now.name,
+                   "service=" + now.hosted.service);
+}
+
+void wait_reload(node_parts& p)
+{
+    p.reload.async_wait([&p](beast::error_code ec, int) {
+        if (ec)
+            return;
+        reload_settings(p);
+        wait_reload(p);
+    });
+}
+
 void write_ready_file(const node_parts& p)
 {
     if (p.settings.ready_file.empty())
@@ -585,6 +625,7 @@
         if (!ec)
             begin_stop(p);
     });
+    wait_reload(p);
     p.events.write(event_id::process_started, s.name,
                    "data_centre=" + s.centre);
     write_ready_file(p);
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -169,6 +169,8 @@
     std::map<std::uint32_t, std::uint32_t> source_index; ///< centre to index
 
     fleet_view view;
+    std::size_t most_nodes = 1; ///< that were ever known at once; a node that
+                                ///< is cut off must not take the others' part
     path_table paths;
     path_policy path_settings;
     balance_policy balance;
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -162,6 +162,12 @@
               "A node's process started.", "None."},
     event_row{event_id::process_stopping, "process_stopping",
               "A node's process drains and stops.", "None."},
+    event_row{event_id::settings_reloaded, "settings_reloaded",
+              "SIGHUP: the settings file was read again and taken up.",
+              "None; addresses stay those of the start."},
+    event_row{event_id::settings_refused, "settings_refused",
+              "SIGHUP: the settings file is wrong; the former settings stay.",
+              "Mend the file; the line says what is wrong."},
     event_row{event_id::log_lines_dropped, "log_lines_dropped",
               "Lines of one event were left out of the log because they "
               "came faster than the limit; the rings still have them.",
