--- a/src/balance/place_func.cpp
+++ b/src/balance/place_func.cpp
@@ -24,7 +24,7 @@
     if (!c.doubt.suspect || now - c.doubt.at > p.refusal_memory)
         return false;
     const bool probes =
-        r.idempotent && c.near && random_unit(rng) < p.probe_share;
+        r.may_fail && c.near && random_unit(rng) < p.probe_share;
     return !probes;
 }
 
@@ -42,7 +42,7 @@
     const double turns = std::max(0.0, load + 1 / c.slots - 1);
     const double wait = turns * static_cast<double>(c.work_us) /
                         static_cast<double>(std::max<span_us>(1, r.target));
-    return fails * (r.idempotent ? p.retry_share : 1) +
+    return fails * (r.may_fail ? p.retry_share : 1) +
            (c.near ? 0 : p.far_share) + p.late_share * wait +
            p.busy_share * std::min(1.0, load) +
            (c.trickle ? p.ejected_share : 0) + (c.path_bad ? p.path_share : 0);
--- a/src/balance/place_type.hpp
+++ b/src/balance/place_type.hpp
@@ -32,7 +32,7 @@
 /// What matters of a request.
 struct place_request
 {
-    bool idempotent = false;
+    bool may_fail = false; ///< a failure would be tried again elsewhere
     span_us target = 2 * us_per_s; ///< time that an answer is worth all
 };
 
--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -69,7 +69,7 @@
     // Doubt fades by itself, so that nobody is shut out for good.
     if (doubt_now(w.doubt, g.limits.doubt, now) <= g.limits.doubt.trust_at)
         return false;
-    return !r.idempotent || now < w.doubt.probe_at;
+    return !r.may_probe || now < w.doubt.probe_at;
 }
 
 gate_waiting waiting_of(const gate_request& r, std::uint64_t serial)
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -73,6 +73,7 @@
     boot_id boot{};          ///< process that the entry node means
     mono_us stamp = 0;       ///< newest stamp that the entry node had
     bool idempotent = false; ///< may run twice; not remembered
+    bool may_probe = false;  ///< a failure would be tried again elsewhere
     worker_id worker{};      ///< which backend server
     int priority = 5;        ///< 0 first, 9 last
     mono_us deadline = 0;    ///< on this process's clock
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -147,6 +147,7 @@
     h.attempt = {r.id, count};
     h.worker = t.worker;
     h.idempotent = r.machine.policy.idempotent;
+    h.may_probe = r.may_probe;
     h.priority = r.route->priority;
     h.klass = r.klass;
     h.centre = static_cast<std::uint32_t>(n.self.centre);
@@ -254,7 +255,7 @@
     const auto& all = it->second.candidates;
     if (!r.home && r.n.balance.doubt.on)
         return place(all, r.n.placing, r.n.balance,
-                     {r.machine.policy.idempotent, r.route->target_us},
+                     {r.may_probe, r.route->target_us},
                      r.tried, r.n.rng, mono_now());
     if (!r.home)
         return choose_worker(all, r.n.balance, r.machine.policy.idempotent,
@@ -344,6 +345,20 @@
     }
 }
 
+/// Whether the attempt that begins now may go to a suspect: its failure
+/// would be tried again, within attempts and budget. The track of the
+/// attempt stands in the machine already.
+bool others_may_fail(const entry_run& r)
+{
+    const auto& m = r.machine;
+    std::uint32_t reached = 0;
+    for (const auto& t : m.tracks)
+        reached += t.reached ? 1 : 0;
+    const auto it = r.n.budgets.find(r.service->name);
+    const bool paid = it != r.n.budgets.end() && it->second.tokens >= 1;
+    return m.policy.idempotent && reached < m.policy.most_attempts && paid;
+}
+
 } // namespace
 
 void start_attempt(const std::shared_ptr<entry_run>& r, std::uint32_t count,
@@ -351,6 +366,7 @@
 {
     if (count - 1 == r->machine.round_begin)
         begin_round(*r);
+    r->may_probe = others_may_fail(*r);
     r->tries.emplace_back();
     auto& t = r->tries.back();
     if (!aim(*r, t, count))
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -44,6 +44,7 @@
     w.request.worker = h->worker;
     w.request.stamp = h->stamp;
     w.request.idempotent = h->idempotent;
+    w.request.may_probe = h->may_probe;
     w.request.priority = h->priority;
     w.request.deadline =
         now + std::min(h->remaining, n.door.limits.longest_deadline);
