Tell loads within the data centre; take silence as weaker evidence

Cause: placement by loads that were up to a second old left slots empty next to full queues; overdue work alone made suspects, and 40 of 98 suspicions were answered well by the next probe.

--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -197,6 +197,14 @@
     }
 }
 
+std::vector<gate_decision> after_doubt(gate& g, gate_worker& w,
+                                       bool was_suspect, mono_us now)
+{
+    return w.doubt.suspect && !was_suspect
+               ? refuse_waiting(g, w, gate_error::suspected, now)
+               : std::vector<gate_decision>{};
+}
+
 } // namespace
 
 std::optional<admission> gate_admit(command_mode mode, gate& g,
@@ -289,12 +297,20 @@
     const auto it = g.workers.find(id);
     if (!g.limits.doubt.on || it == g.workers.end())
         return {};
-    auto& w = it->second;
-    const bool was = w.doubt.suspect;
-    doubt_seen(w.doubt, g.limits.doubt, failed, now);
-    return w.doubt.suspect && !was
-               ? refuse_waiting(g, w, gate_error::suspected, now)
-               : std::vector<gate_decision>{};
+    const bool was = it->second.doubt.suspect;
+    doubt_seen(it->second.doubt, g.limits.doubt, failed, now);
+    return after_doubt(g, it->second, was, now);
+}
+
+std::vector<gate_decision> gate_silent(gate& g, worker_id id, mono_us now)
+{
+    constexpr double usual_share = 0.85; // of work that is over by then
+    const auto it = g.workers.find(id);
+    if (!g.limits.doubt.on || it == g.workers.end())
+        return {};
+    const bool was = it->second.doubt.suspect;
+    doubt_silent(it->second.doubt, g.limits.doubt, usual_share, now);
+    return after_doubt(g, it->second, was, now);
 }
 
 bool gate_abandon(gate& g, const gate_request& r, mono_us now)
--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -111,9 +111,21 @@
     want,       ///< send me these records
     ask_usual,  ///< how does your backend server of a service look?
     tell_usual, ///< answer to ask_usual
+    load,       ///< how busy backend servers are at this moment
 };
 
-constexpr std::size_t gossip_kinds = 9; ///< number of kinds
+constexpr std::size_t gossip_kinds = 10; ///< number of kinds
+
+/// How a backend server stands at this moment, told to its data centre.
+struct load_report
+{
+    worker_id worker{};
+    service_id service{};
+    double load = 0;      ///< of its gate, per slot
+    span_us work = 0;     ///< that its work usually takes
+    int doubt = 0;        ///< percent; how likely it is sick
+    bool suspect = false; ///< work is held back from it
+};
 
 /// A question about a service's backend servers and its answer.
 struct usual_question
@@ -151,6 +163,7 @@
     std::vector<record_summary> summaries;
     std::vector<node_id> want;
     usual_question usual;
+    std::vector<load_report> loads;
 };
 
 /// A datagram to send.
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -73,6 +73,11 @@
                    datagram_message{std::move(bytes), ip, port});
 }
 
+void control::tell_loads(std::vector<load_report> loads)
+{
+    caf::anon_send(running_->members, loads_message{std::move(loads)});
+}
+
 void control::leave()
 {
     if (running_->presence)
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -36,6 +36,7 @@
     std::function<void(std::uint32_t ip, std::uint16_t port, usual_question,
                        bool answer)>
         usual;
+    std::function<void(std::vector<load_report>)> loads;
     std::function<void(wire_error, std::size_t bytes)> datagram_counted;
 };
 
@@ -70,6 +71,9 @@
     /// The node's own record changed.
     void update_self(node_record r);
 
+    /// Tells the nodes of the own data centre how its backend servers stand.
+    void tell_loads(std::vector<load_report> loads);
+
     /// The node stops: takes its row out of the store.
     void leave();
 
--- a/src/node/control_type.hpp
+++ b/src/node/control_type.hpp
@@ -45,6 +45,12 @@
     std::vector<node_address> peers; ///< some to fetch from
 };
 
+/// How the node's backend servers stand.
+struct loads_message
+{
+    std::vector<load_report> loads;
+};
+
 /// Contacts for membership, found in the store.
 struct contacts_message
 {
@@ -96,5 +102,6 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::usual_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::version_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::peers_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::loads_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::contacts_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::document_message)
--- a/src/node/health_driver.cpp
+++ b/src/node/health_driver.cpp
@@ -21,6 +21,8 @@
 constexpr double assumed_rate = 18;           // requests/s at a worker
 constexpr double overdue_factor = 8; // of the median; calls may add as much
 constexpr span_us least_overdue = us_per_s;     // work of 0.1 s has a tail
+constexpr int told_doubt = 10;                  // percent
+constexpr span_us told_again = us_per_s / 2;    // a lost datagram is made good
 constexpr int publish_step = 50;              // severity, in the record
 
 double floor_of(const node_state& n, const local_worker& w)
@@ -193,6 +195,29 @@
     check(n, w, now);
 }
 
+namespace {
+
+void tell_suspicion(node_state& n, worker_id id, bool was, const char* cause)
+{
+    if (is_suspect(n.door, id) == was)
+        return;
+    const auto doubt = gate_doubt(n.door, id, mono_now());
+    n.events.write(was ? event_id::worker_trusted : event_id::worker_suspected,
+                   n.workers[id].name,
+                   "cause=" + std::string(cause) +
+                       " doubt=" + std::to_string(percent_of(doubt)));
+    publish_self(n);
+}
+
+void note_silence(node_state& n, worker_id id, mono_us now)
+{
+    const bool was = is_suspect(n.door, id);
+    refuse_queued(n, gate_silent(n.door, id, now));
+    tell_suspicion(n, id, was, "silence");
+}
+
+} // namespace
+
 void note_doubt(node_state& n, worker_id id, outcome_kind seen)
 {
     if (seen == outcome_kind::neutral)
@@ -200,11 +225,48 @@
     const bool was = is_suspect(n.door, id);
     const bool failed = seen == outcome_kind::failed;
     refuse_queued(n, gate_outcome(n.door, id, failed, mono_now()));
-    if (is_suspect(n.door, id) == was)
-        return;
-    n.events.write(was ? event_id::worker_trusted : event_id::worker_suspected,
-                   n.workers[id].name, "");
-    publish_self(n);
+    tell_suspicion(n, id, was, failed ? "failure" : "success");
+}
+
+void tick_loads(node_state& n, mono_us now)
+{
+    std::vector<load_report> changed;
+    for (auto& [id, w] : n.workers) {
+        load_report l;
+        l.worker = id;
+        l.service = service_of(w.service);
+        l.load = gate_load(n.door, id);
+        l.work = gate_usual(n.door, id);
+        l.doubt = percent_of(gate_doubt(n.door, id, now));
+        l.suspect = is_suspect(n.door, id);
+        const bool moved = std::abs(l.load - w.told.load) * w.slots >= 1 ||
+                           l.suspect != w.told.suspect ||
+                           std::abs(l.doubt - w.told.doubt) >= told_doubt;
+        if (!moved && now - w.told_at < told_again)
+            continue;
+        w.told = l;
+        w.told_at = now;
+        changed.push_back(l);
+    }
+    if (!changed.empty())
+        n.control.tell_loads(std::move(changed));
+}
+
+void take_loads(node_state& n, const std::vector<load_report>& loads)
+{
+    constexpr double percent = 100;
+    const auto now = mono_now();
+    for (const auto& l : loads) {
+        auto* c = view_candidate(n.view, l.service, l.worker);
+        if (c == nullptr)
+            continue;
+        c->load = l.load;
+        c->load_at = now;
+        c->work_us = l.work;
+        c->doubt.sick = l.doubt / percent;
+        c->doubt.suspect = l.suspect;
+        c->doubt.at = now;
+    }
 }
 
 void tick_health(node_state& n, mono_us now)
@@ -216,7 +278,7 @@
         const auto overdue =
             health_overdue(w.health, overdue_factor, least_overdue, now);
         for (std::size_t k = 0; k < overdue; ++k)
-            note_doubt(n, id, outcome_kind::failed);
+            note_silence(n, id, now);
     }
 }
 
--- a/src/node/health_driver.hpp
+++ b/src/node/health_driver.hpp
@@ -14,6 +14,13 @@
 /// is held back from now on, or no more.
 void note_doubt(node_state& n, worker_id id, outcome_kind seen);
 
+/// Tells the data centre how this VM's backend servers stand, when that has
+/// changed enough to change where work goes.
+void tick_loads(node_state& n, mono_us now);
+
+/// Takes in what other nodes told so.
+void take_loads(node_state& n, const std::vector<load_report>& loads);
+
 /// Looks at all backend servers of this VM: silence is evidence too.
 void tick_health(node_state& n, mono_us now);
 
--- a/src/node/member_actor.cpp
+++ b/src/node/member_actor.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t pollers = 2;     // per data centre
 constexpr std::size_t fetch_peers = 3; // of each kind, to fetch from
 constexpr int peers_every = 10;        // ticks
+constexpr std::size_t most_told = 32;  // nodes, of a change of load
 
 /// State of the actor.
 struct member_keeper
@@ -124,9 +125,35 @@
         k.context->sinks.usual(d.ip, d.port, m->usual,
                                m->kind == gossip_kind::tell_usual);
     }
+    if (!m->loads.empty())
+        k.context->sinks.loads(m->loads);
     send_all(k, member_receive(k.table, *m, d.ip, d.port, k.rng, mono_now()));
 }
 
+/// Only the own data centre is told: there it costs no more than a small
+/// datagram to each, and placing by what was said a second ago leaves slots
+/// empty next to full queues.
+void tell_loads(member_keeper& k, const std::vector<load_report>& loads)
+{
+    gossip_message m;
+    m.kind = gossip_kind::load;
+    m.sender = summary_of(k.table.self);
+    m.centre = k.table.self.centre;
+    m.config_version = k.table.config_version;
+    m.config_hash = k.table.config_hash;
+    m.loads = loads;
+    const auto bytes = encode(m, k.context->start.keys);
+    auto near = alive_members(k.table, k.table.self.centre);
+    while (near.size() > most_told) {
+        const auto at = random_below(k.rng, near.size());
+        near.erase(near.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+    for (const auto* to : near) {
+        k.context->sinks.send_datagram(bytes, to->record.address.ip,
+                                       to->record.address.gossip_port);
+    }
+}
+
 void send_usual(member_keeper& k, const usual_message& u)
 {
     gossip_message m;
@@ -164,6 +191,7 @@
         },
         [=](const self_message& m) { member_update_self(k->table, m.record); },
         [=](const usual_message& m) { send_usual(*k, m); },
+        [=](const loads_message& m) { tell_loads(*k, m.loads); },
         [=](const version_message& m) {
             member_hear_config(k->table, m.version, m.manifest);
             pass_changes(self, *k);
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -247,6 +247,11 @@
                 answer_usual(p.state, ip, port, q);
         });
     };
+    k.loads = [&p, &ctx](std::vector<load_report> loads) {
+        asio::post(ctx, [&p, loads = std::move(loads)] {
+            take_loads(p.state, loads);
+        });
+    };
     k.datagram_counted = [&p](wire_error e, std::size_t bytes) {
         p.metrics->bytes_in->Increment(static_cast<double>(bytes));
         count(*p.metrics->datagrams, "fate",
@@ -263,6 +268,9 @@
     h.update_self = [&p](node_record r) {
         p.slow_state->update_self(std::move(r));
     };
+    h.tell_loads = [&p](std::vector<load_report> loads) {
+        p.slow_state->tell_loads(std::move(loads));
+    };
     h.send_usual = [&p](std::uint32_t ip, std::uint16_t port,
                         const usual_question& q, bool answer) {
         p.slow_state->send_usual(ip, port, q, answer);
@@ -510,8 +518,10 @@
         tick_gate(p.state, now);
         tick_health(p.state, now);
         tick_paths(p.state, now);
-        if (is_hosted(p.settings))
+        if (is_hosted(p.settings)) {
             tick_hosted(p.state, now);
+            tick_loads(p.state, now);
+        }
         if (now >= p.claims_at) {
             p.claims_at = now + claims_every;
             apply_all_claims(p.state);
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -41,6 +41,8 @@
     link_pool idle;
     std::uint64_t next_key = 0; ///< of outstanding work, for the evidence
     int published = 0;          ///< severity in the node's record
+    load_report told;           ///< to the data centre, last
+    mono_us told_at = 0;
     std::uint64_t boot = 0;     ///< of its process, as announced
     int by_operator = 0;        ///< severity that an operator set; 0 for none
     mono_us operator_until = 0; ///< when that ends by itself
@@ -106,6 +108,7 @@
 struct control_hooks
 {
     std::function<void(node_record)> update_self;
+    std::function<void(std::vector<load_report>)> tell_loads;
     std::function<void(std::uint32_t ip, std::uint16_t port,
                        const usual_question&, bool answer)>
         send_usual;
--- a/src/wire/gossip.capnp
+++ b/src/wire/gossip.capnp
@@ -54,6 +54,15 @@
   sourceShare @4 :Float64;
 }
 
+struct Load {
+  worker @0 :UInt64;
+  service @1 :UInt64;
+  hundredths @2 :UInt16;
+  workMs @3 :UInt32;
+  doubt @4 :UInt8;
+  suspect @5 :Bool;
+}
+
 struct Message {
   kind @0 :UInt8;
   sender @1 :Summary;
@@ -74,4 +83,5 @@
   back @16 :Int64;
   reports @17 :List(Report);
   about @18 :UInt32;
+  loads @19 :List(Load);
 }
--- a/src/wire/gossip.capnp.h
+++ b/src/wire/gossip.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(b57e70db2d745c4d);
 CAPNP_DECLARE_SCHEMA(cc8c0946a857b9a4);
 CAPNP_DECLARE_SCHEMA(93c6e0364af94aa4);
+CAPNP_DECLARE_SCHEMA(f9d15299fec336f3);
 CAPNP_DECLARE_SCHEMA(da83027a36bd1151);
 
 }  // namespace schemas
@@ -120,6 +121,21 @@
   };
 };
 
+struct Load {
+  Load() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f9d15299fec336f3, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -128,7 +144,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da83027a36bd1151, 10, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(da83027a36bd1151, 10, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -752,6 +768,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class Load::Reader {
+public:
+  typedef Load Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getWorker() const;
+
+  inline  ::uint64_t getService() const;
+
+  inline  ::uint16_t getHundredths() const;
+
+  inline  ::uint32_t getWorkMs() const;
+
+  inline  ::uint8_t getDoubt() const;
+
+  inline bool getSuspect() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Load::Builder {
+public:
+  typedef Load Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getWorker();
+  inline void setWorker( ::uint64_t value);
+
+  inline  ::uint64_t getService();
+  inline void setService( ::uint64_t value);
+
+  inline  ::uint16_t getHundredths();
+  inline void setHundredths( ::uint16_t value);
+
+  inline  ::uint32_t getWorkMs();
+  inline void setWorkMs( ::uint32_t value);
+
+  inline  ::uint8_t getDoubt();
+  inline void setDoubt( ::uint8_t value);
+
+  inline bool getSuspect();
+  inline void setSuspect(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Load::Pipeline {
+public:
+  typedef Load Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
 public:
   typedef Message Reads;
@@ -815,6 +932,9 @@
 
   inline  ::uint32_t getAbout() const;
 
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -934,6 +1054,13 @@
   inline  ::uint32_t getAbout();
   inline void setAbout( ::uint32_t value);
 
+  inline bool hasLoads();
+  inline  ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>> disownLoads();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1537,6 +1664,90 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Load::Reader::getWorker() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getWorker() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setWorker( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Load::Reader::getService() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Load::Builder::getService() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setService( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getHundredths() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getHundredths() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setHundredths( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getWorkMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getWorkMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setWorkMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Load::Reader::getDoubt() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Load::Builder::getDoubt() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setDoubt( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Load::Reader::getSuspect() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<152>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getSuspect() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<152>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSuspect(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<152>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t Message::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1981,6 +2192,40 @@
       ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Message::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setLoads( ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void Message::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>> Message::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/wire/wire_func.cpp
+++ b/src/wire/wire_func.cpp
@@ -4,6 +4,7 @@
 #include "member/member_query.hpp"
 #include "wire/gossip.capnp.h"
 
+#include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <cstring>
@@ -125,6 +126,30 @@
     return true;
 }
 
+constexpr double load_scale = 100;
+constexpr double most_load = 65535;
+
+void put_load(wire::Load::Builder b, const load_report& l)
+{
+    b.setWorker(static_cast<std::uint64_t>(l.worker));
+    b.setService(static_cast<std::uint64_t>(l.service));
+    b.setHundredths(static_cast<std::uint16_t>(
+        std::clamp(load_scale * l.load, 0.0, most_load)));
+    b.setWorkMs(static_cast<std::uint32_t>(l.work / us_per_ms));
+    b.setDoubt(static_cast<std::uint8_t>(l.doubt));
+    b.setSuspect(l.suspect);
+}
+
+load_report get_load(wire::Load::Reader r)
+{
+    return {static_cast<worker_id>(r.getWorker()),
+            static_cast<service_id>(r.getService()),
+            r.getHundredths() / load_scale,
+            static_cast<span_us>(r.getWorkMs()) * us_per_ms,
+            r.getDoubt(),
+            r.getSuspect()};
+}
+
 void put_lists(wire::Message::Builder b, const gossip_message& m)
 {
     auto records = b.initRecords(static_cast<unsigned>(m.records.size()));
@@ -146,6 +171,9 @@
     auto want = b.initWant(static_cast<unsigned>(m.want.size()));
     for (unsigned k = 0; k < want.size(); ++k)
         want.set(k, static_cast<std::uint64_t>(m.want[k]));
+    auto loads = b.initLoads(static_cast<unsigned>(m.loads.size()));
+    for (unsigned k = 0; k < loads.size(); ++k)
+        put_load(loads[k], m.loads[k]);
     auto reports = b.initReports(static_cast<unsigned>(m.usual.reports.size()));
     for (unsigned k = 0; k < reports.size(); ++k) {
         reports[k].setSeen(m.usual.reports[k].seen);
@@ -176,6 +204,8 @@
         m.summaries.push_back(get_summary(s));
     for (const auto id : r.getWant())
         m.want.push_back(static_cast<node_id>(id));
+    for (const auto x : r.getLoads())
+        m.loads.push_back(get_load(x));
     for (const auto x : r.getReports())
         m.usual.reports.push_back({x.getSeen(), x.getFailed(), x.getAbove(),
                                    x.getBurstUs(), x.getSourceShare()});
