Weigh bytes between data centres higher, unknown load as usual

Cause: far candidates that had said nothing looked idle beside near ones whose load is known to 50 ms.

--- a/src/balance/place_func.cpp
+++ b/src/balance/place_func.cpp
@@ -7,13 +7,15 @@
 
 namespace {
 
-/// Work at a candidate per slot: what it said last, which fades, and never
-/// less than what this node has there itself.
-double load_of(const candidate& c, const balance_policy& b, mono_us now)
+/// Work at a candidate per slot: what it said last, which fades to what is
+/// usual, and never less than what this node has there itself.
+double load_of(const candidate& c, const place_policy& p,
+               const balance_policy& b, mono_us now)
 {
-    const double age = static_cast<double>(now - c.load_at) /
-                       static_cast<double>(b.load_memory);
-    const double said = age < 1 ? c.load * (1 - age) : 0;
+    const double age =
+        std::min(1.0, static_cast<double>(now - c.load_at) /
+                          static_cast<double>(b.load_memory));
+    const double said = c.load * (1 - age) + p.usual_load * age;
     return std::max(said, c.in_flight / c.slots);
 }
 
@@ -36,7 +38,7 @@
 {
     const double sick = doubt_now(c.doubt, b.doubt, now);
     const double fails = b.doubt.fail_when_sick * sick;
-    const double load = load_of(c, b, now);
+    const double load = load_of(c, p, b, now);
     // What is beyond the slots waits; one full turn of all slots takes as
     // long as a piece of work.
     const double turns = std::max(0.0, load + 1 / c.slots - 1);
--- a/src/balance/place_type.hpp
+++ b/src/balance/place_type.hpp
@@ -14,7 +14,8 @@
 /// 5 KB answers at the price of bytes; the others were tried in steps.
 struct place_policy
 {
-    double far_share = 0.2;    ///< of a request that crosses data centres
+    double far_share = 0.3;    ///< of a request that crosses data centres
+    double usual_load = 0.6;    ///< of a candidate that said nothing lately
     double retry_share = 0.25; ///< of idempotent work that fails once
     double late_share = 0.7;   ///< of work whose wait equals its target
     double busy_share = 0.1;   ///< at full slots: it runs slower there
