--- a/bench/bench_scale.cpp
+++ b/bench/bench_scale.cpp
@@ -58,7 +58,7 @@
     for (std::size_t w = 0; w < workers; ++w) {
         r.workers.push_back({static_cast<worker_id>(n * 64 + w),
                              static_cast<service_id>((n * 13 + w) % 1600), 6, 0,
-                             false, centre_id{}});
+                             false, 0, centre_id{}});
     }
     return r;
 }
--- a/src/node/hop_func.cpp
+++ b/src/node/hop_func.cpp
@@ -113,8 +113,10 @@
 std::optional<hop_request> parse_hop_request(const std::string& text)
 {
     const auto parts = split(text, ',');
+    if (parts.size() < request_parts)
+        return std::nullopt;
     const auto attempt = parse_attempt_id(parts.front());
-    if (!attempt || parts.size() < request_parts)
+    if (!attempt)
         return std::nullopt;
     part_reader in{parts, 1};
     hop_request r;
--- a/test/fuzz_member.cpp
+++ b/test/fuzz_member.cpp
@@ -81,7 +81,7 @@
     r.centre = static_cast<jt::centre_id>(n < 3 ? 1 : 2);
     r.address = address_of(n);
     r.workers.push_back({static_cast<jt::worker_id>(n + 100), jt::service_id{9},
-                         6, 0, false, jt::centre_id{}});
+                         6, 0, false, 0, jt::centre_id{}});
     return r;
 }
 
--- a/test/test_core.cpp
+++ b/test/test_core.cpp
@@ -250,7 +250,7 @@
     fleet_view v;
     node_record r;
     r.id = node_id{4};
-    r.workers.push_back({w1, service_of("s"), 6, 0, false, centre_id{}});
+    r.workers.push_back({w1, service_of("s"), 6, 0, false, 0, centre_id{}});
     view_update(v, r, liveness::dead, us_per_s);
     service_config c;
     c.name = "s";
--- /dev/null
+++ b/test/test_doubt.cpp
@@ -0,0 +1,297 @@
+// Doubt, placing by expected loss, and the gate's queue, under the loads that
+// they answer.
+#include "balance/place_type.hpp"
+#include "gate/gate_cmd.hpp"
+#include "gate/gate_query.hpp"
+#include "limit/limit_type.hpp"
+
+#include <gtest/gtest.h>
+
+namespace jasminetray {
+namespace {
+
+constexpr auto backend = static_cast<worker_id>(1);
+constexpr mono_us start = 100 * us_per_s;
+
+doubt_policy on()
+{
+    doubt_policy p;
+    p.on = true;
+    return p;
+}
+
+gate make_gate(int slots)
+{
+    gate g;
+    g.limits.doubt = on();
+    gate_set_worker(g, backend, slots, 0);
+    g.workers[backend].usual = us_per_s / 2;
+    g.workers[backend].doubt.at = start;
+    return g;
+}
+
+/// Work that came at a moment, with a target.
+gate_request work(std::uint64_t seq, mono_us at, span_us target,
+                  bool idempotent = true)
+{
+    gate_request r;
+    r.attempt = {{static_cast<node_id>(1), seq}, 1};
+    r.worker = backend;
+    r.idempotent = idempotent;
+    r.may_probe = idempotent;
+    r.stamp = at;
+    r.target = target;
+    r.due = at + target;
+    r.deadline = at + 4 * target;
+    return r;
+}
+
+std::optional<admission> admit(gate& g, const gate_request& r, mono_us now,
+                               gate_error& last)
+{
+    return gate_admit(command_mode::apply, g, r, now, last);
+}
+
+TEST(doubt, one_failure_makes_a_suspect_and_a_success_clears_it)
+{
+    worker_doubt d;
+    d.at = start;
+    doubt_seen(d, on(), true, start);
+    EXPECT_TRUE(d.suspect);
+    doubt_seen(d, on(), false, start);
+    doubt_seen(d, on(), false, start);
+    EXPECT_FALSE(d.suspect);
+    // Just proven: failures happen to the well, one in fifty.
+    doubt_seen(d, on(), false, start);
+    doubt_seen(d, on(), true, start);
+    EXPECT_FALSE(d.suspect);
+    doubt_seen(d, on(), true, start);
+    EXPECT_TRUE(d.suspect);
+}
+
+TEST(doubt, it_fades_to_what_is_usual)
+{
+    worker_doubt d;
+    d.at = start;
+    doubt_seen(d, on(), true, start);
+    const auto p = on();
+    EXPECT_GT(doubt_now(d, p, start), 0.7);
+    EXPECT_NEAR(doubt_now(d, p, start + 60 * us_per_s), p.sick_share, 0.01);
+}
+
+TEST(doubt, one_silent_piece_of_work_makes_no_suspect)
+{
+    worker_doubt d;
+    d.at = start;
+    doubt_silent(d, on(), 0.85, start);
+    EXPECT_FALSE(d.suspect);
+    doubt_silent(d, on(), 0.85, start);
+    doubt_silent(d, on(), 0.85, start);
+    EXPECT_TRUE(d.suspect);
+}
+
+// Callers of charges see failures in bursts: a sick backend server answers
+// 500 within 2 ms, so its slots are always free. The gate must turn charges
+// away after the first, tell the truth that they did not run, and still let
+// a lookup in now and then, or the end of the sickness is never seen.
+TEST(gate_doubt, a_suspect_takes_only_probes)
+{
+    auto g = make_gate(6);
+    gate_error last{};
+    gate_outcome(g, backend, true, start);
+    EXPECT_FALSE(admit(g, work(1, start, 2 * us_per_s, false), start, last));
+    EXPECT_EQ(last, gate_error::suspected);
+    EXPECT_FALSE(admit(g, work(2, start, us_per_s), start, last));
+    const auto later = start + g.limits.doubt.probe_every;
+    EXPECT_TRUE(admit(g, work(3, start, us_per_s), later, last));
+    EXPECT_FALSE(admit(g, work(4, start, us_per_s), later, last));
+    EXPECT_EQ(last, gate_error::suspected);
+    auto last_try = work(5, start, us_per_s);
+    last_try.may_probe = false;
+    const auto next = later + g.limits.doubt.probe_every;
+    EXPECT_FALSE(admit(g, last_try, next, last));
+    gate_outcome(g, backend, false, later);
+    gate_outcome(g, backend, false, later);
+    EXPECT_TRUE(admit(g, work(6, start, 2 * us_per_s, false), later, last));
+}
+
+// Work waits at a gate when its backend server turns sick. Elsewhere there
+// are slots: it must be told at once, as not run, and never run here.
+TEST(gate_doubt, what_waits_is_refused_when_a_suspect_is_made)
+{
+    auto g = make_gate(1);
+    gate_error last{};
+    auto charge = work(2, start, 2 * us_per_s, false);
+    charge.boot = g.boot;
+    ASSERT_EQ(admit(g, work(1, start, 2 * us_per_s), start, last),
+              admission::started);
+    ASSERT_EQ(admit(g, charge, start, last), admission::queued);
+    const auto told = gate_outcome(g, backend, true, start);
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_FALSE(told[0].start);
+    EXPECT_EQ(told[0].why, gate_error::suspected);
+    EXPECT_EQ(gate_find(g, charge.attempt)->state, gate_state::revoked);
+}
+
+TEST(gate_drain, what_waits_is_refused_when_a_drain_begins)
+{
+    auto g = make_gate(1);
+    gate_error last{};
+    admit(g, work(1, start, 2 * us_per_s), start, last);
+    ASSERT_EQ(admit(g, work(2, start, 2 * us_per_s), start, last),
+              admission::queued);
+    const auto told = gate_drain_worker(g, backend, true, start);
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told[0].why, gate_error::draining);
+    EXPECT_FALSE(admit(g, work(3, start, 2 * us_per_s), start, last));
+}
+
+// A caller of a charge gets 500 though its own backend server is well: the
+// lookups that it makes stand in one queue behind longer work and time out.
+// Lookups, with their short targets, must come first; what can still be in
+// time comes before what is late already.
+TEST(gate_queue, short_targets_first_then_what_can_be_in_time)
+{
+    auto g = make_gate(1);
+    g.limits.late_admit = 2;
+    g.limits.late_keep = 2;
+    gate_error last{};
+    const auto now = start + us_per_s;
+    ASSERT_EQ(admit(g, work(1, now, 4 * us_per_s), now, last),
+              admission::started);
+    const auto late = work(2, start - 3 * us_per_s, 4 * us_per_s);
+    const auto fresh = work(3, now, 4 * us_per_s);
+    const auto lookup = work(4, now, us_per_s);
+    for (const auto& r : {late, fresh, lookup})
+        ASSERT_EQ(admit(g, r, now, last), admission::queued) << int(last);
+    std::vector<std::uint64_t> order;
+    auto moment = now;
+    for (int k = 0; k < 3; ++k) {
+        gate_request ended;
+        ended.worker = backend;
+        ended.idempotent = true;
+        gate_finish(g, ended, work_end::answered, us_per_s / 2, moment);
+        for (const auto& d : gate_advance(g, backend, moment)) {
+            if (d.start)
+                order.push_back(d.attempt.request.seq);
+        }
+        moment += us_per_s / 10;
+    }
+    EXPECT_EQ(order, (std::vector<std::uint64_t>{4, 3, 2}));
+}
+
+// At 1.5 times capacity for seconds a queue without bound makes everybody
+// late. Whoever could only start after its target is told at once.
+TEST(gate_queue, what_would_start_too_late_is_refused_at_once)
+{
+    auto g = make_gate(2);
+    gate_error last{};
+    int started = 0;
+    int queued = 0;
+    std::uint64_t seq = 0;
+    while (const auto a = admit(g, work(++seq, start, 2 * us_per_s), start,
+                                last)) {
+        started += *a == admission::started ? 1 : 0;
+        queued += *a == admission::queued ? 1 : 0;
+    }
+    EXPECT_EQ(last, gate_error::deadline_short);
+    EXPECT_EQ(started, 2);
+    // Two slots, half a second each: eight begin within two seconds.
+    EXPECT_GE(queued, 5);
+    EXPECT_LE(queued, 8);
+}
+
+candidate make_candidate(std::uint64_t id, bool near, double load, double sick)
+{
+    candidate c;
+    c.id = static_cast<worker_id>(id);
+    c.near = near;
+    c.slots = 6;
+    c.load = load;
+    c.load_at = start;
+    c.doubt.sick = sick;
+    c.doubt.at = start;
+    return c;
+}
+
+worker_id placed(const std::vector<candidate>& all, bool may_fail)
+{
+    balance_policy b;
+    b.doubt = on();
+    random_state rng{1};
+    const auto c = place(all, place_policy{}, b, {may_fail, 2 * us_per_s}, {},
+                         rng, start);
+    return c ? all[c->index].id : worker_id{};
+}
+
+// Charges fail again and again at the backend server that answers fastest:
+// the sick one is idle. Load alone must not decide.
+TEST(placing, an_idle_sick_one_is_passed_over)
+{
+    const std::vector<candidate> all = {make_candidate(1, true, 0, 0.9),
+                                        make_candidate(2, true, 0.8, 0.05)};
+    EXPECT_EQ(placed(all, false), static_cast<worker_id>(2));
+}
+
+TEST(placing, near_unless_the_wait_there_costs_more)
+{
+    EXPECT_EQ(placed({make_candidate(1, true, 0.9, 0.05),
+                      make_candidate(2, false, 0.1, 0.05)},
+                     false),
+              static_cast<worker_id>(1));
+    EXPECT_EQ(placed({make_candidate(1, true, 3.5, 0.05),
+                      make_candidate(2, false, 0.1, 0.05)},
+                     false),
+              static_cast<worker_id>(2));
+}
+
+TEST(placing, a_path_that_loses_work_is_the_last_choice)
+{
+    auto cut = make_candidate(1, true, 0, 0.05);
+    cut.path_bad = true;
+    EXPECT_EQ(placed({cut, make_candidate(2, false, 0.9, 0.05)}, false),
+              static_cast<worker_id>(2));
+    EXPECT_EQ(placed({cut}, false), static_cast<worker_id>(1));
+}
+
+TEST(placing, a_known_suspect_is_not_asked_again_at_once)
+{
+    auto suspect = make_candidate(1, true, 0, 0.9);
+    suspect.doubt.suspect = true;
+    EXPECT_EQ(placed({suspect}, false), worker_id{});
+    suspect.doubt.at -= us_per_s;
+    EXPECT_EQ(placed({suspect}, false), static_cast<worker_id>(1));
+}
+
+// Every request of a service fails for a minute. 21 nodes may send one retry
+// in five requests and 60 more in ten seconds, together.
+TEST(allowance, nodes_together_stay_within_it)
+{
+    constexpr std::size_t nodes = 21;
+    constexpr double per_node = 4; // requests a second
+    constexpr int tenths = 600;
+    std::vector<retry_budget> all(nodes);
+    std::vector<int> retries(tenths);
+    std::vector<double> requests(tenths);
+    for (int k = 0; k < tenths; ++k) {
+        const auto now = start + k * us_per_s / 10;
+        for (auto& b : all) {
+            share_allowance(b, {60, 10 * us_per_s, nodes}, now);
+            earn_retry(b, 0.2 * per_node / 10);
+            requests[k] += per_node / 10;
+            retries[k] += spend_retry(b) ? 1 : 0;
+        }
+    }
+    for (int from = 0; from + 100 <= tenths; ++from) {
+        double sent = 0;
+        double asked = 0;
+        for (int k = from; k < from + 100; ++k) {
+            sent += retries[k];
+            asked += requests[k];
+        }
+        EXPECT_LE(sent, 0.2 * asked + 60);
+    }
+}
+
+} // namespace
+} // namespace jasminetray
--- /dev/null
+++ b/test/test_hop.cpp
@@ -0,0 +1,91 @@
+// The field between nodes: what one writes the other reads, and nothing else
+// passes for it.
+#include "node/hop_type.hpp"
+#include "platform/dialect.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace jasminetray {
+namespace {
+
+TEST(hop, a_request_comes_out_as_it_went_in)
+{
+    rc::check("round trip", [] {
+        hop_request r;
+        r.attempt = {{static_cast<node_id>(*rc::gen::arbitrary<std::uint64_t>()),
+                      *rc::gen::arbitrary<std::uint64_t>()},
+                     *rc::gen::inRange<std::uint32_t>(1, 9)};
+        r.worker =
+            static_cast<worker_id>(*rc::gen::arbitrary<std::uint64_t>());
+        r.idempotent = *rc::gen::arbitrary<bool>();
+        r.may_probe = *rc::gen::arbitrary<bool>();
+        r.priority = *rc::gen::inRange(0, 1000);
+        r.centre = *rc::gen::arbitrary<std::uint32_t>();
+        r.remaining = *rc::gen::inRange<span_us>(0, 60 * us_per_s);
+        r.elapsed = *rc::gen::inRange<span_us>(0, 60 * us_per_s);
+        r.target = *rc::gen::inRange<span_us>(0, 60 * us_per_s);
+        r.boot = static_cast<boot_id>(*rc::gen::inRange<std::uint64_t>(1, 99));
+        r.stamp = *rc::gen::inRange<mono_us>(0, INT64_MAX);
+        const auto back = parse_hop_request(to_text(r));
+        RC_ASSERT(back.has_value());
+        RC_ASSERT(back->attempt == r.attempt);
+        RC_ASSERT(back->worker == r.worker);
+        RC_ASSERT(back->idempotent == r.idempotent);
+        RC_ASSERT(back->may_probe == r.may_probe);
+        RC_ASSERT(back->priority == r.priority);
+        RC_ASSERT(back->centre == r.centre);
+        RC_ASSERT(back->remaining == r.remaining);
+        RC_ASSERT(back->elapsed == r.elapsed);
+        RC_ASSERT(back->target == r.target);
+        if (!r.idempotent) {
+            RC_ASSERT(back->boot == r.boot);
+            RC_ASSERT(back->stamp == r.stamp);
+        }
+    });
+}
+
+TEST(hop, an_answer_comes_out_as_it_went_in)
+{
+    hop_answer a;
+    a.echo = 0xdeadbeef;
+    a.outcome = hop_outcome::not_run;
+    a.reached = true;
+    a.suspect = true;
+    a.load = 1.25;
+    a.work = 520 * us_per_ms;
+    a.doubt = 93;
+    a.severity = 40;
+    a.retry = 700 * us_per_ms;
+    a.boot = static_cast<boot_id>(5);
+    a.stamp = 77;
+    for (const char* reason : {"", "queue-full"}) {
+        a.reason = reason;
+        const auto back = parse_hop_answer(to_text(a));
+        ASSERT_TRUE(back) << to_text(a);
+        EXPECT_EQ(to_text(*back), to_text(a));
+        EXPECT_EQ(back->reason, reason);
+    }
+}
+
+TEST(hop, other_text_is_refused)
+{
+    for (const char* text : {"", "a", "x,1,2,3,4,5,6,7,-", "a,1,2,3",
+                             "n,1,zz,3,4,5,6,7,-", "a,1,0,0,0,0,0,0,-,5"}) {
+        EXPECT_FALSE(parse_hop_answer(text)) << text;
+        EXPECT_FALSE(parse_hop_request(text)) << text;
+    }
+}
+
+TEST(dialect, the_platforms_names_are_all_set)
+{
+    const auto d = make_platform_dialect();
+    EXPECT_TRUE(d.callers_id);
+    EXPECT_FALSE(d.explain);
+    for (const auto name : {d.request, d.deadline, d.not_run, d.load, d.worker,
+                            d.expected_worker, d.caller_service, d.proof})
+        EXPECT_FALSE(name.empty());
+}
+
+} // namespace
+} // namespace jasminetray
--- /dev/null
+++ b/test/test_platform_config.cpp
@@ -0,0 +1,119 @@
+// The operator's document into the product's configuration: whole or not at
+// all, with a reason that names the part.
+#include "config/config_query.hpp"
+#include "platform/operator_config.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace jasminetray {
+namespace {
+
+constexpr char good[] = R"({"Version":7,
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,
+           "HeaderTimeoutS":3,"IdleTimeoutS":15.5},
+ "BaseVersion":5,
+ "Listeners":[
+  {"Host":"a.example","Rules":[
+   {"Name":"charge","Kind":"non_idempotent","TargetLatencyS":2,"Priority":1,
+    "Match":{"Prefix":"/x/"},
+    "Action":{"Service":"billing","TimeoutS":8,"Attempts":2}},
+   {"Name":"deep","Kind":"idempotent","TargetLatencyS":0.5,"Priority":2,
+    "Match":{"Prefix":"/x/y/"},
+    "Action":{"TrafficSplit":[{"Service":"billing","Weight":90},
+                              {"Service":"orders","Weight":10}],
+              "TimeoutS":2,"Attempts":3}}]},
+  {"Host":"b.example","Rules":[
+   {"Name":"other","Kind":"idempotent",
+    "Match":{"Prefix":"/x/"},"Action":{"Service":"orders","TimeoutS":1}}]}],
+ "Clusters":[
+  {"Name":"billing","HealthPath":"/health","MaxConnections":360},
+  {"Name":"orders","HealthPath":"/up"}]})";
+
+constexpr double floor_share = 0.7;
+
+std::string error_of(const std::string& text)
+{
+    std::string why;
+    return parse_operator_config(text, floor_share, why) ? "" : why;
+}
+
+/// The good document with one text replaced by another.
+std::string with(const std::string& from, const std::string& to)
+{
+    std::string text = good;
+    const auto at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return text.replace(at, from.size(), to);
+}
+
+TEST(operator_config, becomes_the_products_own)
+{
+    std::string why;
+    const auto c = parse_operator_config(good, floor_share, why);
+    ASSERT_TRUE(c) << why;
+    EXPECT_EQ(c->version, 7U);
+    EXPECT_EQ(c->limits.idle_us, 15500 * us_per_ms);
+    EXPECT_EQ(c->limits.header_bytes, 16384);
+    const auto* charge = find_route(*c, "a.example", "/x/1");
+    ASSERT_NE(charge, nullptr);
+    EXPECT_EQ(charge->name, "charge");
+    EXPECT_FALSE(is_idempotent(*charge, "GET"));
+    EXPECT_EQ(charge->deadline_us, 8 * us_per_s);
+    EXPECT_EQ(charge->target_us, 2 * us_per_s);
+    EXPECT_EQ(charge->attempts, 2);
+    EXPECT_EQ(charge->priority, 1);
+    const auto* deep = find_route(*c, "a.example", "/x/y/z");
+    ASSERT_NE(deep, nullptr);
+    EXPECT_EQ(deep->name, "deep");
+    EXPECT_TRUE(is_idempotent(*deep, "POST"));
+    EXPECT_EQ(choose_part(*deep, 0.0), "billing");
+    EXPECT_EQ(choose_part(*deep, 0.89), "billing");
+    EXPECT_EQ(choose_part(*deep, 0.91), "orders");
+    EXPECT_EQ(find_route(*c, "b.example", "/x/y/z")->name, "other");
+    EXPECT_EQ(find_route(*c, "c.example", "/x/"), nullptr);
+    EXPECT_EQ(find_route(*c, "a.example", "/x"), nullptr);
+    EXPECT_EQ(find_service(*c, "orders")->health_path, "/up");
+}
+
+TEST(operator_config, unknown_fields_are_ignored)
+{
+    EXPECT_EQ(error_of(with("\"BaseVersion\":5", "\"New\":{\"a\":[1]}")), "");
+}
+
+// The operator sees its version refused in the log and the former one stays:
+// a document that is half written or contradicts itself must not half apply.
+TEST(operator_config, what_is_wrong_refuses_all)
+{
+    EXPECT_EQ(error_of(std::string(good).substr(0, 400)),
+              "not a whole JSON object");
+    EXPECT_EQ(error_of(with("\"Service\":\"billing\",\"TimeoutS\"",
+                            "\"Service\":\"nobody\",\"TimeoutS\"")),
+              "route charge names service 'nobody', which no [service] "
+              "section defines");
+    EXPECT_EQ(error_of(with("\"TimeoutS\":8,", "")),
+              "route charge: TimeoutS must be a time in seconds");
+    EXPECT_EQ(error_of(with("\"non_idempotent\"", "\"maybe\"")),
+              "route charge: Kind must be idempotent or non_idempotent");
+    EXPECT_EQ(error_of(with(",\"Weight\":90", "")),
+              "route deep: Weight must be a number that is not negative");
+    EXPECT_EQ(error_of(with("\"/x/y/\"", "\"/x/y\"")),
+              "route deep: Prefix must be a path that begins and ends with a "
+              "slash");
+    EXPECT_EQ(error_of(with("\"/x/y/\"", "\"/x/\"")),
+              "route deep has the host and path of another route");
+    EXPECT_EQ(error_of(with("\"Version\":7", "\"Version\":\"7\"")),
+              "document: Version must be a whole number above 0");
+}
+
+TEST(operator_config, no_cut_passes_for_a_whole_one)
+{
+    const std::string text = good;
+    rc::check("a prefix is refused", [&] {
+        const auto n = *rc::gen::inRange<std::size_t>(0, text.size() - 1);
+        RC_ASSERT(!error_of(text.substr(0, n)).empty());
+    });
+}
+
+} // namespace
+} // namespace jasminetray
