--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
   libsodium-dev libgtest-dev
 SUDO := $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 BUILD := build/release
-SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.hpp' 'test/*.cpp' \
+SOURCES := $(shell git ls-files 'src/*.cpp' 'src/*.hpp' 'platform/*.cpp' \
+  'platform/*.hpp' 'test/*.cpp' \
   'test/*.hpp' 'bench/*.cpp' 'bench/*.hpp')
 MINUTES ?= 5
 
--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -68,8 +68,7 @@
 {
     return reached_count(r) < r.policy.most_attempts &&
            r.tracks.size() < r.round_begin + r.policy.most_tries &&
-           !r.out_of_workers &&
-           now + r.policy.least_left < r.deadline;
+           !r.out_of_workers && now + r.policy.least_left < r.deadline;
 }
 
 constexpr std::uint32_t most_steps = 3; // by which the pause grows
@@ -79,8 +78,7 @@
 bool may_wait(const request_state& r, mono_us now)
 {
     const auto pause = r.policy.pause * (1 + std::min(r.rounds, most_steps));
-    return r.policy.pause > 0 &&
-           reached_count(r) < r.policy.most_attempts &&
+    return r.policy.pause > 0 && reached_count(r) < r.policy.most_attempts &&
            now + pause <= r.began + r.policy.wait_most &&
            now + pause + r.policy.revoke_margin < r.deadline;
 }
@@ -123,7 +121,8 @@
         return send(r, attempt_action_kind::send_fresh, now, out);
     }
     if (safe && may_wait(r, now)) {
-        r.again_at = now + r.policy.pause * (1 + std::min(r.rounds, most_steps));
+        r.again_at =
+            now + r.policy.pause * (1 + std::min(r.rounds, most_steps));
         return;
     }
     settle(r, out, on);
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -99,9 +99,9 @@
     bool idempotent = false;
     std::uint32_t most_attempts = 3; ///< that may reach a backend server
     std::uint32_t most_tries = 8;    ///< with those that a gate refused
-    span_us silence = 200000;       ///< without an answer, before acting
-    span_us revoke_margin = 100000; ///< kept before the deadline to ask
-    span_us least_left = 5000;      ///< no new attempt with less time left
+    span_us silence = 200000;        ///< without an answer, before acting
+    span_us revoke_margin = 100000;  ///< kept before the deadline to ask
+    span_us least_left = 5000;       ///< no new attempt with less time left
     /// When every gate has refused, before all are asked again; 0 for never.
     /// Backend servers come back within seconds, and waiting here for one is
     /// service where a refusal is not.
@@ -132,9 +132,9 @@
     bool out_of_workers = false;       ///< nobody is left to try
     std::uint32_t retries = 0;         ///< beyond the first attempt
     mono_us began = 0;
-    mono_us again_at = mono_never;  ///< when the next round begins
-    std::uint32_t round_begin = 0;  ///< attempts before this round
-    std::uint32_t rounds = 0;       ///< ended; each pause is longer
+    mono_us again_at = mono_never; ///< when the next round begins
+    std::uint32_t round_begin = 0; ///< attempts before this round
+    std::uint32_t rounds = 0;      ///< ended; each pause is longer
 };
 
 } // namespace jasminetray
--- a/src/balance/balance_type.hpp
+++ b/src/balance/balance_type.hpp
@@ -20,16 +20,16 @@
     node_id exit{};   ///< node that guards it
     bool near = true; ///< in the entry node's data centre
     double slots = 1;
-    double weight = 1;    ///< after claims and floor; 0 for never
-    bool trickle = false; ///< ejected: idempotent work only
-    bool path_bad = false; ///< this node's way there loses work
-    bool held = false;    ///< deserves ejection; the floor forbids it
-    double load = 0;      ///< of its gate, on its last answer
-    mono_us load_at = 0;  ///< when that answer came
-    int in_flight = 0;    ///< own work there
-    mono_us born_at = 0;  ///< first seen; a cold start ramps up
-    worker_doubt doubt;   ///< as the exit node last told it
-    int told_doubt = 0;   ///< percent, in the node's record
+    double weight = 1;        ///< after claims and floor; 0 for never
+    bool trickle = false;     ///< ejected: idempotent work only
+    bool path_bad = false;    ///< this node's way there loses work
+    bool held = false;        ///< deserves ejection; the floor forbids it
+    double load = 0;          ///< of its gate, on its last answer
+    mono_us load_at = 0;      ///< when that answer came
+    int in_flight = 0;        ///< own work there
+    mono_us born_at = 0;      ///< first seen; a cold start ramps up
+    worker_doubt doubt;       ///< as the exit node last told it
+    int told_doubt = 0;       ///< percent, in the node's record
     span_us work_us = 500000; ///< that its work usually takes
 };
 
--- a/src/balance/place_func.cpp
+++ b/src/balance/place_func.cpp
@@ -12,9 +12,8 @@
 double load_of(const candidate& c, const place_policy& p,
                const balance_policy& b, mono_us now)
 {
-    const double age =
-        std::min(1.0, static_cast<double>(now - c.load_at) /
-                          static_cast<double>(b.load_memory));
+    const double age = std::min(1.0, static_cast<double>(now - c.load_at) /
+                                         static_cast<double>(b.load_memory));
     const double said = c.load * (1 - age) + p.usual_load * age;
     return std::max(said, c.in_flight / c.slots);
 }
@@ -32,8 +31,7 @@
 
 /// A near suspect to be probed, chosen at random; nothing in most cases.
 std::optional<choice> place_probe(const std::vector<candidate>& all,
-                                  const place_policy& p,
-                                  const place_request& r,
+                                  const place_policy& p, const place_request& r,
                                   const std::vector<worker_id>& tried,
                                   random_state& rng)
 {
--- a/src/balance/place_type.hpp
+++ b/src/balance/place_type.hpp
@@ -14,11 +14,11 @@
 /// 5 KB answers at the price of bytes; the others were tried in steps.
 struct place_policy
 {
-    double far_share = 0.3;    ///< of a request that crosses data centres
+    double far_share = 0.3;     ///< of a request that crosses data centres
     double usual_load = 0.6;    ///< of a candidate that said nothing lately
-    double retry_share = 0.25; ///< of idempotent work that fails once
-    double late_share = 0.7;   ///< of work whose wait equals its target
-    double busy_share = 0.1;   ///< at full slots: it runs slower there
+    double retry_share = 0.25;  ///< of idempotent work that fails once
+    double late_share = 0.7;    ///< of work whose wait equals its target
+    double busy_share = 0.1;    ///< at full slots: it runs slower there
     double ejected_share = 0.1; ///< of a backend server that was ejected;
                                 ///< doubt has told most of it already
     double path_share = 0.9;    ///< of a path that lost its last work
@@ -35,7 +35,7 @@
 /// What matters of a request.
 struct place_request
 {
-    bool may_fail = false; ///< a failure would be tried again elsewhere
+    bool may_fail = false;         ///< a failure would be tried again elsewhere
     span_us target = 2 * us_per_s; ///< time that an answer is worth all
 };
 
--- a/src/config/config_store.cpp
+++ b/src/config/config_store.cpp
@@ -248,8 +248,7 @@
     return "manifest-" + to_hex(hash);
 }
 
-std::optional<config_head> read_head(const store_api& p,
-                                     store_error& last)
+std::optional<config_head> read_head(const store_api& p, store_error& last)
 {
     const auto row = p.read_row({config_table, head_key}, last);
     if (!row && last == store_error::missing) {
@@ -289,7 +288,7 @@
     if (!manifest)
         return not_accepted(last, "storing the files");
     const config_head ours{head->version + 1, *manifest, s.author, s.id,
-                           s.rolled_back_to, 0};
+                           s.rolled_back_to,  0};
     const std::vector<row_write> writes = {
         {{config_table, head_key}, head->row, to_text(ours), false},
         {{config_table, history_key(ours.version)}, 0, to_text(ours), false}};
--- a/src/config/config_store.hpp
+++ b/src/config/config_store.hpp
@@ -94,13 +94,11 @@
 submit_result submit_config(const store_api& p, const submission& s);
 
 /// Head row; version 0 when nothing was accepted yet.
-std::optional<config_head> read_head(const store_api& p,
-                                     store_error& last);
+std::optional<config_head> read_head(const store_api& p, store_error& last);
 
 /// History row of a version.
-std::optional<config_head> read_history(const store_api& p,
-                                        std::uint64_t version,
-                                        store_error& last);
+std::optional<config_head>
+read_history(const store_api& p, std::uint64_t version, store_error& last);
 
 /// Files of a manifest, read through any source of objects.
 /// @param hash of the manifest
--- a/src/config/config_type.hpp
+++ b/src/config/config_type.hpp
@@ -54,14 +54,14 @@
 /// A service: backend servers that do the same work.
 struct service_config
 {
-    std::string name;                   ///< name that backend servers announce
-    service_class kind{};               ///< class of the brief
-    floor_unit floor_kind{};            ///< unit of floor_value
-    double floor_value = 60;            ///< capacity that ejection must leave
-    double false_ejections_per_day = 1; ///< accepted, per worker
-    double retry_share = 0.1;           ///< retries per first attempt
-    span_us drain_us = 2 * us_per_s;    ///< new work after a drain began
-    bool echo_required = true;          ///< answers must echo the request id
+    std::string name;                    ///< name that backend servers announce
+    service_class kind{};                ///< class of the brief
+    floor_unit floor_kind{};             ///< unit of floor_value
+    double floor_value = 60;             ///< capacity that ejection must leave
+    double false_ejections_per_day = 1;  ///< accepted, per worker
+    double retry_share = 0.1;            ///< retries per first attempt
+    span_us drain_us = 2 * us_per_s;     ///< new work after a drain began
+    bool echo_required = true;           ///< answers must echo the request id
     std::string health_path = "/health"; ///< answers 200 while it feels well
     int most_connections = 256; ///< that a backend server accepts in all
 };
@@ -87,16 +87,16 @@
 /// A route: which requests go to which service.
 struct route_config
 {
-    std::string name;                    ///< name in logs
-    std::string host;                    ///< exact host; empty for any
-    std::string path;                    ///< prefix, at a '/' boundary
-    std::string service;                 ///< name of a service; of the first
-                                         ///< part when there are several
-    std::vector<route_part> parts;       ///< empty for all to `service`
-    int priority = 5;                    ///< 0 first, 9 last
-    span_us deadline_us = 2 * us_per_s;  ///< from the caller's first byte
-    span_us target_us = 0;   ///< an answer is worth all until then; 0 for none
-    int attempts = 0;        ///< backend servers at most; 0 for the node's
+    std::string name;                   ///< name in logs
+    std::string host;                   ///< exact host; empty for any
+    std::string path;                   ///< prefix, at a '/' boundary
+    std::string service;                ///< name of a service; of the first
+                                        ///< part when there are several
+    std::vector<route_part> parts;      ///< empty for all to `service`
+    int priority = 5;                   ///< 0 first, 9 last
+    span_us deadline_us = 2 * us_per_s; ///< from the caller's first byte
+    span_us target_us = 0; ///< an answer is worth all until then; 0 for none
+    int attempts = 0;      ///< backend servers at most; 0 for the node's
     std::string idempotent = "GET,HEAD"; ///< methods that may run twice; *
                                          ///< for all
     key_mode keys = key_mode::claim;     ///< what idempotency keys mean
@@ -112,10 +112,10 @@
 /// What callers may send, and how long they may take.
 struct caller_limits
 {
-    std::int64_t header_bytes = 16384;    ///< of a request's head
-    std::int64_t body_bytes = 67108864;   ///< of a request's body
-    span_us header_us = 5 * us_per_s;     ///< for the head to arrive
-    span_us idle_us = 60 * us_per_s;      ///< of a connection between requests
+    std::int64_t header_bytes = 16384;  ///< of a request's head
+    std::int64_t body_bytes = 67108864; ///< of a request's body
+    span_us header_us = 5 * us_per_s;   ///< for the head to arrive
+    span_us idle_us = 60 * us_per_s;    ///< of a connection between requests
 };
 
 /// Everything that is in force at one site.
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -23,7 +23,7 @@
     std::string service; ///< of that backend server
     double retry_ratio = 0.2;             ///< retries per request, fleet-wide
     span_us retry_window = 10 * us_per_s; ///< over which they are counted
-    double retry_slack = 60; ///< retries beyond the ratio, of the whole fleet
+    double retry_slack = 60;  ///< retries beyond the ratio, of the whole fleet
     double floor_share = 0.7; ///< of a service's capacity, kept in use
     span_us drain = 2 * us_per_s; ///< new work after a drain was acknowledged
 };
--- a/src/ctl/ctl_config.cpp
+++ b/src/ctl/ctl_config.cpp
@@ -142,8 +142,7 @@
 }
 
 /// Head or a version's history row.
-std::optional<config_head> find_head(const store_api& p,
-                                     store_error& last)
+std::optional<config_head> find_head(const store_api& p, store_error& last)
 {
     return FLAGS_number == 0 ? read_head(p, last)
                              : read_history(p, FLAGS_number, last);
--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -110,8 +110,8 @@
 {
     if (due == mono_never)
         return mono_never;
-    const auto late = static_cast<span_us>(
-        (1 + late_share) * static_cast<double>(target));
+    const auto late =
+        static_cast<span_us>((1 + late_share) * static_cast<double>(target));
     return due - target + std::max(l.least_wait, late);
 }
 
@@ -132,7 +132,8 @@
     span_us ahead = w.usual;
     for (const auto& x : w.queue)
         ahead += comes_before(w, x, mine, now) ? took_by(w, x.klass) : 0;
-    const auto wait = ahead / std::max<span_us>(1, static_cast<span_us>(w.limit));
+    const auto wait =
+        ahead / std::max<span_us>(1, static_cast<span_us>(w.limit));
     const auto start = now + wait;
     const bool in_time =
         start + took_by(w, r.klass) / 2 < r.deadline &&
@@ -248,7 +249,8 @@
     for (const auto& x : q) {
         // Started now it would end after its deadline in most cases: a slot
         // spent for nobody. Refused while its caller can still be told.
-        const auto latest = latest_start(g.limits, x.due, x.target, g.limits.late_keep);
+        const auto latest =
+            latest_start(g.limits, x.due, x.target, g.limits.late_keep);
         if (x.deadline - took_by(w, x.klass) / 2 <= now || latest <= now) {
             if (!x.idempotent)
                 remember(g, x.attempt, gate_state::revoked, now);
@@ -399,8 +401,7 @@
     const auto it = g.workers.find(id);
     if (it == g.workers.end())
         return {};
-    auto decisions =
-        refuse_waiting(g, it->second, gate_error::no_worker, now);
+    auto decisions = refuse_waiting(g, it->second, gate_error::no_worker, now);
     g.workers.erase(it);
     return decisions;
 }
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -34,9 +34,9 @@
 };
 
 inline constexpr std::array<std::string_view, 11> gate_error_names = {
-    "none",         "wrong-boot",     "stale-stamp", "revoked",
-    "duplicate",    "draining",       "records-full", "deadline-short",
-    "queue-full",   "no-worker",      "suspected"};
+    "none",       "wrong-boot", "stale-stamp",  "revoked",
+    "duplicate",  "draining",   "records-full", "deadline-short",
+    "queue-full", "no-worker",  "suspected"};
 
 /// What the gate remembers of one attempt at non-idempotent work.
 enum class gate_state : std::uint8_t
@@ -69,17 +69,17 @@
 /// Work that asks to be let in.
 struct gate_request
 {
-    attempt_id attempt;      ///< which try of which request
-    boot_id boot{};          ///< process that the entry node means
-    mono_us stamp = 0;       ///< newest stamp that the entry node had
-    bool idempotent = false; ///< may run twice; not remembered
-    bool may_probe = false;  ///< a failure would be tried again elsewhere
-    worker_id worker{};      ///< which backend server
-    int priority = 5;        ///< 0 first, 9 last
-    mono_us deadline = 0;    ///< on this process's clock
+    attempt_id attempt;       ///< which try of which request
+    boot_id boot{};           ///< process that the entry node means
+    mono_us stamp = 0;        ///< newest stamp that the entry node had
+    bool idempotent = false;  ///< may run twice; not remembered
+    bool may_probe = false;   ///< a failure would be tried again elsewhere
+    worker_id worker{};       ///< which backend server
+    int priority = 5;         ///< 0 first, 9 last
+    mono_us deadline = 0;     ///< on this process's clock
     mono_us due = mono_never; ///< until then an answer is worth all
-    span_us target = 0;      ///< from the caller's first byte to `due`
-    std::uint32_t klass = 0; ///< of the route, below work_kinds
+    span_us target = 0;       ///< from the caller's first byte to `due`
+    std::uint32_t klass = 0;  ///< of the route, below work_kinds
 };
 
 /// What was decided about work that was let in.
@@ -107,7 +107,7 @@
     /// Waiting per backend server. The forecast bounds it long before; this
     /// is for memory.
     std::size_t queue = 64;
-    doubt_policy doubt;                       ///< when work is held back
+    doubt_policy doubt; ///< when work is held back
     /// How late work may start, as a share of its target: whoever is let in
     /// beyond it waits long and mostly in vain, and a refusal at once lets
     /// its caller do something else.
@@ -143,15 +143,15 @@
 struct gate_worker
 {
     worker_id id{};
-    double slots = 1;       ///< work that it takes at once
-    double limit = 1;       ///< adaptive; 1 <= limit <= slots
-    int in_flight = 0;      ///< started through this gate
-    int foreign = 0;        ///< started through a former process
-    bool draining = false;  ///< takes no new work
-    span_us usual = 20000;  ///< moving mean of the time that work takes
+    double slots = 1;      ///< work that it takes at once
+    double limit = 1;      ///< adaptive; 1 <= limit <= slots
+    int in_flight = 0;     ///< started through this gate
+    int foreign = 0;       ///< started through a former process
+    bool draining = false; ///< takes no new work
+    span_us usual = 20000; ///< moving mean of the time that work takes
     std::array<span_us, work_kinds> usual_by_class{}; ///< 0 for not seen
-    mono_us lowered_at = 0; ///< when the limit was last lowered
-    worker_doubt doubt;     ///< from the outcomes that were seen here
+    mono_us lowered_at = 0;          ///< when the limit was last lowered
+    worker_doubt doubt;              ///< from the outcomes that were seen here
     std::vector<gate_waiting> queue; ///< invariant: size <= limits.queue
 };
 
--- a/src/limit/limit_type.hpp
+++ b/src/limit/limit_type.hpp
@@ -15,10 +15,10 @@
 /// a fixed number per request would multiply it.
 struct retry_budget
 {
-    double tokens = 10; ///< invariant: 0 <= tokens <= most
-    double most = 10;   ///< lets a quiet service retry at once
-    double per_second = 0;  ///< that come back by themselves
-    mono_us filled_at = 0;  ///< when they last did
+    double tokens = 10;    ///< invariant: 0 <= tokens <= most
+    double most = 10;      ///< lets a quiet service retry at once
+    double per_second = 0; ///< that come back by themselves
+    mono_us filled_at = 0; ///< when they last did
 };
 
 /// The fleet's allowance: retries in any window are at most a share of its
--- a/src/member/member_cmd.cpp
+++ b/src/member/member_cmd.cpp
@@ -178,10 +178,9 @@
     std::size_t room = 0;
     for (const auto& n : t.news) {
         const auto it = t.members.find(n.about);
-        const bool told_far =
-            n.rounds + t.policy.far_rounds <= t.policy.rounds;
-        const bool foreign = it != t.members.end() &&
-                             it->second.record.centre != t.self.centre;
+        const bool told_far = n.rounds + t.policy.far_rounds <= t.policy.rounds;
+        const bool foreign =
+            it != t.members.end() && it->second.record.centre != t.self.centre;
         if (own_centre_only && (foreign || told_far))
             continue;
         if (messages.empty() || !put_news(t, n.about, messages.back(), room)) {
--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -47,7 +47,7 @@
     std::uint8_t severity = 0; ///< 100 and more claims an ejection
     bool draining = false;
     std::uint8_t doubt = 0; ///< percent; how likely it is sick
-    centre_id scope{}; ///< whose callers the claim is for; 0 for all
+    centre_id scope{};      ///< whose callers the claim is for; 0 for all
 };
 
 /// A node, as it describes itself.
@@ -185,16 +185,16 @@
     span_us refresh_centre = us_per_s;     ///< relays greet other centres
     span_us forget_after = 600 * us_per_s; ///< a dead member
     std::size_t fanout = 2;                ///< peers per flush
-    span_us greet_dead_every = us_per_s; ///< one dead node is tried again
+    span_us greet_dead_every = us_per_s;   ///< one dead node is tried again
     std::size_t rounds = 2;                ///< flushes that repeat news
     /// Flushes that repeat news to other data centres. Two relays send each
     /// already; digests repair what both lose, and bytes there are dear.
     std::size_t far_rounds = 1;
-    std::size_t relays = 2;                ///< per foreign data centre
-    std::size_t helpers = 3;               ///< asked to probe for us
-    std::size_t datagram_bytes = 1200;     ///< room for records
-    std::size_t most_members = 8192;       ///< more are not taken in
-    std::size_t most_wanted = 24;          ///< records asked for at once
+    std::size_t relays = 2;            ///< per foreign data centre
+    std::size_t helpers = 3;           ///< asked to probe for us
+    std::size_t datagram_bytes = 1200; ///< room for records
+    std::size_t most_members = 8192;   ///< more are not taken in
+    std::size_t most_wanted = 24;      ///< records asked for at once
 };
 
 /// One known node.
@@ -238,8 +238,8 @@
     updated, ///< a newer record
     suspected,
     dead,
-    clash,  ///< another process speaks under our name
-    config, ///< a higher configuration version was heard of
+    clash,     ///< another process speaks under our name
+    config,    ///< a higher configuration version was heard of
     forgotten, ///< dead for so long that nobody expects it back
 };
 
--- a/src/node/announce.cpp
+++ b/src/node/announce.cpp
@@ -135,8 +135,7 @@
     w.draining = a.draining;
     w.announced_at = mono_now();
     gate_set_worker(n.door, id, a.slots, a.busy);
-    refuse_queued(n, gate_drain_worker(n.door, id,
-                                       w.draining || w.drained_here,
+    refuse_queued(n, gate_drain_worker(n.door, id, w.draining || w.drained_here,
                                        mono_now()));
     if (changed)
         publish_self(n);
@@ -162,9 +161,9 @@
     if (it == n.workers.end())
         return;
     it->second.drained_here = draining;
-    refuse_queued(n, gate_drain_worker(n.door, id,
-                                       draining || it->second.draining,
-                                       mono_now()));
+    refuse_queued(n,
+                  gate_drain_worker(n.door, id, draining || it->second.draining,
+                                    mono_now()));
     publish_self(n);
 }
 
--- a/src/node/config_actor.cpp
+++ b/src/node/config_actor.cpp
@@ -55,8 +55,8 @@
         }
     }
     store_error last{};
-    auto found = x.start.has_store ? x.start.store.get_object(name, last)
-                                      : std::nullopt;
+    auto found =
+        x.start.has_store ? x.start.store.get_object(name, last) : std::nullopt;
     if (fits(found))
         x.cache->put(hash, *found);
     return found;
--- a/src/node/dialect_type.hpp
+++ b/src/node/dialect_type.hpp
@@ -20,7 +20,7 @@
     std::string_view load;               ///< "running,waiting,slots"
     std::string_view worker;             ///< process that gave an answer
     std::string_view expected_worker;    ///< process that must run the work
-    std::string_view caller_service; ///< service of the VM of the caller
+    std::string_view caller_service;     ///< service of the VM of the caller
     /// Present on whole answers that a backend server made; a success
     /// without it is none.
     std::string_view proof;
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -255,8 +255,8 @@
     const auto& all = it->second.candidates;
     if (!r.home && r.n.balance.doubt.on)
         return place(all, r.n.placing, r.n.balance,
-                     {r.may_probe, r.route->target_us},
-                     r.tried, r.n.rng, mono_now());
+                     {r.may_probe, r.route->target_us}, r.tried, r.n.rng,
+                     mono_now());
     if (!r.home)
         return choose_worker(all, r.n.balance, r.machine.policy.idempotent,
                              r.tried, r.n.rng, mono_now());
--- a/src/node/entry_refusal.cpp
+++ b/src/node/entry_refusal.cpp
@@ -21,8 +21,7 @@
     return buf.data();
 }
 
-void explain_refusal(string_response& m, const request_id& id,
-                     const refusal& x)
+void explain_refusal(string_response& m, const request_id& id, const refusal& x)
 {
     const std::string outcome(name_of(final_outcome_names, x.outcome));
     m.set(caller_field::outcome, outcome);
--- a/src/node/entry_run.hpp
+++ b/src/node/entry_run.hpp
@@ -46,7 +46,7 @@
     std::vector<worker_id> tried;
     std::optional<worker_id> home; ///< the only one allowed, by key
     bool may_probe = false; ///< the attempt that begins may meet a suspect
-    bool watching = false;         ///< the caller's socket is watched
+    bool watching = false;  ///< the caller's socket is watched
 
     /// Puts an event into the inbox.
     void tell(attempt_event_kind kind, std::uint32_t count,
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -15,12 +15,12 @@
 
 namespace {
 
-constexpr span_us write_bound = 10 * us_per_s; // for a caller to take it
+constexpr span_us write_bound = 10 * us_per_s;  // for a caller to take it
 constexpr span_us full_retry = 100 * us_per_ms; // when the entry side is full
-constexpr std::uint32_t most_gates = 4; // asked in one round
+constexpr std::uint32_t most_gates = 4;         // asked in one round
 constexpr span_us round_pause = 80 * us_per_ms; // a worker's turn of a slot
 constexpr double wait_share = 0.25; // of the target, for a gate to let it in
-constexpr span_us least_wait = us_per_s; // the same for short targets
+constexpr span_us least_wait = us_per_s;           // the same for short targets
 constexpr double golden_step = 0.6180339887498949; // fills evenly at any length
 
 /// A caller's connection with what is needed to answer on it.
@@ -120,8 +120,7 @@
     // Each service has its own share, so that one whose backend servers
     // hang cannot take the places of the others.
     if (n.in_flight >= n.settings.most_in_flight ||
-        n.in_flight_by_service[name] >=
-            n.settings.service_in_flight) {
+        n.in_flight_by_service[name] >= n.settings.service_in_flight) {
         x.event = event_id::refused_overload;
         x.reason = "entry-full";
         x.retry_after = full_retry;
@@ -224,12 +223,13 @@
     auto& budget = r->n.budgets[r->service->name];
     const auto& h = r->n.settings.hosted;
     if (r->n.balance.doubt.on) {
-        share_allowance(budget, {h.retry_slack, h.retry_window,
-                                 std::max<std::size_t>(1, r->n.most_nodes)},
+        share_allowance(budget,
+                        {h.retry_slack, h.retry_window,
+                         std::max<std::size_t>(1, r->n.most_nodes)},
                         mono_now());
     }
-    earn_retry(budget, r->n.balance.doubt.on ? h.retry_ratio
-                                             : r->service->retry_share);
+    earn_retry(budget,
+               r->n.balance.doubt.on ? h.retry_ratio : r->service->retry_share);
     const auto& on = r->n.safeguards.attempt;
     auto delivered = carry_out(
         r, attempt_step(r->machine, {attempt_event_kind::begin, 0, ""}, budget,
@@ -261,10 +261,9 @@
     constexpr double share = 0.8;
     if (r.route->target_us == 0)
         return n.settings.silence;
-    return idempotent
-               ? static_cast<span_us>(share *
-                                      static_cast<double>(r.route->target_us))
-               : r.route->deadline_us;
+    return idempotent ? static_cast<span_us>(
+                            share * static_cast<double>(r.route->target_us))
+                      : r.route->deadline_us;
 }
 
 attempt_policy policy_of(const node_state& n, const entry_run& r)
@@ -280,10 +279,10 @@
     if (n.balance.doubt.on) {
         p.most_tries = most_gates;
         p.pause = round_pause;
-        p.wait_most = std::max(
-            least_wait, static_cast<span_us>(
-                            wait_share *
-                            static_cast<double>(r.route->target_us)));
+        p.wait_most =
+            std::max(least_wait,
+                     static_cast<span_us>(
+                         wait_share * static_cast<double>(r.route->target_us)));
     }
     return p;
 }
@@ -360,9 +359,9 @@
                    : to_text(r->id);
     if (const auto x = route_request(n, *r))
         return send_refusal(n, c, r->id, r->label, *x, y);
-    r->machine = make_request(
-        policy_of(n, *r),
-        std::min(n.last_answer_at, r->began + patience_of(n, *r)));
+    r->machine =
+        make_request(policy_of(n, *r),
+                     std::min(n.last_answer_at, r->began + patience_of(n, *r)));
     prepare_message(n, *r);
     if (const auto x = settle_key(n, *r, y))
         return send_refusal(n, c, r->id, r->label, *x, y);
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -206,22 +206,23 @@
     }
     const auto now = mono_now();
     gate_finish(n.door, w.request, a.end, now - began, now);
-    n.events.write(event_id::work_ended, label_of(n, w),
-                   "worker=" + name_at(n, w.request.worker) + " end=" +
-                       std::string(name_of(work_end_names, a.end)) +
-                       (a.reason.empty() ? "" : " reason=" + a.reason) +
-                       (a.end == work_end::answered
-                            ? " status=" + std::to_string(
-                                               a.parser->get().result_int())
-                            : "") +
-                       " us=" + std::to_string(mono_now() - began));
+    n.events.write(
+        event_id::work_ended, label_of(n, w),
+        "worker=" + name_at(n, w.request.worker) +
+            " end=" + std::string(name_of(work_end_names, a.end)) +
+            (a.reason.empty() ? "" : " reason=" + a.reason) +
+            (a.end == work_end::answered
+                 ? " status=" + std::to_string(a.parser->get().result_int())
+                 : "") +
+            " us=" + std::to_string(mono_now() - began));
     advance_gate(n, w.request.worker);
     count(*n.metrics.gate, "decision", a.reason.empty() ? "ran" : a.reason);
     if (a.end == work_end::answered || a.parser_sent)
         return alive;
     const bool ran = a.end == work_end::lost;
-    return send_refusal(n, w, stream, ran ? hop_outcome::unknown : hop_outcome::not_run, a.reason,
-                        a.end == work_end::shed, y);
+    return send_refusal(n, w, stream,
+                        ran ? hop_outcome::unknown : hop_outcome::not_run,
+                        a.reason, a.end == work_end::shed, y);
 }
 
 bool handle_work(node_state& n, string_request message,
@@ -237,12 +238,13 @@
     count(*n.metrics.gate, "decision", reason);
     // A duplicate is the one refusal after which the work may have run.
     const bool ran = refused == gate_error::duplicate;
-    n.events.write(event_id::work_refused, label_of(n, *w),
-                   "worker=" + to_hex(static_cast<std::uint64_t>(
-                                   w->request.worker)) +
-                       " reason=" + reason);
-    return send_refusal(n, *w, stream, ran ? hop_outcome::unknown : hop_outcome::not_run, reason,
-                        false, y);
+    n.events.write(
+        event_id::work_refused, label_of(n, *w),
+        "worker=" + to_hex(static_cast<std::uint64_t>(w->request.worker)) +
+            " reason=" + reason);
+    return send_refusal(n, *w, stream,
+                        ran ? hop_outcome::unknown : hop_outcome::not_run,
+                        reason, false, y);
 }
 
 bool send_pong(node_state& n, beast::tcp_stream& to, const yield& y)
--- a/src/node/feed_actor.cpp
+++ b/src/node/feed_actor.cpp
@@ -89,9 +89,9 @@
         read_next(self, *k, config);
         // Spread, so that nodes that failed together do not return together.
         const auto jitter =
-            k->pause == 0 ? 0
-                          : random_below(k->rng,
-                                         static_cast<std::uint64_t>(k->pause));
+            k->pause == 0
+                ? 0
+                : random_below(k->rng, static_cast<std::uint64_t>(k->pause));
         const auto pause = k->pause / 2 + static_cast<span_us>(jitter);
         self->delayed_send(self, std::chrono::microseconds(pause),
                            tick_atom::value);
--- a/src/node/health_driver.cpp
+++ b/src/node/health_driver.cpp
@@ -20,10 +20,10 @@
 constexpr span_us ask_bound = 30 * us_per_ms; // for their answers
 constexpr double assumed_rate = 18;           // requests/s at a worker
 constexpr double overdue_factor = 8; // of the median; calls may add as much
-constexpr span_us least_overdue = us_per_s;     // work of 0.1 s has a tail
-constexpr int told_doubt = 10;                  // percent
-constexpr span_us told_again = us_per_s / 2;    // a lost datagram is made good
-constexpr int publish_step = 50;              // severity, in the record
+constexpr span_us least_overdue = us_per_s;  // work of 0.1 s has a tail
+constexpr int told_doubt = 10;               // percent
+constexpr span_us told_again = us_per_s / 2; // a lost datagram is made good
+constexpr int publish_step = 50;             // severity, in the record
 
 double floor_of(const node_state& n, const local_worker& w)
 {
--- a/src/node/hop_func.cpp
+++ b/src/node/hop_func.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t request_parts = 9; // two more for non-idempotent work
 constexpr std::size_t answer_parts = 9;  // two more with a stamp
-const std::string no_reason = "-"; // splitting drops empty parts
+const std::string no_reason = "-";       // splitting drops empty parts
 constexpr double load_scale = 100;
 constexpr std::uint64_t idempotent_bit = 1;
 constexpr std::uint64_t probe_bit = 2;
@@ -66,9 +66,9 @@
 {
     constexpr std::uint64_t factor = 0x9e3779b97f4a7c15ULL;
     constexpr unsigned half = 32;
-    const auto mixed = (a.request.seq ^
-                        static_cast<std::uint64_t>(a.request.entry) * factor) +
-                       a.count * factor;
+    const auto mixed =
+        (a.request.seq ^ static_cast<std::uint64_t>(a.request.entry) * factor) +
+        a.count * factor;
     return static_cast<std::uint32_t>((mixed * factor) >> half);
 }
 
@@ -76,8 +76,8 @@
 {
     std::string out = to_text(r.attempt);
     add(out, static_cast<std::uint64_t>(r.worker));
-    add(out, (r.idempotent ? idempotent_bit : 0) |
-                 (r.may_probe ? probe_bit : 0));
+    add(out,
+        (r.idempotent ? idempotent_bit : 0) | (r.may_probe ? probe_bit : 0));
     add(out, static_cast<std::uint64_t>(r.priority));
     add(out, r.klass);
     add(out, r.centre);
--- a/src/node/hosted_worker.cpp
+++ b/src/node/hosted_worker.cpp
@@ -11,11 +11,11 @@
 
 namespace {
 
-constexpr span_us probe_bound = us_per_s; // a probe waits for a slot, 25 ms
+constexpr span_us probe_bound = us_per_s;     // a probe waits for a slot, 25 ms
 constexpr span_us probe_pause = us_per_s / 2; // at most two probes a second
 constexpr span_us silence_bound = 5 * us_per_s; // three check-ins missed
-constexpr int most_missed = 2;            // probes, until it is forgotten
-constexpr std::size_t most_known = 256;   // process ids remembered
+constexpr int most_missed = 2;                  // probes, until it is forgotten
+constexpr std::size_t most_known = 256;         // process ids remembered
 
 const std::string& health_path_of(const node_state& n,
                                   const std::string& service)
--- a/src/node/key_claim.cpp
+++ b/src/node/key_claim.cpp
@@ -14,8 +14,8 @@
 /// Writes the claim on an idempotency key, off the request thread.
 /// @return none when this request owns the key
 store_error claim_key(node_state& n, const std::string& row,
-                         const std::string& owner, std::string& first,
-                         const yield& y)
+                      const std::string& owner, std::string& first,
+                      const yield& y)
 {
     struct claim_state
     {
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -40,9 +40,9 @@
 constexpr span_us idle_link = 30 * us_per_s;
 constexpr span_us platform_bound = us_per_s;
 constexpr span_us answer_margin = 300 * us_per_ms; // to hand out answers
-constexpr span_us rpc_wait = 500 * us_per_ms; // for the request thread
-constexpr std::size_t slow_threads = 8;       // revokes and claims
-constexpr int most_revokes = 256;             // waiting for a thread
+constexpr span_us rpc_wait = 500 * us_per_ms;      // for the request thread
+constexpr std::size_t slow_threads = 8;            // revokes and claims
+constexpr int most_revokes = 256;                  // waiting for a thread
 
 /// All parts of a running node, in the order of their construction.
 struct node_parts
@@ -51,8 +51,8 @@
         : settings(s),
           events({4096, 1024, static_cast<std::size_t>(s.log_lines)}),
           metrics(make_node_metrics()), entry(ctx), exit(ctx), admin(ctx),
-          hosted_control(ctx), hosted_ready(ctx),
-          gossip(ctx), ticker(ctx), signals(ctx, SIGTERM, SIGINT), reload(ctx, SIGHUP),
+          hosted_control(ctx), hosted_ready(ctx), gossip(ctx), ticker(ctx),
+          signals(ctx, SIGTERM, SIGINT), reload(ctx, SIGHUP),
           slow(slow_threads), state(settings, ctx, events, *metrics)
     {
     }
@@ -421,8 +421,7 @@
     beast::error_code ec;
     if (!listen(p.entry, s.ip, s.entry_port, why) ||
         !listen(p.exit, s.ip, s.exit_port, why) ||
-        !listen(p.admin, s.admin_ip, s.admin_port, why) ||
-        !open_hosted(p, why))
+        !listen(p.admin, s.admin_ip, s.admin_port, why) || !open_hosted(p, why))
         return false;
     p.gossip.open(udp::v4(), ec);
     p.gossip.bind({asio::ip::make_address_v4(s.ip),
@@ -453,8 +452,7 @@
         c.has_store = true;
         p.state.store = c.store;
         if (is_hosted(p.settings))
-            c.documents =
-                make_operator_source(p.settings.hosted.floor_share);
+            c.documents = make_operator_source(p.settings.hosted.floor_share);
     } else {
         p.state.slow_calls = nullptr;
     }
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -67,11 +67,11 @@
     std::string service;
     std::string ip = "127.0.0.1";
     std::uint16_t port = 0;
-    int slots = 1;          ///< work that it takes at once
-    int busy = 0;           ///< its own count of running work
-    bool draining = false;  ///< takes no new work
-    bool leaving = false;   ///< its last word
-    std::uint64_t boot = 0; ///< changes when its process does
+    int slots = 1;              ///< work that it takes at once
+    int busy = 0;               ///< its own count of running work
+    bool draining = false;      ///< takes no new work
+    bool leaving = false;       ///< its last word
+    std::uint64_t boot = 0;     ///< changes when its process does
     std::uint64_t sequence = 0; ///< rises with each; 0 when not numbered
     span_us cold_for = 0;       ///< it stays slow for as long after its start
 };
@@ -96,10 +96,10 @@
 struct hosted_state
 {
     std::map<std::string, hosted_process> known; ///< by process id
-    std::optional<announcement> candidate; ///< checked in, not proven yet
-    bool probing = false;                  ///< the address is being asked
-    mono_us probe_at = 0;                  ///< not before
-    int missed = 0;                        ///< probes without an answer
+    std::optional<announcement> candidate;       ///< checked in, not proven yet
+    bool probing = false;                        ///< the address is being asked
+    mono_us probe_at = 0;                        ///< not before
+    int missed = 0;                              ///< probes without an answer
 };
 
 struct entry_run;
@@ -150,7 +150,7 @@
     node_record self;                        ///< as last published
     random_state rng;
     std::uint64_t next_request = 1;
-    bool stopping = false; ///< doors are closing
+    bool stopping = false;          ///< doors are closing
     mono_us refuse_at = mono_never; ///< stopping: new requests come too late
     mono_us last_answer_at = mono_never; ///< stopping: all must have theirs
     std::set<entry_run*> open_runs;      ///< requests without a final answer
--- a/src/node/presence_actor.cpp
+++ b/src/node/presence_actor.cpp
@@ -121,11 +121,10 @@
                 return;
             const auto jitter =
                 random_below(k->rng, static_cast<std::uint64_t>(k->pause));
-            self->delayed_send(
-                self,
-                std::chrono::microseconds(k->pause / 2 +
-                                          static_cast<span_us>(jitter)),
-                tick_atom::value);
+            self->delayed_send(self,
+                               std::chrono::microseconds(
+                                   k->pause / 2 + static_cast<span_us>(jitter)),
+                               tick_atom::value);
             k->pause = std::min(most_pause, 2 * k->pause);
         },
         [=](leave_atom) {
--- a/src/node/worker_work.cpp
+++ b/src/node/worker_work.cpp
@@ -181,10 +181,9 @@
         a.end = work_end::lost;
         a.seen = outcome_kind::failed;
         a.reason = "echo-mismatch";
-        n.events.write(
-            event_id::echo_mismatch, to_text(r.attempt),
-            "worker=" + f.worker + " expected=" + f.echo + " got=" +
-                field_of(head, beast_text(n.dialect.request)));
+        n.events.write(event_id::echo_mismatch, to_text(r.attempt),
+                       "worker=" + f.worker + " expected=" + f.echo + " got=" +
+                           field_of(head, beast_text(n.dialect.request)));
         return;
     }
     a.end = work_end::answered;
--- a/src/stand_in/store_state.cpp
+++ b/src/stand_in/store_state.cpp
@@ -44,11 +44,10 @@
     for (const auto& part : split(target.substr(mark + 1), '&')) {
         const auto equals = part.find('=');
         std::string value;
-        for (std::size_t n = equals; n != std::string::npos &&
-                                     ++n < part.size();) {
-            const auto byte = part[n] == '%'
-                                  ? parse_hex(part.substr(n + 1, 2))
-                                  : std::nullopt;
+        for (std::size_t n = equals;
+             n != std::string::npos && ++n < part.size();) {
+            const auto byte = part[n] == '%' ? parse_hex(part.substr(n + 1, 2))
+                                             : std::nullopt;
             value += byte ? static_cast<char>(*byte) : part[n];
             n += byte ? 2 : 0;
         }
@@ -189,8 +188,8 @@
         static_cast<std::uint64_t>(parse_whole(q[f::after]).value_or(0));
     const auto wait = std::clamp<std::int64_t>(
         parse_whole(q[f::wait_ms]).value_or(0), 0, most_wait_ms);
-    const auto until = std::chrono::steady_clock::now() +
-                       std::chrono::milliseconds(wait);
+    const auto until =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(wait);
     json::array rows;
     while (true) {
         if (after < s.forgotten)
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -70,8 +70,10 @@
 inline bool set_port_range(node_settings& n, std::string_view s)
 {
     const auto ends = split(s, ',');
-    const auto first = ends.size() == 2 ? parse_whole(trim(ends[0])) : std::nullopt;
-    const auto last = ends.size() == 2 ? parse_whole(trim(ends[1])) : std::nullopt;
+    const auto first =
+        ends.size() == 2 ? parse_whole(trim(ends[0])) : std::nullopt;
+    const auto last =
+        ends.size() == 2 ? parse_whole(trim(ends[1])) : std::nullopt;
     if (!first || !last || *first < 1 || *last <= *first || *last > 65535)
         return false;
     n.gossip_port = static_cast<int>(*first);
@@ -89,263 +91,261 @@
     return true;
 }
 
-inline constexpr std::array settings_table =
-    {
-        settings_row{"node",
-                     {"name",
-                      [](node_settings& s, std::string_view v) {
-                          return set_text(s.name, v);
-                      },
-                      "a name", "unique in the fleet, kept over restarts"}},
-        settings_row{"node",
-                     {"data_centre",
-                      [](node_settings& s, std::string_view v) {
-                          return set_text(s.centre, v);
-                      },
-                      "a name", "data centre; its overlay file is NAME.ini"}},
-        settings_row{"node",
-                     {"ip",
-                      [](node_settings& s, std::string_view v) {
-                          return set_ip(s.ip, v);
-                      },
-                      "an IPv4 number", "address that callers and nodes use"}},
-        settings_row{"node",
-                     {"entry_port",
-                      [](node_settings& s, std::string_view v) {
-                          return set_port(s.entry_port, v);
-                      },
-                      "0 to 65535, 0 for any", "callers, HTTP/1.1"}},
-        settings_row{"node",
-                     {"exit_port",
-                      [](node_settings& s, std::string_view v) {
-                          return set_port(s.exit_port, v);
-                      },
-                      "0 to 65535, 0 for any", "other nodes' work"}},
-        settings_row{"node",
-                     {"gossip_port",
-                      [](node_settings& s, std::string_view v) {
-                          return set_port(s.gossip_port, v);
-                      },
-                      "0 to 65535, 0 for any", "membership, UDP"}},
-        settings_row{"node",
-                     {"rpc_port",
-                      [](node_settings& s, std::string_view v) {
-                          return set_port(s.rpc_port, v);
-                      },
-                      "0 to 65535, 0 for any", "questions, Cap'n Proto RPC"}},
-        settings_row{"node",
-                     {"ready_file",
-                      [](node_settings& s, std::string_view v) {
-                          return set_text(s.ready_file, v);
-                      },
-                      "a path", "written with the real ports when it serves"}},
-        settings_row{"admin",
-                     {"ip",
-                      [](node_settings& s, std::string_view v) {
-                          return set_ip(s.admin_ip, v);
-                      },
-                      "an IPv4 number", "where metrics and the API listen"}},
-        settings_row{"admin",
-                     {"port",
-                      [](node_settings& s, std::string_view v) {
-                          return set_port(s.admin_port, v);
-                      },
-                      "0 to 65535, 0 for any", "metrics, announcements, API"}},
-        settings_row{"admin",
-                     {"token",
-                      [](node_settings& s, std::string_view v) {
-                          return set_text(s.admin_token, v);
-                      },
-                      "text",
-                      "changes need `Authorization: Bearer TEXT`; "
-                      "without it only loopback may change"}},
-        settings_row{"platform",
-                     {"address",
-                      [](node_settings& s, std::string_view v) {
-                          s.platform = v;
-                          return parse_host_port(v).has_value();
-                      },
-                      "ip:port", "table service and object store"}},
-        settings_row{"cluster",
-                     {"name",
-                      [](node_settings& s, std::string_view v) {
-                          return set_text(s.cluster, v);
-                      },
-                      "a name", "datagrams of other clusters are dropped"}},
-        settings_row{"cluster",
-                     {"key",
-                      [](node_settings& s, std::string_view v) {
-                          s.key = v;
-                          return v.size() >= 16;
-                      },
-                      "16 characters at least", "signs datagrams"}},
-        settings_row{"cluster",
-                     {"second_key",
-                      [](node_settings& s, std::string_view v) {
-                          s.second_key = v;
-                          return v.size() >= 16;
-                      },
-                      "16 characters at least",
-                      "accepted too; for changing keys node by node"}},
-        settings_row{"cluster",
-                     {"seeds",
-                      [](node_settings& s, std::string_view v) {
-                          s.seeds = split(v, ',');
-                          for (const auto& x : s.seeds) {
-                              if (!parse_host_port(x))
-                                  return false;
-                          }
-                          return true;
-                      },
-                      "ip:port with commas",
-                      "gossip addresses of first contacts"}},
-        settings_row{"limits",
-                     {"stamp_ms",
-                      [](node_settings& s, std::string_view v) {
-                          return set_ms(s.stamp_bound, v, 100, 60000);
-                      },
-                      "100 to 60000 milliseconds",
-                      "age of work beyond which it is refused"}},
-        settings_row{
-            "limits",
-            {"silence_ms",
-             [](node_settings& s, std::string_view v) {
-                 return set_ms(s.silence, v, 5, 60000);
-             },
-             "5 to 60000 milliseconds",
-             "without an answer, before a second attempt or a revoke"}},
-        settings_row{"limits",
-                     {"quiet_ms",
-                      [](node_settings& s, std::string_view v) {
-                          return set_ms(s.quiet, v, 10, 60000);
-                      },
-                      "10 to 60000 milliseconds",
-                      "a connection quiet for longer is pinged before "
-                      "non-idempotent work"}},
-        settings_row{"limits",
-                     {"drain_ms",
-                      [](node_settings& s, std::string_view v) {
-                          return set_ms(s.drain, v, 0, 60000);
-                      },
-                      "0 to 60000 milliseconds",
-                      "between saying that it leaves and closing the doors"}},
-        settings_row{
-            "limits",
-            {"stop_ms",
-             [](node_settings& s,
-                std::string_view
-                    v) { return set_ms(s.stop_bound, v, 100, 600000); },
-             "100 to 600000 milliseconds", "for work in flight when it stops"}},
-        settings_row{
-            "limits",
-            {"hold_bytes",
-             [](node_settings& s,
-                std::string_view
-                    v) { return set_int(s.hold_bytes, v, 1024, 16 << 20); },
-             "1024 to 16777216", "answers up to this are held whole"}},
-        settings_row{
-            "limits",
-            {"most_body",
-             [](node_settings& s,
-                std::string_view
-                    v) { return set_int(s.most_body, v, 1024, 64 << 20); },
-             "1024 to 67108864", "bytes of a caller's request"}},
-        settings_row{"limits",
-                     {"most_attempts",
-                      [](node_settings& s, std::string_view v) {
-                          return set_int(s.most_attempts, v, 1, 8);
-                      },
-                      "1 to 8", "attempts of one request"}},
-        settings_row{"limits",
-                     {"most_in_flight",
-                      [](node_settings& s, std::string_view v) {
-                          return set_int(s.most_in_flight, v, 1, 1000000);
-                      },
-                      "1 to 1000000", "requests in flight at the entry side"}},
-        settings_row{"limits",
-                     {"service_in_flight",
-                      [](node_settings& s, std::string_view v) {
-                          return set_int(s.service_in_flight, v, 1, 1000000);
-                      },
-                      "1 to 1000000",
-                      "of one service, so that none starves another"}},
-        settings_row{"node",
-                     {"entry",
-                      [](node_settings& s, std::string_view v) {
-                          return set_node_address(s, s.entry_port, v);
-                      },
-                      "ip:port", "ip and entry_port in one"}},
-        settings_row{"node",
-                     {"exit",
-                      [](node_settings& s, std::string_view v) {
-                          return set_node_address(s, s.exit_port, v);
-                      },
-                      "ip:port", "ip and exit_port in one"}},
-        settings_row{"node",
-                     {"port_range", set_port_range, "FIRST,LAST",
-                      "gossip_port and rpc_port out of a range"}},
-        settings_row{"hosted",
-                     {"control",
-                      [](node_settings& s, std::string_view v) {
-                          return set_address(s.hosted.control, v);
-                      },
-                      "ip:port",
-                      "where the VM's backend server announces itself; turns "
-                      "the platform's adapter on"}},
-        settings_row{"hosted",
-                     {"ready",
-                      [](node_settings& s, std::string_view v) {
-                          return set_address(s.hosted.ready, v);
-                      },
-                      "ip:port", "where the platform asks for readiness"}},
-        settings_row{"hosted",
-                     {"worker",
-                      [](node_settings& s, std::string_view v) {
-                          return set_address(s.hosted.worker, v);
-                      },
-                      "ip:port", "the VM's backend server"}},
-        settings_row{"hosted",
-                     {"service",
-                      [](node_settings& s, std::string_view v) {
-                          return set_text(s.hosted.service, v);
-                      },
-                      "a name", "service of the VM's backend server"}},
-        settings_row{"hosted",
-                     {"retry_ratio",
-                      [](node_settings& s, std::string_view v) {
-                          return set_real(s.hosted.retry_ratio, v, 0, 1);
-                      },
-                      "0 to 1", "retries per request that the fleet may send"}},
-        settings_row{"hosted",
-                     {"retry_window_s",
-                      [](node_settings& s, std::string_view v) {
-                          return set_seconds(s.hosted.retry_window, v, 3600);
-                      },
-                      "seconds", "over which retries are counted"}},
-        settings_row{"hosted",
-                     {"retry_slack",
-                      [](node_settings& s, std::string_view v) {
-                          return set_real(s.hosted.retry_slack, v, 0, 1e6);
-                      },
-                      "retries", "beyond the ratio, of the whole fleet"}},
-        settings_row{"hosted",
-                     {"floor_share",
-                      [](node_settings& s, std::string_view v) {
-                          return set_real(s.hosted.floor_share, v, 0, 1);
-                      },
-                      "0 to 1", "of a service's capacity that stays in use"}},
-        settings_row{"hosted",
-                     {"drain_s",
-                      [](node_settings& s, std::string_view v) {
-                          return set_seconds(s.hosted.drain, v, 600);
-                      },
-                      "seconds", "for new work after a drain was announced"}},
-        settings_row{"log",
-                     {"lines_per_second",
-                      [](node_settings& s, std::string_view v) {
-                          return set_int(s.log_lines, v, 0, 1000000);
-                      },
-                      "0 to 1000000", "of one event; the rest is counted"}},
+inline constexpr std::array settings_table = {
+    settings_row{"node",
+                 {"name",
+                  [](node_settings& s, std::string_view v) {
+                      return set_text(s.name, v);
+                  },
+                  "a name", "unique in the fleet, kept over restarts"}},
+    settings_row{"node",
+                 {"data_centre",
+                  [](node_settings& s, std::string_view v) {
+                      return set_text(s.centre, v);
+                  },
+                  "a name", "data centre; its overlay file is NAME.ini"}},
+    settings_row{
+        "node",
+        {"ip",
+         [](node_settings& s, std::string_view v) { return set_ip(s.ip, v); },
+         "an IPv4 number", "address that callers and nodes use"}},
+    settings_row{"node",
+                 {"entry_port",
+                  [](node_settings& s, std::string_view v) {
+                      return set_port(s.entry_port, v);
+                  },
+                  "0 to 65535, 0 for any", "callers, HTTP/1.1"}},
+    settings_row{"node",
+                 {"exit_port",
+                  [](node_settings& s, std::string_view v) {
+                      return set_port(s.exit_port, v);
+                  },
+                  "0 to 65535, 0 for any", "other nodes' work"}},
+    settings_row{"node",
+                 {"gossip_port",
+                  [](node_settings& s, std::string_view v) {
+                      return set_port(s.gossip_port, v);
+                  },
+                  "0 to 65535, 0 for any", "membership, UDP"}},
+    settings_row{"node",
+                 {"rpc_port",
+                  [](node_settings& s, std::string_view v) {
+                      return set_port(s.rpc_port, v);
+                  },
+                  "0 to 65535, 0 for any", "questions, Cap'n Proto RPC"}},
+    settings_row{"node",
+                 {"ready_file",
+                  [](node_settings& s, std::string_view v) {
+                      return set_text(s.ready_file, v);
+                  },
+                  "a path", "written with the real ports when it serves"}},
+    settings_row{"admin",
+                 {"ip",
+                  [](node_settings& s, std::string_view v) {
+                      return set_ip(s.admin_ip, v);
+                  },
+                  "an IPv4 number", "where metrics and the API listen"}},
+    settings_row{"admin",
+                 {"port",
+                  [](node_settings& s, std::string_view v) {
+                      return set_port(s.admin_port, v);
+                  },
+                  "0 to 65535, 0 for any", "metrics, announcements, API"}},
+    settings_row{"admin",
+                 {"token",
+                  [](node_settings& s, std::string_view v) {
+                      return set_text(s.admin_token, v);
+                  },
+                  "text",
+                  "changes need `Authorization: Bearer TEXT`; "
+                  "without it only loopback may change"}},
+    settings_row{"platform",
+                 {"address",
+                  [](node_settings& s, std::string_view v) {
+                      s.platform = v;
+                      return parse_host_port(v).has_value();
+                  },
+                  "ip:port", "table service and object store"}},
+    settings_row{"cluster",
+                 {"name",
+                  [](node_settings& s, std::string_view v) {
+                      return set_text(s.cluster, v);
+                  },
+                  "a name", "datagrams of other clusters are dropped"}},
+    settings_row{"cluster",
+                 {"key",
+                  [](node_settings& s, std::string_view v) {
+                      s.key = v;
+                      return v.size() >= 16;
+                  },
+                  "16 characters at least", "signs datagrams"}},
+    settings_row{"cluster",
+                 {"second_key",
+                  [](node_settings& s, std::string_view v) {
+                      s.second_key = v;
+                      return v.size() >= 16;
+                  },
+                  "16 characters at least",
+                  "accepted too; for changing keys node by node"}},
+    settings_row{"cluster",
+                 {"seeds",
+                  [](node_settings& s, std::string_view v) {
+                      s.seeds = split(v, ',');
+                      for (const auto& x : s.seeds) {
+                          if (!parse_host_port(x))
+                              return false;
+                      }
+                      return true;
+                  },
+                  "ip:port with commas", "gossip addresses of first contacts"}},
+    settings_row{"limits",
+                 {"stamp_ms",
+                  [](node_settings& s, std::string_view v) {
+                      return set_ms(s.stamp_bound, v, 100, 60000);
+                  },
+                  "100 to 60000 milliseconds",
+                  "age of work beyond which it is refused"}},
+    settings_row{"limits",
+                 {"silence_ms",
+                  [](node_settings& s, std::string_view v) {
+                      return set_ms(s.silence, v, 5, 60000);
+                  },
+                  "5 to 60000 milliseconds",
+                  "without an answer, before a second attempt or a revoke"}},
+    settings_row{"limits",
+                 {"quiet_ms",
+                  [](node_settings& s, std::string_view v) {
+                      return set_ms(s.quiet, v, 10, 60000);
+                  },
+                  "10 to 60000 milliseconds",
+                  "a connection quiet for longer is pinged before "
+                  "non-idempotent work"}},
+    settings_row{"limits",
+                 {"drain_ms",
+                  [](node_settings& s, std::string_view v) {
+                      return set_ms(s.drain, v, 0, 60000);
+                  },
+                  "0 to 60000 milliseconds",
+                  "between saying that it leaves and closing the doors"}},
+    settings_row{"limits",
+                 {"stop_ms",
+                  [](node_settings& s,
+                     std::string_view
+                         v) { return set_ms(s.stop_bound, v, 100, 600000); },
+                  "100 to 600000 milliseconds",
+                  "for work in flight when it stops"}},
+    settings_row{
+        "limits",
+        {"hold_bytes",
+         [](node_settings& s,
+            std::string_view
+                v) { return set_int(s.hold_bytes, v, 1024, 16 << 20); },
+         "1024 to 16777216", "answers up to this are held whole"}},
+    settings_row{"limits",
+                 {"most_body",
+                  [](node_settings& s,
+                     std::string_view
+                         v) { return set_int(s.most_body, v, 1024, 64 << 20); },
+                  "1024 to 67108864", "bytes of a caller's request"}},
+    settings_row{
+        "limits",
+        {"most_attempts",
+         [](node_settings& s,
+            std::string_view v) { return set_int(s.most_attempts, v, 1, 8); },
+         "1 to 8", "attempts of one request"}},
+    settings_row{
+        "limits",
+        {"most_in_flight",
+         [](node_settings& s,
+            std::string_view
+                v) { return set_int(s.most_in_flight, v, 1, 1000000); },
+         "1 to 1000000", "requests in flight at the entry side"}},
+    settings_row{"limits",
+                 {"service_in_flight",
+                  [](node_settings& s, std::string_view v) {
+                      return set_int(s.service_in_flight, v, 1, 1000000);
+                  },
+                  "1 to 1000000",
+                  "of one service, so that none starves another"}},
+    settings_row{"node",
+                 {"entry",
+                  [](node_settings& s,
+                     std::string_view
+                         v) { return set_node_address(s, s.entry_port, v); },
+                  "ip:port", "ip and entry_port in one"}},
+    settings_row{
+        "node",
+        {"exit",
+         [](node_settings& s,
+            std::string_view v) { return set_node_address(s, s.exit_port, v); },
+         "ip:port", "ip and exit_port in one"}},
+    settings_row{"node",
+                 {"port_range", set_port_range, "FIRST,LAST",
+                  "gossip_port and rpc_port out of a range"}},
+    settings_row{
+        "hosted",
+        {"control",
+         [](node_settings& s,
+            std::string_view v) { return set_address(s.hosted.control, v); },
+         "ip:port",
+         "where the VM's backend server announces itself; turns "
+         "the platform's adapter on"}},
+    settings_row{
+        "hosted",
+        {"ready",
+         [](node_settings& s,
+            std::string_view v) { return set_address(s.hosted.ready, v); },
+         "ip:port", "where the platform asks for readiness"}},
+    settings_row{
+        "hosted",
+        {"worker",
+         [](node_settings& s,
+            std::string_view v) { return set_address(s.hosted.worker, v); },
+         "ip:port", "the VM's backend server"}},
+    settings_row{
+        "hosted",
+        {"service",
+         [](node_settings& s,
+            std::string_view v) { return set_text(s.hosted.service, v); },
+         "a name", "service of the VM's backend server"}},
+    settings_row{"hosted",
+                 {"retry_ratio",
+                  [](node_settings& s,
+                     std::string_view
+                         v) { return set_real(s.hosted.retry_ratio, v, 0, 1); },
+                  "0 to 1", "retries per request that the fleet may send"}},
+    settings_row{
+        "hosted",
+        {"retry_window_s",
+         [](node_settings& s,
+            std::string_view
+                v) { return set_seconds(s.hosted.retry_window, v, 3600); },
+         "seconds", "over which retries are counted"}},
+    settings_row{
+        "hosted",
+        {"retry_slack",
+         [](node_settings& s,
+            std::string_view
+                v) { return set_real(s.hosted.retry_slack, v, 0, 1e6); },
+         "retries", "beyond the ratio, of the whole fleet"}},
+    settings_row{"hosted",
+                 {"floor_share",
+                  [](node_settings& s,
+                     std::string_view
+                         v) { return set_real(s.hosted.floor_share, v, 0, 1); },
+                  "0 to 1", "of a service's capacity that stays in use"}},
+    settings_row{
+        "hosted",
+        {"drain_s",
+         [](node_settings& s,
+            std::string_view v) { return set_seconds(s.hosted.drain, v, 600); },
+         "seconds", "for new work after a drain was announced"}},
+    settings_row{
+        "log",
+        {"lines_per_second",
+         [](node_settings& s,
+            std::string_view v) { return set_int(s.log_lines, v, 0, 1000000); },
+         "0 to 1000000", "of one event; the rest is counted"}},
 };
 
 } // namespace jasminetray
--- a/src/verdict/doubt_func.cpp
+++ b/src/verdict/doubt_func.cpp
@@ -49,9 +49,9 @@
 void doubt_seen(worker_doubt& d, const doubt_policy& p, bool failed,
                 mono_us now)
 {
-    const double ratio =
-        failed ? p.fail_when_sick / p.fail_when_well
-               : (1 - p.fail_when_sick) / (1 - p.fail_when_well);
+    const double ratio = failed
+                             ? p.fail_when_sick / p.fail_when_well
+                             : (1 - p.fail_when_sick) / (1 - p.fail_when_well);
     set_sick(d, p, updated(doubt_now(d, p, now), ratio), now);
 }
 
--- a/src/verdict/verdict_cmd.cpp
+++ b/src/verdict/verdict_cmd.cpp
@@ -13,8 +13,13 @@
 
 constexpr double base_weight = 1.0 / 5000; // of one outcome in base_rate
 constexpr double time_weight = 1.0 / 2000; // of one outcome in durations
-constexpr double first_outcomes = 30;      // before durations are judged
-constexpr double climb_low = 0.6; // of the threshold: the climb is over
+/// More evidence than this says nothing more. Without a bound six seconds of
+/// shared trouble left so much that 150 s of health did not undo it, and the
+/// next shared trouble was weighed over all that time, in which backend
+/// servers had had unlike shares of the work: several were ejected.
+constexpr double most_evidence = 50;
+constexpr double first_outcomes = 30; // before durations are judged
+constexpr double climb_low = 0.6;     // of the threshold: the climb is over
 constexpr std::uint32_t most_burst_flaps = 2;    // more is sickness
 constexpr span_us flap_memory = 45 * us_per_s;   // since the last return
 constexpr span_us most_burst = 3 * us_per_s / 2; // longer is sickness
@@ -46,7 +51,7 @@
 
 void add(bank_score& s, double ratio, const weighed& o)
 {
-    s.value += ratio;
+    s.value = std::min(most_evidence, s.value + ratio);
     s.rose_at = ratio > 0 ? o.now : s.rose_at;
     s.seen += 1;
     s.failed += o.failed ? 1 : 0;
@@ -242,8 +247,8 @@
     for (auto& o : h.open) {
         const auto& usual = h.usual.times[o.klass % work_classes];
         const auto bound = std::max(
-            least, static_cast<span_us>(factor *
-                                        static_cast<double>(usual.median)));
+            least,
+            static_cast<span_us>(factor * static_cast<double>(usual.median)));
         if (o.overdue || now - o.started < bound)
             continue;
         o.overdue = true;
--- a/src/verdict/verdict_peers.cpp
+++ b/src/verdict/verdict_peers.cpp
@@ -12,13 +12,13 @@
 
 namespace {
 
-constexpr double kept_share = 0.5; // of the peers, the best ones
+constexpr double kept_share = 0.5;  // of the peers, the best ones
 constexpr double clear_ratio = 1.5; // log likelihood; about 1 in 12 by chance
-constexpr double bad_source_share = 0.3;       // of a threshold, at a peer
-constexpr double same_share = 0.34;            // of the peers
-constexpr double rounding = 1e-6;              // of sums against scores
-constexpr double clear_better = 6;         // log likelihood; picked by luck too
-constexpr double clear_errors = 2.5;           // standard errors
+constexpr double bad_source_share = 0.3; // of a threshold, at a peer
+constexpr double same_share = 0.34;      // of the peers
+constexpr double rounding = 1e-6;        // of sums against scores
+constexpr double clear_better = 6;       // log likelihood; picked by luck too
+constexpr double clear_errors = 2.5;     // standard errors
 constexpr span_us least_wait = 50 * us_per_ms; // between two questions
 constexpr span_us most_wait = 2 * us_per_s;
 constexpr span_us remembered_span =
--- a/test/fuzz_member.cpp
+++ b/test/fuzz_member.cpp
@@ -53,8 +53,7 @@
     jt::mono_us now = jt::us_per_s;
     jt::random_state rng{7};
     std::uint64_t generation = 1;
-    std::shared_ptr<jt::fake_store> store =
-        std::make_shared<jt::fake_store>();
+    std::shared_ptr<jt::fake_store> store = std::make_shared<jt::fake_store>();
     std::vector<told> submissions;
     double loss = 0;
     std::size_t commands = 0;
@@ -194,16 +193,19 @@
     const auto api = jt::make_fake_store(w.store);
     const auto& late = *head;
     submit(w, n, 0);
-    const jt::config_head ours{late.version + 1, late.manifest, "late",
-                               "late-" + std::to_string(w.commands), 0, 0};
-    const bool won =
-        api.write_rows(
-            {{{"", "config-head"}, late.row, jt::to_text(ours), false},
-             {{"", "config-history-" + std::to_string(ours.version)},
-              0,
-              jt::to_text(ours),
-              false}},
-                       last);
+    const jt::config_head ours{late.version + 1,
+                               late.manifest,
+                               "late",
+                               "late-" + std::to_string(w.commands),
+                               0,
+                               0};
+    const bool won = api.write_rows(
+        {{{"", "config-head"}, late.row, jt::to_text(ours), false},
+         {{"", "config-history-" + std::to_string(ours.version)},
+          0,
+          jt::to_text(ours),
+          false}},
+        last);
     const bool first =
         w.submissions.back().outcome == jt::submit_outcome::accepted;
     return won && first ? "two operators won the same version" : "";
--- a/test/test_doubt.cpp
+++ b/test/test_doubt.cpp
@@ -189,8 +189,8 @@
     int started = 0;
     int queued = 0;
     std::uint64_t seq = 0;
-    while (const auto a = admit(g, work(++seq, start, 2 * us_per_s), start,
-                                last)) {
+    while (const auto a =
+               admit(g, work(++seq, start, 2 * us_per_s), start, last)) {
         started += *a == admission::started ? 1 : 0;
         queued += *a == admission::queued ? 1 : 0;
     }
@@ -219,8 +219,8 @@
     balance_policy b;
     b.doubt = on();
     random_state rng{1};
-    const auto c = place(all, place_policy{}, b, {may_fail, 2 * us_per_s}, {},
-                         rng, start);
+    const auto c =
+        place(all, place_policy{}, b, {may_fail, 2 * us_per_s}, {}, rng, start);
     return c ? all[c->index].id : worker_id{};
 }
 
--- a/test/test_hop.cpp
+++ b/test/test_hop.cpp
@@ -13,11 +13,11 @@
 {
     rc::check("round trip", [] {
         hop_request r;
-        r.attempt = {{static_cast<node_id>(*rc::gen::arbitrary<std::uint64_t>()),
-                      *rc::gen::arbitrary<std::uint64_t>()},
-                     *rc::gen::inRange<std::uint32_t>(1, 9)};
-        r.worker =
-            static_cast<worker_id>(*rc::gen::arbitrary<std::uint64_t>());
+        r.attempt = {
+            {static_cast<node_id>(*rc::gen::arbitrary<std::uint64_t>()),
+             *rc::gen::arbitrary<std::uint64_t>()},
+            *rc::gen::inRange<std::uint32_t>(1, 9)};
+        r.worker = static_cast<worker_id>(*rc::gen::arbitrary<std::uint64_t>());
         r.idempotent = *rc::gen::arbitrary<bool>();
         r.may_probe = *rc::gen::arbitrary<bool>();
         r.priority = *rc::gen::inRange(0, 1000);
--- a/test/test_platform_store.cpp
+++ b/test/test_platform_store.cpp
@@ -183,10 +183,16 @@
     s.change([](store_state& x) { x.fault.busy = true; });
     EXPECT_FALSE(c.write_rows({write_of("a", "1")}, last));
     EXPECT_EQ(last, store_error::refused);
-    s.change([](store_state& x) { x.fault = {}; x.fault.many = true; });
+    s.change([](store_state& x) {
+        x.fault = {};
+        x.fault.many = true;
+    });
     EXPECT_FALSE(c.list_rows(table, last));
     EXPECT_EQ(last, store_error::refused);
-    s.change([](store_state& x) { x.fault = {}; x.fault.silent = true; });
+    s.change([](store_state& x) {
+        x.fault = {};
+        x.fault.silent = true;
+    });
     EXPECT_FALSE(c.list_rows(table, last));
     EXPECT_EQ(last, store_error::unclear);
     s.change([](store_state& x) { x.fault = {}; });
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -9,7 +9,7 @@
 lint_one() {
     file=$1
     stamp=$stamps/$(echo "$file" | tr / _)
-    headers=$(cat src/*/*.hpp .clang-tidy | cksum | tr -d ' ')
+    headers=$(cat src/*/*.hpp platform/*.hpp .clang-tidy | cksum | tr -d ' ')
     sum=$(cksum <"$file" | tr -d ' ')-$headers
     [ "$(cat "$stamp" 2>/dev/null || true)" != "$sum" ] || return 0
     if ! out=$(clang-tidy --quiet -p "$build" \
@@ -23,5 +23,5 @@
     lint_one "$2"
     exit $?
 fi
-git ls-files 'src/*.cpp' 'test/*.cpp' 'bench/*.cpp' |
+git ls-files 'src/*.cpp' 'platform/*.cpp' 'test/*.cpp' 'bench/*.cpp' |
     xargs -P "$(nproc)" -I{} sh "$0" "$build" {}
