--- a/src/member/member_cmd.cpp
+++ b/src/member/member_cmd.cpp
@@ -603,6 +603,7 @@
                                           const std::vector<node_address>& a)
 {
     std::vector<outgoing> out;
+    out.reserve(a.size());
     t.seeds = a;
     for (const auto& to : a)
         out.push_back(to_address(to, digest_message(t)));
--- a/test/test_doubt.cpp
+++ b/test/test_doubt.cpp
@@ -269,12 +269,13 @@
 {
     constexpr std::size_t nodes = 21;
     constexpr double per_node = 4; // requests a second
-    constexpr int tenths = 600;
+    constexpr std::size_t tenths = 600;
     std::vector<retry_budget> all(nodes);
     std::vector<int> retries(tenths);
     std::vector<double> requests(tenths);
-    for (int k = 0; k < tenths; ++k) {
-        const auto now = start + k * us_per_s / 10;
+    for (std::size_t k = 0; k < tenths; ++k) {
+        const auto now =
+            start + static_cast<mono_us>(k) * us_per_s / 10;
         for (auto& b : all) {
             share_allowance(b, {60, 10 * us_per_s, nodes}, now);
             earn_retry(b, 0.2 * per_node / 10);
@@ -282,10 +283,10 @@
             retries[k] += spend_retry(b) ? 1 : 0;
         }
     }
-    for (int from = 0; from + 100 <= tenths; ++from) {
+    for (std::size_t from = 0; from + 100 <= tenths; ++from) {
         double sent = 0;
         double asked = 0;
-        for (int k = from; k < from + 100; ++k) {
+        for (std::size_t k = from; k < from + 100; ++k) {
             sent += retries[k];
             asked += requests[k];
         }
