--- a/src/balance/place_func.cpp
+++ b/src/balance/place_func.cpp
@@ -29,24 +29,33 @@
     return std::find(tried.begin(), tried.end(), id) != tried.end();
 }
 
-/// A near suspect to be probed, chosen at random; nothing in most cases.
-std::optional<choice> place_probe(const std::vector<candidate>& all,
-                                  const place_policy& p, const place_request& r,
-                                  const std::vector<worker_id>& tried,
-                                  random_state& rng)
+/// Whether work should show how a candidate is: it is a suspect, or nothing
+/// has been seen of it for so long that nobody knows.
+bool wants_probe(const candidate& c, const balance_policy& b, mono_us now)
+{
+    constexpr double unknown_share = 0.9; // of what is usual
+    return c.doubt.suspect || doubt_now(c.doubt, b.doubt, now) >=
+                                  unknown_share * b.doubt.sick_share;
+}
+
+/// A near candidate to be probed, chosen at random; nothing in most cases.
+std::optional<choice>
+place_probe(const std::vector<candidate>& all, const place_policy& p,
+            const balance_policy& b, const place_request& r,
+            const std::vector<worker_id>& tried, random_state& rng, mono_us now)
 {
     if (!r.may_fail || random_unit(rng) >= p.probe_share)
         return std::nullopt;
-    std::vector<std::size_t> suspects;
+    std::vector<std::size_t> unproven;
     for (std::size_t n = 0; n < all.size(); ++n) {
         const auto& c = all[n];
-        if (c.doubt.suspect && c.near && c.weight > 0 && !c.path_bad &&
+        if (c.near && c.weight > 0 && !c.path_bad && wants_probe(c, b, now) &&
             !was_tried(tried, c.id))
-            suspects.push_back(n);
+            unproven.push_back(n);
     }
-    if (suspects.empty())
+    if (unproven.empty())
         return std::nullopt;
-    return choice{suspects[random_below(rng, suspects.size())], 0, 0};
+    return choice{unproven[random_below(rng, unproven.size())], 0, 0};
 }
 
 } // namespace
@@ -75,7 +84,7 @@
                             const std::vector<worker_id>& tried,
                             random_state& rng, mono_us now)
 {
-    auto best = place_probe(all, p, r, tried, rng);
+    auto best = place_probe(all, p, b, r, tried, rng, now);
     if (best)
         return best;
     double second = 0;
--- a/src/balance/place_type.hpp
+++ b/src/balance/place_type.hpp
@@ -26,9 +26,9 @@
     /// How long a suspect, or one whose queue is full, is not asked again
     /// after it said so; its refusal is known.
     span_us refusal_memory = 300 * us_per_ms;
-    /// Of work whose failure would be tried again: sent to a near suspect on
-    /// purpose. Only work shows that a sickness is over; in a quiet service
-    /// nothing else would go there, and its gate takes one in a while.
+    /// Of work whose failure would be tried again: sent on purpose to a near
+    /// candidate that is a suspect or new. Only work shows how it is; in a
+    /// quiet service all would go to the proven ones, and none ever there.
     double probe_share = 0.15;
     double noise = 0.04; ///< random, so that entry nodes do not all agree
 };
--- a/test/test_doubt.cpp
+++ b/test/test_doubt.cpp
@@ -284,6 +284,31 @@
     EXPECT_EQ(placed({suspect}, false), static_cast<worker_id>(1));
 }
 
+// A backend server joins a quiet service and gets nothing for good: those
+// that were proven lately always cost less than one that nobody knows. Some
+// of the work whose failure would be tried again must go there.
+TEST(placing, a_newcomer_gets_some_work)
+{
+    const std::vector<candidate> all = {make_candidate(1, true, 0.3, 0.01),
+                                        make_candidate(2, true, 0, 0.3)};
+    balance_policy b;
+    b.doubt = on();
+    random_state rng{1};
+    int probes = 0;
+    int charges = 0;
+    for (int k = 0; k < 200; ++k) {
+        const place_request lookup{true, us_per_s};
+        const place_request charge{false, us_per_s};
+        const auto x = place(all, place_policy{}, b, lookup, {}, rng, start);
+        const auto y = place(all, place_policy{}, b, charge, {}, rng, start);
+        probes += x->index == 1 ? 1 : 0;
+        charges += y->index == 1 ? 1 : 0;
+    }
+    EXPECT_GE(probes, 10);
+    EXPECT_LE(probes, 60);
+    EXPECT_EQ(charges, 0);
+}
+
 // Every request of a service fails for a minute. 21 nodes may send one retry
 // in five requests and 60 more in ten seconds, together.
 TEST(allowance, nodes_together_stay_within_it)
