Fetch a configuration from other data centres too

Cause: a version travels with every datagram, but its document was asked for only of nodes in the own data centre; where the store turned all of them away, it came 2.4 s after the others had it. Ruled out: lost datagrams, the relays.

--- a/src/member/member_query.cpp
+++ b/src/member/member_query.cpp
@@ -84,4 +84,20 @@
     return {centres.begin(), centres.end()};
 }
 
+std::vector<node_address> fetch_peers(const member_table& t, random_state& rng)
+{
+    constexpr std::size_t of_each = 2; // a dead one costs its timeout
+    std::vector<const member*> far;
+    for (const auto centre : foreign_centres(t)) {
+        for (const auto* m : alive_members(t, centre))
+            far.push_back(m);
+    }
+    std::vector<node_address> peers;
+    for (const auto& all : {alive_members(t, t.self.centre), far}) {
+        for (std::size_t n = 0; n < of_each && !all.empty(); ++n)
+            peers.push_back(all[random_below(rng, all.size())]->record.address);
+    }
+    return peers;
+}
+
 } // namespace jasminetray
--- a/src/member/member_query.hpp
+++ b/src/member/member_query.hpp
@@ -37,4 +37,9 @@
 /// Data centres that are known, own one left out.
 std::vector<centre_id> foreign_centres(const member_table& t);
 
+/// Nodes to fetch a configuration from: some near ones first, then far ones.
+/// A whole data centre may be cut off from the store; there nobody near has
+/// what the others have had for seconds.
+std::vector<node_address> fetch_peers(const member_table& t, random_state& rng);
+
 } // namespace jasminetray
--- a/src/node/member_actor.cpp
+++ b/src/node/member_actor.cpp
@@ -13,10 +13,9 @@
 
 constexpr std::chrono::milliseconds tick_every(50);
 constexpr std::uint64_t poll_purpose = 0x504f4c4cULL;
-constexpr std::size_t pollers = 2;     // per data centre
-constexpr std::size_t fetch_peers = 3; // of each kind, to fetch from
-constexpr int peers_every = 10;        // ticks
-constexpr std::size_t most_told = 32;  // nodes, of a change of load
+constexpr std::size_t pollers = 2;    // per data centre
+constexpr int peers_every = 10;       // ticks
+constexpr std::size_t most_told = 32; // nodes, of a change of load
 
 /// State of the actor.
 struct member_keeper
@@ -102,13 +101,7 @@
 {
     peers_message m;
     m.poll = is_ranked(k.table, poll_purpose, pollers);
-    auto near = alive_members(k.table, k.table.self.centre);
-    if (near.empty())
-        near = alive_members(k.table, centre_id{});
-    for (std::size_t n = 0; n < fetch_peers && !near.empty(); ++n) {
-        m.peers.push_back(
-            near[random_below(k.rng, near.size())]->record.address);
-    }
+    m.peers = fetch_peers(k.table, k.rng);
     if (k.config)
         self->send(k.config, std::move(m));
 }
--- a/test/test_core.cpp
+++ b/test/test_core.cpp
@@ -4,6 +4,8 @@
 #include "gate/gate_cmd.hpp"
 #include "gate/gate_query.hpp"
 #include "limit/limit_type.hpp"
+#include "member/member_cmd.hpp"
+#include "member/member_query.hpp"
 #include "verdict/floor_type.hpp"
 #include "verdict/path_type.hpp"
 
@@ -243,6 +245,36 @@
     EXPECT_EQ(agreed_nodes(all, p).size(), 1U);
 }
 
+// An operator's change is in force everywhere but in one data centre, 2.4 s
+// long: the store turns that one away, its nodes hear of the version at once
+// and ask each other for it, and none of them has it.
+TEST(member, a_configuration_is_fetched_from_other_data_centres_too)
+{
+    node_record self;
+    self.id = node_id{1};
+    self.centre = static_cast<centre_id>(1);
+    auto t = make_member_table(self, {}, member_policy{});
+    for (std::uint32_t n = 2; n <= 5; ++n) {
+        node_record r;
+        r.id = static_cast<node_id>(n);
+        r.generation = 1;
+        r.centre = static_cast<centre_id>(n <= 3 ? 1 : 2);
+        r.address.ip = n;
+        gossip_message m;
+        m.sender = {r.id, 1, 0};
+        m.records = {r};
+        random_state rng{n};
+        member_receive(t, m, n, 1, rng, us_per_s);
+    }
+    random_state rng{7};
+    const auto peers = fetch_peers(t, rng);
+    ASSERT_EQ(peers.size(), 4U);
+    EXPECT_LE(peers[0].ip, 3U);
+    EXPECT_LE(peers[1].ip, 3U);
+    EXPECT_GE(peers[2].ip, 4U);
+    EXPECT_GE(peers[3].ip, 4U);
+}
+
 // A caller's request goes to a backend server that is draining: the path to
 // its node lost work before, and a candidate with a bad path stays a last
 // choice. Only while it takes work at all.
