Make one piece of what stood twice: queued work, loads

advance_gate() and refuse_queued() told tickets by the same loop; answers and load datagrams filled a candidate by the same six lines. Behaviour is unchanged.

--- a/src/balance/view_func.cpp
+++ b/src/balance/view_func.cpp
@@ -179,6 +179,17 @@
     return changes;
 }
 
+void view_take_load(candidate& c, const load_report& l, mono_us now)
+{
+    constexpr double percent = 100;
+    c.load = l.load;
+    c.load_at = now;
+    c.work_us = l.work;
+    c.doubt.sick = l.doubt / percent;
+    c.doubt.suspect = l.suspect;
+    c.doubt.at = now;
+}
+
 candidate* view_candidate(fleet_view& v, service_id service, worker_id id)
 {
     const auto it = v.services.find(service);
--- a/src/balance/view_type.hpp
+++ b/src/balance/view_type.hpp
@@ -82,6 +82,9 @@
                                         const service_config& c,
                                         const path_table& paths, mono_us now);
 
+/// Takes up how a backend server stands, as its exit node has just told it.
+void view_take_load(candidate& c, const load_report& l, mono_us now);
+
 /// Candidate of a service by id; null when there is none.
 candidate* view_candidate(fleet_view& v, service_id service, worker_id id);
 
--- a/src/node/announce.cpp
+++ b/src/node/announce.cpp
@@ -29,7 +29,7 @@
         return;
     n.events.write(event_id::worker_gone, it->second.name,
                    "service=" + it->second.service + " reason=" + why);
-    refuse_queued(n, gate_remove_worker(n.door, id, mono_now()));
+    tell_queued(n, gate_remove_worker(n.door, id, mono_now()));
     n.workers.erase(it);
 }
 
@@ -135,8 +135,8 @@
     w.draining = a.draining;
     w.announced_at = mono_now();
     gate_set_worker(n.door, id, a.slots, a.busy);
-    refuse_queued(n, gate_drain_worker(n.door, id, w.draining || w.drained_here,
-                                       mono_now()));
+    tell_queued(n, gate_drain_worker(n.door, id, w.draining || w.drained_here,
+                                     mono_now()));
     if (changed)
         publish_self(n);
     return id;
@@ -161,9 +161,9 @@
     if (it == n.workers.end())
         return;
     it->second.drained_here = draining;
-    refuse_queued(n,
-                  gate_drain_worker(n.door, id, draining || it->second.draining,
-                                    mono_now()));
+    tell_queued(n,
+                gate_drain_worker(n.door, id, draining || it->second.draining,
+                                  mono_now()));
     publish_self(n);
 }
 
@@ -173,7 +173,7 @@
     publish_self(n);
 }
 
-void refuse_queued(node_state& n, const std::vector<gate_decision>& decisions)
+void tell_queued(node_state& n, const std::vector<gate_decision>& decisions)
 {
     for (const auto& d : decisions) {
         const auto it = n.tickets.find(d.attempt);
--- a/src/node/announce.hpp
+++ b/src/node/announce.hpp
@@ -17,7 +17,7 @@
 void forget_worker(node_state& n, worker_id id, const std::string& why);
 
 /// Tells queued work what was decided.
-void refuse_queued(node_state& n, const std::vector<gate_decision>& decisions);
+void tell_queued(node_state& n, const std::vector<gate_decision>& decisions);
 
 /// Forgets backend servers that have fallen silent.
 void tick_announcements(node_state& n, mono_us now);
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -47,13 +47,8 @@
     if (c == nullptr || it == n.view.services.end())
         return;
     const auto now = mono_now();
-    constexpr double percent = 100;
-    c->load = a.load;
-    c->load_at = now;
-    c->work_us = a.work;
-    c->doubt.sick = a.doubt / percent;
-    c->doubt.suspect = a.suspect;
-    c->doubt.at = now;
+    view_take_load(
+        *c, {t.worker, r.service_key, a.load, a.work, a.doubt, a.suspect}, now);
     const auto place =
         static_cast<std::size_t>(c - it->second.candidates.data());
     auto& spoken = it->second.spoken[place];
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -285,13 +285,7 @@
 
 void advance_gate(node_state& n, worker_id w)
 {
-    for (const auto& d : gate_advance(n.door, w, mono_now())) {
-        const auto it = n.tickets.find(d.attempt);
-        if (it == n.tickets.end())
-            continue;
-        it->second->decision = d;
-        it->second->signal.cancel();
-    }
+    tell_queued(n, gate_advance(n.door, w, mono_now()));
 }
 
 void tick_gate(node_state& n, mono_us now)
--- a/src/node/health_driver.cpp
+++ b/src/node/health_driver.cpp
@@ -212,7 +212,7 @@
 void note_silence(node_state& n, worker_id id, mono_us now)
 {
     const bool was = is_suspect(n.door, id, now);
-    refuse_queued(n, gate_silent(n.door, id, now));
+    tell_queued(n, gate_silent(n.door, id, now));
     tell_suspicion(n, id, was, "silence");
 }
 
@@ -224,7 +224,7 @@
         return;
     const bool was = is_suspect(n.door, id, mono_now());
     const bool failed = seen == outcome_kind::failed;
-    refuse_queued(n, gate_outcome(n.door, id, failed, mono_now()));
+    tell_queued(n, gate_outcome(n.door, id, failed, mono_now()));
     tell_suspicion(n, id, was, failed ? "failure" : "success");
 }
 
@@ -254,18 +254,11 @@
 
 void take_loads(node_state& n, const std::vector<load_report>& loads)
 {
-    constexpr double percent = 100;
     const auto now = mono_now();
     for (const auto& l : loads) {
         auto* c = view_candidate(n.view, l.service, l.worker);
-        if (c == nullptr)
-            continue;
-        c->load = l.load;
-        c->load_at = now;
-        c->work_us = l.work;
-        c->doubt.sick = l.doubt / percent;
-        c->doubt.suspect = l.suspect;
-        c->doubt.at = now;
+        if (c != nullptr)
+            view_take_load(*c, l, now);
     }
 }
 
--- a/src/node/hosted_worker.cpp
+++ b/src/node/hosted_worker.cpp
@@ -118,7 +118,7 @@
         w.draining = true;
         n.events.write(event_id::worker_draining, w.name,
                        a.leaving ? "left=1" : "left=0");
-        refuse_queued(n, gate_drain_worker(n.door, id, true, mono_now()));
+        tell_queued(n, gate_drain_worker(n.door, id, true, mono_now()));
         publish_self(n);
     }
 }
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -539,7 +539,7 @@
 {
     const auto now = mono_now();
     p.events.write(event_id::process_stopping, p.settings.name, "");
-    refuse_queued(p.state, gate_stop(p.state.door, now));
+    tell_queued(p.state, gate_stop(p.state.door, now));
     p.state.stopping = true;
     p.close_at = now + p.settings.drain;
     p.stop_at = now + p.settings.stop_bound;
