Count the retry allowance in its window, so that none of it is lost

Each node held a bucket of 1.28 tokens, empty at the start, so whatever was earned in a calm second was thrown away. Ruled out: refusals by the attempts of a route (one attempt was made in 351 of the failed requests), and holding a VM's own calls' failures against its backend server by address (callers and backend servers share one address; no change, reverted). Change: a node counts its own first attempts and retries in the window and spends up to the share of the one and its part of the fixed number. Test: a run of failures after a calm minute is repeated, and nodes together stay within the allowance in every window.

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -116,7 +116,7 @@
     const bool safe =
         r.policy.idempotent || all_not_run(r) || !on.retry_only_proven;
     const bool free = reached_count(r) == 0;
-    if (safe && may_send_more(r, now) && (free || spend_retry(budget))) {
+    if (safe && may_send_more(r, now) && (free || spend_retry(budget, now))) {
         ++r.retries;
         return send(r, attempt_action_kind::send_fresh, now, out);
     }
@@ -187,7 +187,7 @@
         return settle(r, out, on);
     }
     if (now >= r.again_at) {
-        if (reached_count(r) == 0 || spend_retry(budget))
+        if (reached_count(r) == 0 || spend_retry(budget, now))
             return begin_round(r, now, out);
         return settle(r, out, on);
     }
@@ -200,7 +200,7 @@
         if (!r.policy.idempotent) {
             ask(r, n, out);
         } else if (silent && n == r.tracks.size() && may_send_more(r, now) &&
-                   spend_retry(budget)) {
+                   spend_retry(budget, now)) {
             // Something between the two ends may have lost track of the
             // connection: it stays silent for good while new ones work.
             t.asked = true;
--- a/src/limit/limit_func.cpp
+++ b/src/limit/limit_func.cpp
@@ -28,34 +28,69 @@
     b.filled_at = now;
 }
 
+/// Which slice a moment falls in.
+std::int64_t slice_number(const retry_budget& b, mono_us now)
+{
+    constexpr auto slices = static_cast<span_us>(budget_slices);
+    return now / std::max<span_us>(1, b.window / slices);
+}
+
+/// The slice of a moment, emptied when an older one stood in its place.
+budget_slice& slice_at(retry_budget& b, mono_us now)
+{
+    const auto number = slice_number(b, now);
+    auto& s = b.slices[static_cast<std::size_t>(number) % budget_slices];
+    if (s.number != number)
+        s = {number, 0, 0};
+    return s;
+}
+
 } // namespace
 
 void share_allowance(retry_budget& b, const fleet_allowance& a, mono_us now)
 {
-    // In a window a node can spend what it has at its start and what comes
-    // back meanwhile. A tenth is kept for nodes that do not know each other.
+    // A tenth is kept for nodes that do not know each other.
     constexpr double used_share = 0.9;
-    constexpr double half = 0.5;
     const double part = used_share * a.slack / static_cast<double>(a.nodes);
-    const bool fresh = b.filled_at == 0;
-    b.most = std::max(1.0, half * part);
-    b.per_second = half * part * us_per_s / static_cast<double>(a.window);
-    const auto passed = static_cast<double>(now - b.filled_at) / us_per_s;
-    // A node that starts anew may have spent its part before.
-    b.tokens = fresh ? 0 : std::min(b.most, b.tokens + passed * b.per_second);
-    b.filled_at = now;
+    if (b.began_at == 0)
+        b.began_at = now;
+    // A node that starts anew may have spent its part just before.
+    const auto age = static_cast<double>(now - b.began_at) /
+                     static_cast<double>(std::max<span_us>(1, a.window));
+    b.share = used_share * a.share;
+    b.fixed = part * std::min(1.0, age);
+    b.window = a.window;
 }
 
-void earn_retry(retry_budget& b, double share)
+void count_request(retry_budget& b, mono_us now)
 {
-    b.tokens = std::min(b.most, b.tokens + share);
+    ++slice_at(b, now).requests;
+}
+
+void count_retry(retry_budget& b, mono_us now)
+{
+    ++slice_at(b, now).retries;
+}
+
+bool may_retry(const retry_budget& b, mono_us now)
+{
+    const auto newest = slice_number(b, now);
+    int requests = 0;
+    int retries = 0;
+    for (const auto& s : b.slices) {
+        if (newest - s.number >= static_cast<std::int64_t>(budget_slices))
+            continue;
+        requests += s.requests;
+        retries += s.retries;
+    }
+    return retries + 1 <= b.share * requests + b.fixed;
 }
 
-bool spend_retry(retry_budget& b)
+bool spend_retry(retry_budget& b, mono_us now)
 {
-    if (b.tokens < 1)
+    if (!may_retry(b, now))
         return false;
-    b.tokens -= 1;
+    count_retry(b, now);
     return true;
 }
 
--- a/src/limit/limit_type.hpp
+++ b/src/limit/limit_type.hpp
@@ -5,27 +5,45 @@
 #include "base/time_type.hpp"
 #include "config/config_type.hpp"
 
+#include <array>
+#include <cstdint>
 #include <string>
 #include <unordered_map>
 
 namespace jasminetray {
 
-/// Retries that a service may still cause. Every first attempt earns a share
-/// of one; so retries stay a fixed share of the load even in an outage, when
-/// a fixed number per request would multiply it.
+/// Requests and retries of one slice of a budget's window.
+struct budget_slice
+{
+    std::int64_t number = 0; ///< of the slice since the clock's start
+    int requests = 0;        ///< first attempts
+    int retries = 0;         ///< arrivals beyond them
+};
+
+constexpr std::size_t budget_slices = 20; ///< of one window
+
+/// Retries that one node may cause at a service. In any window they are at
+/// most a share of its own first attempts and a fixed number; so retries stay
+/// a fixed share of the load even in an outage, when a fixed number for each
+/// request would multiply it. Counted in the window itself, because a bucket
+/// of a size that is safe for the whole fleet (one token a node) threw away
+/// most of what was earned: a tenth of the allowance was used while one
+/// failure in two went to its caller unrepeated.
 struct retry_budget
 {
-    double tokens = 10;    ///< invariant: 0 <= tokens <= most
-    double most = 10;      ///< lets a quiet service retry at once
-    double per_second = 0; ///< that come back by themselves
-    mono_us filled_at = 0; ///< when they last did
+    double share = 0;  ///< retries per first attempt
+    double fixed = 10; ///< beside them, in any window
+    span_us window = 10 * us_per_s;
+    mono_us began_at = 0; ///< first use
+    std::array<budget_slice, budget_slices> slices{};
 };
 
 /// The fleet's allowance: retries in any window are at most a share of its
 /// requests and a fixed number. Each node takes its part without asking.
 struct fleet_allowance
 {
-    double slack = 0; ///< the fixed number, of the whole fleet; 0 for none
+    double share = 0; ///< of the requests
+    double slack = 0; ///< the fixed number, of the whole fleet
     span_us window = 10 * us_per_s;
     std::size_t nodes = 1; ///< that share it
 };
@@ -34,11 +52,16 @@
 void share_allowance(retry_budget& b, const fleet_allowance& a, mono_us now);
 
 /// A first attempt was sent.
-/// @param share retries earned per first attempt
-void earn_retry(retry_budget& b, double share);
+void count_request(retry_budget& b, mono_us now);
+
+/// A retry was sent that nobody could be asked about.
+void count_retry(retry_budget& b, mono_us now);
+
+/// Whether a retry is left in the window that ends now.
+bool may_retry(const retry_budget& b, mono_us now);
 
 /// Takes a retry out of the budget; false when there is none left.
-bool spend_retry(retry_budget& b);
+bool spend_retry(retry_budget& b, mono_us now);
 
 /// Rate limit of one team.
 struct team_bucket
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -222,14 +222,16 @@
 {
     auto& budget = r->n.budgets[r->service->name];
     const auto& h = r->n.settings.hosted;
+    const auto now = mono_now();
     if (r->n.balance.doubt.on) {
         share_allowance(budget,
-                        {h.retry_slack, h.retry_window,
+                        {h.retry_ratio, h.retry_slack, h.retry_window,
                          std::max<std::size_t>(1, r->n.most_nodes)},
-                        mono_now());
+                        now);
+    } else {
+        budget.share = r->service->retry_share;
     }
-    earn_retry(budget,
-               r->n.balance.doubt.on ? h.retry_ratio : r->service->retry_share);
+    count_request(budget, now);
     const auto& on = r->n.safeguards.attempt;
     auto delivered = carry_out(
         r, attempt_step(r->machine, {attempt_event_kind::begin, 0, ""}, budget,
--- a/test/fake_path.cpp
+++ b/test/fake_path.cpp
@@ -52,7 +52,8 @@
     auto& r = requests[seq];
     r.machine = make_request(p, now + deadline);
     r.idempotent = idempotent;
-    earn_retry(budget, 1);
+    budget.share = 1;
+    count_request(budget, now);
     feed(seq, {attempt_event_kind::begin, 0, ""});
 }
 
--- a/test/test_core.cpp
+++ b/test/test_core.cpp
@@ -167,7 +167,7 @@
     p.most_attempts = 8;
     auto r = make_request(p, us_per_s);
     retry_budget budget;
-    budget.tokens = 1;
+    budget.fixed = 1;
     attempt_step(r, {attempt_event_kind::begin, 0, ""}, budget, 0);
     attempt_step(r, {attempt_event_kind::lost, 1, ""}, budget, 10);
     EXPECT_EQ(r.tracks.size(), 2U);
--- a/test/test_doubt.cpp
+++ b/test/test_doubt.cpp
@@ -6,6 +6,7 @@
 #include "limit/limit_type.hpp"
 
 #include <gtest/gtest.h>
+#include <numeric>
 
 namespace jasminetray {
 namespace {
@@ -322,10 +323,13 @@
     for (std::size_t k = 0; k < tenths; ++k) {
         const auto now = start + static_cast<mono_us>(k) * us_per_s / 10;
         for (auto& b : all) {
-            share_allowance(b, {60, 10 * us_per_s, nodes}, now);
-            earn_retry(b, 0.2 * per_node / 10);
-            requests[k] += per_node / 10;
-            retries[k] += spend_retry(b) ? 1 : 0;
+            share_allowance(b, {0.2, 60, 10 * us_per_s, nodes}, now);
+            const bool asked = k % 5 < 2;
+            if (asked)
+                count_request(b, now);
+            requests[k] += asked ? 1 : 0;
+            while (spend_retry(b, now))
+                ++retries[k];
         }
     }
     for (std::size_t from = 0; from + 100 <= tenths; ++from) {
@@ -337,6 +341,27 @@
         }
         EXPECT_LE(sent, 0.2 * asked + 60);
     }
+    // And what is allowed is there to be used, also all at once.
+    const double used = std::accumulate(retries.begin(), retries.end(), 0.0);
+    const double minutes = 0.2 * per_node * nodes * 60 + 60 * 6;
+    EXPECT_GE(used, 0.8 * minutes);
+}
+
+// A service is calm for a minute; then a backend server of it turns sick and
+// six requests in a row fail at one node. Each is tried again: what the node
+// did not use before is not lost for being unused.
+TEST(allowance, a_run_of_failures_is_met_after_a_calm_time)
+{
+    constexpr std::size_t nodes = 21;
+    retry_budget b;
+    mono_us now = start;
+    for (int k = 0; k < 240; ++k) {
+        now += us_per_s / 4;
+        share_allowance(b, {0.2, 60, 10 * us_per_s, nodes}, now);
+        count_request(b, now);
+    }
+    for (int k = 0; k < 6; ++k)
+        EXPECT_TRUE(spend_retry(b, now)) << k;
 }
 
 } // namespace
