Forecast how late work is served from the slots that are left over

Change: the gate measures which share of its slots work in time takes, and keeps late work only while the rest can answer it before its deadline. How work waits is a file of its own now, gate_queue.

--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -1,6 +1,8 @@
 // Commands of the gate; see gate_cmd.hpp.
 #include "gate/gate_cmd.hpp"
 
+#include "gate/gate_queue.hpp"
+
 #include <algorithm>
 
 namespace jasminetray {
@@ -69,51 +71,6 @@
     return !r.may_probe || now < w.doubt.probe_at;
 }
 
-gate_waiting waiting_of(const gate_request& r, std::uint64_t serial)
-{
-    return {r.attempt, r.idempotent, r.priority, r.deadline,
-            r.due,     r.target,     r.klass,    serial};
-}
-
-/// Time that work of a class takes here.
-span_us took_by(const gate_worker& w, std::uint32_t klass)
-{
-    const auto own = w.usual_by_class[klass % work_kinds];
-    return own == 0 ? w.usual : own;
-}
-
-/// Order of the queue. The load that it answers: more work than slots for
-/// seconds. First by priority. Then short targets: these are lookups that
-/// running work elsewhere waits for, with a slot of its own spent; behind
-/// work that lasts four times as long they time out, and their parents fail
-/// with them. Then what can still be in time, because a late answer is worth
-/// a third; behind it the late ones, oldest first, worth more than none.
-/// @param now the moment; work must start its own duration before it is due
-bool comes_before(const gate_worker& w, const gate_waiting& a,
-                  const gate_waiting& b, mono_us now)
-{
-    if (a.priority != b.priority)
-        return a.priority < b.priority;
-    if (a.target != b.target)
-        return a.target < b.target;
-    const bool late_a = a.due - took_by(w, a.klass) < now;
-    const bool late_b = b.due - took_by(w, b.klass) < now;
-    if (late_a != late_b)
-        return late_b;
-    return a.serial < b.serial;
-}
-
-/// Moment after which work is not started any more.
-mono_us latest_start(const gate_limits& l, mono_us due, span_us target,
-                     double late_share)
-{
-    if (due == mono_never)
-        return mono_never;
-    const auto late =
-        static_cast<span_us>((1 + late_share) * static_cast<double>(target));
-    return due - target + std::max(l.least_wait, late);
-}
-
 gate_error refuse_capacity(const gate& g, const gate_worker& w,
                            const gate_request& r, mono_us now)
 {
@@ -131,13 +88,9 @@
     span_us ahead = w.usual;
     for (const auto& x : w.queue)
         ahead += comes_before(w, x, mine, now) ? took_by(w, x.klass) : 0;
-    const auto wait =
-        ahead / std::max<span_us>(1, static_cast<span_us>(w.limit));
-    const auto start = now + wait;
-    const bool in_time =
-        start + took_by(w, r.klass) / 2 < r.deadline &&
-        start <= latest_start(g.limits, r.due, r.target, g.limits.late_admit);
-    return in_time ? gate_error::none : gate_error::deadline_short;
+    const bool fits = starts_in_time(w, g.limits, mine, ahead, now) ||
+                      served_late(w, g.limits, mine, ahead, now);
+    return fits ? gate_error::none : gate_error::deadline_short;
 }
 
 /// Notes a refusal down: once "not run" was said of an attempt, a repeated
@@ -223,6 +176,8 @@
     const bool start = room(w) && w.queue.empty();
     if (mode == command_mode::apply && w.doubt.suspect)
         doubt_take_probe(w.doubt, g.limits.doubt, now);
+    if (mode == command_mode::apply && r.due - took_by(w, r.klass) >= now)
+        add_pressure(w, g.limits, r.klass, now);
     if (mode == command_mode::apply && start)
         take_slot(g, w, r.attempt, r.idempotent, now);
     if (mode == command_mode::apply && !start) {
@@ -245,19 +200,22 @@
         return comes_before(w, a, b, now);
     });
     std::vector<gate_waiting> left;
+    span_us queued = 0;
     for (const auto& x : q) {
-        // Started now it would end after its deadline in most cases: a slot
-        // spent for nobody. Refused while its caller can still be told.
-        const auto latest =
-            latest_start(g.limits, x.due, x.target, g.limits.late_keep);
-        if (x.deadline - took_by(w, x.klass) / 2 <= now || latest <= now) {
+        const bool free = room(w);
+        const span_us ahead = free ? 0 : w.usual + queued; // running work too
+        // Work that could not be answered any more would spend a slot for
+        // nobody. Refused while its caller can still be told.
+        if (!starts_in_time(w, g.limits, x, ahead, now) &&
+            !served_late(w, g.limits, x, ahead, now)) {
             if (!x.idempotent)
                 remember(g, x.attempt, gate_state::revoked, now);
             decisions.push_back({x.attempt, false, gate_error::deadline_short});
-        } else if (room(w)) {
+        } else if (free) {
             take_slot(g, w, x.attempt, x.idempotent, now);
             decisions.push_back({x.attempt, true, gate_error::none});
         } else {
+            queued += took_by(w, x.klass);
             left.push_back(x);
         }
     }
--- /dev/null
+++ b/src/gate/gate_queue.cpp
@@ -0,0 +1,89 @@
+// How work waits at a gate; see gate_queue.hpp.
+#include "gate/gate_queue.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jasminetray {
+
+namespace {
+
+/// Least share of the slots that late work is forecast to get.
+constexpr double least_rest = 0.05;
+
+span_us wait_for(const gate_worker& w, span_us ahead, double share)
+{
+    const double slots = std::max(1.0, w.limit) * share;
+    return static_cast<span_us>(static_cast<double>(ahead) / slots);
+}
+
+/// Half of the usual time: most work that has less left ends too late.
+bool ends_before_deadline(const gate_worker& w, const gate_waiting& x,
+                          mono_us begin)
+{
+    return begin + took_by(w, x.klass) / 2 < x.deadline;
+}
+
+} // namespace
+
+gate_waiting waiting_of(const gate_request& r, std::uint64_t serial)
+{
+    return {r.attempt, r.idempotent, r.priority, r.deadline,
+            r.due,     r.target,     r.klass,    serial};
+}
+
+span_us took_by(const gate_worker& w, std::uint32_t klass)
+{
+    const auto own = w.usual_by_class[klass % work_kinds];
+    return own == 0 ? w.usual : own;
+}
+
+bool comes_before(const gate_worker& w, const gate_waiting& a,
+                  const gate_waiting& b, mono_us now)
+{
+    if (a.priority != b.priority)
+        return a.priority < b.priority;
+    if (a.target != b.target)
+        return a.target < b.target;
+    const bool late_a = a.due - took_by(w, a.klass) < now;
+    const bool late_b = b.due - took_by(w, b.klass) < now;
+    if (late_a != late_b)
+        return late_b;
+    return a.serial < b.serial;
+}
+
+double pressure_now(const gate_worker& w, const gate_limits& l, mono_us now)
+{
+    const auto passed = static_cast<double>(now - w.pressure_at);
+    return w.pressure *
+           std::exp(-passed / static_cast<double>(l.pressure_span));
+}
+
+void add_pressure(gate_worker& w, const gate_limits& l, std::uint32_t klass,
+                  mono_us now)
+{
+    const double whole = w.limit * static_cast<double>(l.pressure_span);
+    w.pressure = pressure_now(w, l, now) +
+                 static_cast<double>(took_by(w, klass)) / whole;
+    w.pressure_at = now;
+}
+
+bool starts_in_time(const gate_worker& w, const gate_limits& l,
+                    const gate_waiting& x, span_us ahead, mono_us now)
+{
+    const auto begin = now + wait_for(w, ahead, 1);
+    if (!ends_before_deadline(w, x, begin))
+        return false;
+    if (x.due == mono_never)
+        return true;
+    return begin <= std::max(x.due, x.due - x.target + l.least_wait);
+}
+
+bool served_late(const gate_worker& w, const gate_limits& l,
+                 const gate_waiting& x, span_us ahead, mono_us now)
+{
+    const double rest = std::max(least_rest, 1 - pressure_now(w, l, now));
+    return ends_before_deadline(w, x, now + wait_for(w, ahead, rest));
+}
+
+} // namespace jasminetray
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -108,14 +108,12 @@
     /// is for memory.
     std::size_t queue = 64;
     doubt_policy doubt; ///< when work is held back
-    /// How late work may start, as a share of its target: whoever is let in
-    /// beyond it waits long and mostly in vain, and a refusal at once lets
-    /// its caller do something else.
-    double late_admit = 0.0;
-    double late_keep = 0.5; ///< the same for work that waits already
     /// Work may always wait so long: lookups with short targets are part of
     /// somebody's request, which fails with them.
     span_us least_wait = us_per_s;
+    /// Over which pressure is measured: longer than one piece of work, and
+    /// shorter than the seconds that a burst lasts.
+    span_us pressure_span = 2 * us_per_s;
 
     /// How long an attempt is remembered after its last change. A copy can
     /// still arrive until its stamp is too old, and a question can come
@@ -150,8 +148,10 @@
     bool draining = false; ///< takes no new work
     span_us usual = 20000; ///< moving mean of the time that work takes
     std::array<span_us, work_kinds> usual_by_class{}; ///< 0 for not seen
-    mono_us lowered_at = 0;          ///< when the limit was last lowered
-    worker_doubt doubt;              ///< from the outcomes that were seen here
+    mono_us lowered_at = 0;  ///< when the limit was last lowered
+    worker_doubt doubt;      ///< from the outcomes that were seen here
+    double pressure = 0;     ///< share of its time taken by work let in in time
+    mono_us pressure_at = 0; ///< when that was last brought up to date
     std::vector<gate_waiting> queue; ///< invariant: size <= limits.queue
 };
 
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -350,7 +350,8 @@
     for (const auto& t : m.tracks)
         reached += t.reached ? 1 : 0;
     const auto it = r.n.budgets.find(r.service->name);
-    const bool paid = it != r.n.budgets.end() && may_retry(it->second, mono_now());
+    const bool paid =
+        it != r.n.budgets.end() && may_retry(it->second, mono_now());
     return m.policy.idempotent && reached < m.policy.most_attempts && paid;
 }
 
