Ask gates once; drop the rounds of asking them again

Cause: where all gates refused, an entry node asked four of them again after 80 ms and longer, for a second. Change: a request asks four gates at most, once; the machine of rounds goes.

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -67,32 +67,10 @@
 bool may_send_more(const request_state& r, mono_us now)
 {
     return reached_count(r) < r.policy.most_attempts &&
-           r.tracks.size() < r.round_begin + r.policy.most_tries &&
+           r.tracks.size() < r.policy.most_tries &&
            !r.out_of_workers && now + r.policy.least_left < r.deadline;
 }
 
-constexpr std::uint32_t most_steps = 3; // by which the pause grows
-
-/// Whether another round is allowed and has time. Only while no backend
-/// server has seen it: what was tried and failed is not to be tried for ever.
-bool may_wait(const request_state& r, mono_us now)
-{
-    const auto pause = r.policy.pause * (1 + std::min(r.rounds, most_steps));
-    return r.policy.pause > 0 && reached_count(r) < r.policy.most_attempts &&
-           now + pause <= r.began + r.policy.wait_most &&
-           now + pause + r.policy.revoke_margin < r.deadline;
-}
-
-/// Asks everybody again.
-void begin_round(request_state& r, mono_us now, actions& out)
-{
-    r.again_at = mono_never;
-    r.out_of_workers = false;
-    r.round_begin = static_cast<std::uint32_t>(r.tracks.size());
-    ++r.rounds;
-    send(r, attempt_action_kind::send, now, out);
-}
-
 /// Ends a request of which no attempt is open any more.
 void settle(request_state& r, actions& out, const attempt_safeguards& on)
 {
@@ -120,11 +98,6 @@
         ++r.retries;
         return send(r, attempt_action_kind::send_fresh, now, out);
     }
-    if (safe && may_wait(r, now)) {
-        r.again_at =
-            now + r.policy.pause * (1 + std::min(r.rounds, most_steps));
-        return;
-    }
     settle(r, out, on);
 }
 
@@ -186,11 +159,6 @@
             r.reason = "deadline";
         return settle(r, out, on);
     }
-    if (now >= r.again_at) {
-        if (reached_count(r) == 0 || spend_retry(budget, now))
-            return begin_round(r, now, out);
-        return settle(r, out, on);
-    }
     const bool margin = now >= r.deadline - r.policy.revoke_margin;
     for (std::uint32_t n = 1; n <= r.tracks.size(); ++n) {
         auto& t = r.tracks[n - 1];
@@ -212,7 +180,7 @@
 
 mono_us next_wake(const request_state& r, mono_us now)
 {
-    mono_us at = std::min(r.deadline, r.again_at);
+    mono_us at = r.deadline;
     for (const auto& t : r.tracks) {
         if (t.phase != attempt_phase::open || t.asked)
             continue;
@@ -280,7 +248,6 @@
     if (!e.reason.empty())
         r.reason = e.reason;
     if (e.kind == attempt_event_kind::begin) {
-        r.began = now;
         send(r, attempt_action_kind::send, now, out);
     } else if (e.kind == attempt_event_kind::timer) {
         on_timer(r, budget, now, out, on);
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -102,11 +102,6 @@
     span_us silence = 200000;        ///< without an answer, before acting
     span_us revoke_margin = 100000;  ///< kept before the deadline to ask
     span_us least_left = 5000;       ///< no new attempt with less time left
-    /// When every gate has refused, before all are asked again; 0 for never.
-    /// Backend servers come back within seconds, and waiting here for one is
-    /// service where a refusal is not.
-    span_us pause = 0;
-    span_us wait_most = 0; ///< since the begin; later rounds are not begun
 };
 
 /// Test hooks that turn a safeguard off; all on in production.
@@ -131,10 +126,6 @@
     mono_us wake_at = mono_never;      ///< when to feed a timer event
     bool out_of_workers = false;       ///< nobody is left to try
     std::uint32_t retries = 0;         ///< beyond the first attempt
-    mono_us began = 0;
-    mono_us again_at = mono_never; ///< when the next round begins
-    std::uint32_t round_begin = 0; ///< attempts before this round
-    std::uint32_t rounds = 0;      ///< ended; each pause is longer
 };
 
 } // namespace jasminetray
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -330,16 +330,6 @@
 
 namespace {
 
-/// A new round may go where only a gate refused it before.
-void begin_round(entry_run& r)
-{
-    r.tried.clear();
-    for (std::size_t k = 0; k < r.machine.round_begin; ++k) {
-        if (r.machine.tracks[k].reached)
-            r.tried.push_back(r.tries[k].worker);
-    }
-}
-
 /// Whether the attempt that begins now may go to a suspect: its failure
 /// would be tried again, within attempts and budget. The track of the
 /// attempt stands in the machine already.
@@ -360,8 +350,6 @@
 void start_attempt(const std::shared_ptr<entry_run>& r, std::uint32_t count,
                    bool fresh)
 {
-    if (count - 1 == r->machine.round_begin)
-        begin_round(*r);
     r->may_probe = others_may_fail(*r);
     r->tries.emplace_back();
     auto& t = r->tries.back();
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -17,10 +17,10 @@
 
 constexpr span_us write_bound = 10 * us_per_s;  // for a caller to take it
 constexpr span_us full_retry = 100 * us_per_ms; // when the entry side is full
-constexpr std::uint32_t most_gates = 4;         // asked in one round
-constexpr span_us round_pause = 80 * us_per_ms; // a worker's turn of a slot
-constexpr double wait_share = 0.25; // of the target, for a gate to let it in
-constexpr span_us least_wait = us_per_s;           // the same for short targets
+/// Gates that one request asks. Asking all again after a pause, for a second,
+/// served no more and cost a sixth of the bytes between data centres; a gate
+/// holds work for as long as that is worth it.
+constexpr std::uint32_t most_gates = 4;
 constexpr double golden_step = 0.6180339887498949; // fills evenly at any length
 
 /// A caller's connection with what is needed to answer on it.
@@ -278,14 +278,8 @@
     p.most_attempts = static_cast<std::uint32_t>(most);
     p.silence = silence_of(n, r, p.idempotent);
     p.revoke_margin = std::min(p.revoke_margin, r.route->deadline_us / 4);
-    if (n.balance.doubt.on) {
+    if (n.balance.doubt.on)
         p.most_tries = most_gates;
-        p.pause = round_pause;
-        p.wait_most =
-            std::max(least_wait,
-                     static_cast<span_us>(
-                         wait_share * static_cast<double>(r.route->target_us)));
-    }
     return p;
 }
 
