--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -187,10 +187,13 @@
     std::size_t fanout = 2;                ///< peers per flush
     span_us greet_dead_every = us_per_s;   ///< one dead node is tried again
     std::size_t rounds = 2;                ///< flushes that repeat news
-    /// Flushes that repeat news to other data centres. Two relays send each
-    /// already; digests repair what both lose, and bytes there are dear.
+    /// Flushes that repeat news to other data centres. Digests repair what is
+    /// lost on the way, and bytes there are dear.
     std::size_t far_rounds = 1;
-    std::size_t relays = 2;            ///< per foreign data centre
+    /// Per foreign data centre. A second one sent 0.9 of what the first had
+    /// sent already; when the only one dies, digests of the next one in rank
+    /// make up for it as soon as its death is known.
+    std::size_t relays = 1;
     std::size_t helpers = 3;           ///< asked to probe for us
     std::size_t datagram_bytes = 1200; ///< room for records
     std::size_t most_members = 8192;   ///< more are not taken in
