Try unknown backend servers more often where there are many; forgive suspects

And where no work may fail, a suspect was never tried again: doubt fades to 0.3 and trust begins below it. Change: 0.06 of such work for each unknown one, up to half of it; a suspect whose doubt has faded to 0.4 (10 s) is probed by any work.

--- a/src/balance/place_func.cpp
+++ b/src/balance/place_func.cpp
@@ -44,7 +44,7 @@
             const balance_policy& b, const place_request& r,
             const std::vector<worker_id>& tried, random_state& rng, mono_us now)
 {
-    if (!r.may_fail || random_unit(rng) >= p.probe_share)
+    if (!r.may_fail)
         return std::nullopt;
     std::vector<std::size_t> unproven;
     for (std::size_t n = 0; n < all.size(); ++n) {
@@ -53,7 +53,9 @@
             !was_tried(tried, c.id))
             unproven.push_back(n);
     }
-    if (unproven.empty())
+    const double by_count = p.probe_each * static_cast<double>(unproven.size());
+    const double share = std::clamp(by_count, p.probe_share, p.probe_most);
+    if (unproven.empty() || random_unit(rng) >= share)
         return std::nullopt;
     return choice{unproven[random_below(rng, unproven.size())], 0, 0};
 }
--- a/src/balance/place_type.hpp
+++ b/src/balance/place_type.hpp
@@ -27,10 +27,15 @@
     /// after it said so; its refusal is known.
     span_us refusal_memory = 300 * us_per_ms;
     /// Of work whose failure would be tried again: sent on purpose to a near
-    /// candidate that is a suspect or new. Only work shows how it is; in a
-    /// quiet service all would go to the proven ones, and none ever there.
+    /// candidate that is a suspect or unknown. Only work shows how it is; in
+    /// a quiet service all would go to the proven ones, and none ever there.
     double probe_share = 0.15;
-    double noise = 0.04; ///< random, so that entry nodes do not all agree
+    /// The same for each such candidate, where there are many: after a release
+    /// half of a service is unknown, and must not stay idle while the rest
+    /// refuses work.
+    double probe_each = 0.06;
+    double probe_most = 0.5; ///< of such work, however many there are
+    double noise = 0.04;     ///< random, so that entry nodes do not all agree
 };
 
 /// What matters of a request.
--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -62,13 +62,16 @@
 /// Work that a sick backend server would fail is better placed elsewhere,
 /// and here it is known first: a failed piece of work is no answer for a
 /// caller, a refusal costs one more hop. Idempotent work goes in now and
-/// then, because only work shows that the sickness is over.
+/// then, because only work shows that the sickness is over; when doubt has
+/// faded, any work does.
 bool is_held_back(const gate& g, const gate_worker& w, const gate_request& r,
                   mono_us now)
 {
     if (!g.limits.doubt.on || !doubt_holds(w.doubt, g.limits.doubt, now))
         return false;
-    return !r.may_probe || now < w.doubt.probe_at;
+    const auto& p = g.limits.doubt;
+    const bool may = r.may_probe || doubt_now(w.doubt, p, now) < p.forgive_at;
+    return !may || now < w.doubt.probe_at;
 }
 
 gate_error refuse_capacity(const gate& g, const gate_worker& w,
--- a/src/verdict/doubt_type.hpp
+++ b/src/verdict/doubt_type.hpp
@@ -26,6 +26,10 @@
     double fail_when_well = 0.02;       ///< the same, with calls' failures
     double suspect_at = 0.5;            ///< doubt at which work is held back
     double trust_at = 0.3;              ///< doubt below which it comes again
+    /// Doubt at which a suspect is probed by any work. Where no work may fail
+    /// nothing else would ever show that it is well; from one failure doubt
+    /// fades to this in 10 s, longer than most sick phases last.
+    double forgive_at = 0.4;
     span_us probe_every = us_per_s / 2; ///< of a suspect, by idempotent work
     /// A backend server that fails at once shows within this time that it is
     /// still sick. A probe that lives longer lets the next one in: waiting for
--- a/test/test_doubt.cpp
+++ b/test/test_doubt.cpp
@@ -149,6 +149,21 @@
     EXPECT_FALSE(admit(g, work(2, now, us_per_s), now, last));
 }
 
+// A service whose work must never run twice: each of its backend servers
+// fails once, and callers get refusals for good, because only idempotent work
+// was let in to show that they are well. When doubt has faded, any work may.
+TEST(gate_doubt, a_suspect_is_forgiven_where_no_work_may_fail)
+{
+    auto g = make_gate(6);
+    gate_error last{};
+    gate_outcome(g, backend, true, took, start);
+    const auto soon = start + 2 * us_per_s;
+    EXPECT_FALSE(admit(g, work(1, soon, 2 * us_per_s, false), soon, last));
+    const auto later = start + 15 * us_per_s;
+    EXPECT_TRUE(admit(g, work(2, later, 2 * us_per_s, false), later, last));
+    EXPECT_FALSE(admit(g, work(3, later, 2 * us_per_s, false), later, last));
+}
+
 // Work waits at a gate when its backend server turns sick. Elsewhere there
 // are slots: it must be told at once, as not run, and never run here.
 TEST(gate_doubt, what_waits_is_refused_when_a_suspect_is_made)
@@ -364,6 +379,27 @@
     EXPECT_EQ(placed({suspect}, false), static_cast<worker_id>(1));
 }
 
+// A release replaced half of a service; the proven half refuses work while
+// the new one gets a probe every few seconds. With twelve unknown ones, half
+// of the work that may fail must go to them.
+TEST(placing, many_newcomers_get_more_work)
+{
+    std::vector<candidate> all = {make_candidate(1, true, 0.3, 0.01)};
+    for (std::uint64_t id = 2; id < 14; ++id)
+        all.push_back(make_candidate(id, true, 0, 0.3));
+    balance_policy b;
+    b.doubt = on();
+    random_state rng{1};
+    int probes = 0;
+    for (int k = 0; k < 200; ++k) {
+        const auto c =
+            place(all, place_policy{}, b, {true, 2 * us_per_s}, {}, rng, start);
+        ASSERT_TRUE(c);
+        probes += c->index == 0 ? 0 : 1;
+    }
+    EXPECT_GE(probes, 80);
+}
+
 // A backend server joins a quiet service and gets nothing for good: those
 // that were proven lately always cost less than one that nobody knows. Some
 // of the work whose failure would be tried again must go there.
