Write the log by a thread of its own; notice settings that change unsignalled

Cause: a log line was written by the request thread; with a reader that stopped reading, the pipe filled and every caller of the node waited. And a settings file that changed without a signal was taken up at the next start only. Change: lines go through a bounded buffer to a thread that writes them in one call a moment; what does not fit is left out, counted and told. The node looks at time and size of its settings file once a second. A refusal's line carries what the gate decided by: running, waiting, limit, usual time, pressure, doubt, time left. Tests: a full pipe blocks nobody and is told; a replaced file is noticed.

--- a/src/event/event_log.cpp
+++ b/src/event/event_log.cpp
@@ -35,19 +35,29 @@
     return static_cast<event_family>(number_of(id) / family_size - 1);
 }
 
-event_log::event_log(event_limits limits) : limits_(limits)
+event_log::event_log(event_limits limits, google::LogSink* sink)
+    : limits_(limits), sink_(sink)
 {
 }
 
+void event_log::write_line(const std::string& text)
+{
+    if (sink_ == nullptr)
+        LOG(INFO) << text;
+    else
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink_, INFO) << text;
+}
+
 bool event_log::may_write_line(event_id id, std::int64_t wall_ms)
 {
     auto& budget = budgets_[id];
     const auto second = wall_ms / 1000;
     if (budget.second != second) {
         if (budget.dropped > 0) {
-            LOG(INFO) << number_of(event_id::log_lines_dropped)
-                      << " log_lines_dropped event=" << number_of(id)
-                      << " count=" << budget.dropped;
+            write_line(
+                std::to_string(number_of(event_id::log_lines_dropped)) +
+                " log_lines_dropped event=" + std::to_string(number_of(id)) +
+                " count=" + std::to_string(budget.dropped));
         }
         budget = line_budget{second, 0, 0};
     }
@@ -65,8 +75,9 @@
     const auto wall_ms = wall_now_ms();
     const std::lock_guard lock(mutex_);
     if (may_write_line(id, wall_ms)) {
-        LOG(INFO) << number_of(id) << ' ' << row_of(id).name << ' ' << subject
-                  << " config=" << config_version_ << ' ' << detail;
+        write_line(std::to_string(number_of(id)) + ' ' +
+                   std::string(row_of(id).name) + ' ' + subject +
+                   " config=" + std::to_string(config_version_) + ' ' + detail);
     }
     keep(id, wall_ms, std::move(subject), std::move(detail));
 }
--- a/src/event/event_log.hpp
+++ b/src/event/event_log.hpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <deque>
 #include <functional>
+#include <glog/logging.h>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -27,7 +28,9 @@
 class event_log
 {
 public:
-    explicit event_log(event_limits limits = {});
+    /// @param sink takes the lines; null for glog's own destinations
+    explicit event_log(event_limits limits = {},
+                       google::LogSink* sink = nullptr);
 
     /// Records a decision and writes its log line.
     /// @param id which event
@@ -66,9 +69,11 @@
     void keep(event_id id, std::int64_t wall_ms, std::string subject,
               std::string detail);
     bool may_write_line(event_id id, std::int64_t wall_ms);
+    void write_line(const std::string& text);
 
     mutable std::mutex mutex_;
     event_limits limits_;
+    google::LogSink* sink_; ///< outlives this; may be null
     std::uint64_t config_version_ = 0;
     std::uint64_t serial_ = 0;
     std::uint64_t dropped_ = 0;
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -4,6 +4,7 @@
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
 #include "gate/gate_query.hpp"
+#include "gate/gate_queue.hpp"
 #include "node/announce.hpp"
 #include "node/health_driver.hpp"
 #include "node/http_func.hpp"
@@ -225,6 +226,26 @@
                         a.reason, a.end == work_end::shed, y);
 }
 
+/// What the gate decided by, for the log.
+std::string gate_text(const node_state& n, const exit_work& w)
+{
+    const auto it = n.door.workers.find(w.request.worker);
+    if (it == n.door.workers.end())
+        return "";
+    const auto now = mono_now();
+    const auto& g = it->second;
+    const auto percent = [](double share) {
+        return std::to_string(percent_of(share));
+    };
+    return " running=" + std::to_string(g.in_flight) +
+           " waiting=" + std::to_string(g.queue.size()) +
+           " limit=" + std::to_string(static_cast<int>(g.limit)) +
+           " usual_ms=" + std::to_string(g.usual / us_per_ms) +
+           " pressure=" + percent(pressure_now(g, n.door.limits, now)) +
+           " doubt=" + percent(gate_doubt(n.door, w.request.worker, now)) +
+           " left_ms=" + std::to_string((w.request.deadline - now) / us_per_ms);
+}
+
 bool handle_work(node_state& n, string_request message,
                  beast::tcp_stream& stream, const yield& y)
 {
@@ -241,7 +262,7 @@
     n.events.write(
         event_id::work_refused, label_of(n, *w),
         "worker=" + to_hex(static_cast<std::uint64_t>(w->request.worker)) +
-            " reason=" + reason);
+            " reason=" + reason + gate_text(n, *w));
     return send_refusal(n, *w, stream,
                         ran ? hop_outcome::unknown : hop_outcome::not_run,
                         reason, false, y);
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -2,6 +2,7 @@
 #include "node/node_run.hpp"
 
 #include "base/text_func.hpp"
+#include "event/log_writer.hpp"
 #include "gate/gate_query.hpp"
 #include "node/admin_api.hpp"
 #include "node/admin_server.hpp"
@@ -11,6 +12,7 @@
 #include "node/exit_server.hpp"
 #include "node/health_driver.hpp"
 #include "node/hosted_worker.hpp"
+#include "node/settings_reload.hpp"
 #include "platform/check_in.hpp"
 #include "platform/dialect.hpp"
 #include "platform/operator_config.hpp"
@@ -21,11 +23,12 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
+#include <csignal>
 #include <fstream>
 #include <future>
-#include <glog/logging.h>
 #include <iostream>
 #include <sodium.h>
+#include <unistd.h>
 
 namespace jasminetray {
 
@@ -42,23 +45,27 @@
 constexpr span_us answer_margin = 300 * us_per_ms; // to hand out answers
 constexpr span_us rpc_wait = 500 * us_per_ms;      // for the request thread
 constexpr std::size_t slow_threads = 8;            // revokes and claims
+constexpr std::size_t most_log = 1 << 20;          // bytes not yet written
+constexpr int log_flush_ms = 200;                  // for them at the end
 constexpr int most_revokes = 256;                  // waiting for a thread
 
 /// All parts of a running node, in the order of their construction.
 struct node_parts
 {
     explicit node_parts(const node_settings& s)
-        : settings(s),
-          events({4096, 1024, static_cast<std::size_t>(s.log_lines)}),
+        : settings(s), log(STDOUT_FILENO, most_log),
+          events({4096, 1024, static_cast<std::size_t>(s.log_lines)}, &log),
           metrics(make_node_metrics()), entry(ctx), exit(ctx), admin(ctx),
           hosted_control(ctx), hosted_ready(ctx), gossip(ctx), ticker(ctx),
           signals(ctx, SIGTERM, SIGINT), reload(ctx, SIGHUP),
-          slow(slow_threads), state(settings, ctx, events, *metrics)
+          slow(slow_threads), state(settings, ctx, events, *metrics),
+          settings_file(s.file)
     {
     }
 
     node_settings settings;
     asio::io_context ctx{1};
+    log_writer log;
     event_log events;
     std::unique_ptr<node_metrics> metrics;
     config_cache cache;
@@ -77,6 +84,7 @@
     std::unique_ptr<control> slow_state;
     std::array<char, most_datagram> datagram{};
     udp::endpoint datagram_from;
+    watched_file settings_file; ///< as it was when last looked at
     mono_us slow_tick_at = 0;
     mono_us claims_at = 0;
     mono_us close_at = mono_never; ///< when the doors close
@@ -480,6 +488,9 @@
     if (!is_hosted(n.settings))
         tick_announcements(n, now);
     drop_idle_links(n, now);
+    // The platform may change the file and send no signal.
+    if (p.settings_file.changed())
+        reload_settings(p.settings, n);
     if (n.config)
         forget_idle_teams(n.teams, *n.config, now);
     std::vector<node_id> members;
@@ -550,40 +561,12 @@
     p.slow_state->leave();
 }
 
-/// Reads the settings again. Addresses stay those of the start; limits and
-/// what the platform tells about the VM are taken up. A file that is wrong
-/// changes nothing.
-void reload_settings(node_parts& p)
-{
-    config_error last;
-    const auto s = read_settings(p.settings.file, last);
-    if (!s || !check_settings(*s, p.settings.file, last)) {
-        p.events.write(event_id::settings_refused, p.settings.name,
-                       last.text());
-        return;
-    }
-    auto& now = p.settings;
-    now.stamp_bound = s->stamp_bound;
-    now.silence = s->silence;
-    now.quiet = s->quiet;
-    now.drain = s->drain;
-    now.stop_bound = s->stop_bound;
-    now.most_in_flight = s->most_in_flight;
-    now.service_in_flight = s->service_in_flight;
-    now.most_attempts = s->most_attempts;
-    now.hosted.service = s->hosted.service;
-    now.hosted.worker = s->hosted.worker;
-    p.state.door.limits.stamp_bound = now.stamp_bound;
-    p.events.write(event_id::settings_reloaded, now.name,
-                   "service=" + now.hosted.service);
-}
-
 void wait_reload(node_parts& p)
 {
     p.reload.async_wait([&p](beast::error_code ec, int) {
         if (ec)
             return;
-        reload_settings(p);
+        reload_settings(p.settings, p.state);
         wait_reload(p);
     });
 }
@@ -606,6 +589,8 @@
 
 int run_node(const node_settings& s)
 {
+    // A reader of the log that goes away must not take the node with it.
+    std::signal(SIGPIPE, SIG_IGN);
     node_parts p(s);
     std::string why;
     if (!open_sockets(p, why)) {
@@ -640,8 +625,7 @@
     p.ctx.run();
     // Threads may be waiting on the store for seconds yet; the platform kills
     // what outlives its grace, and nothing is left to be saved.
-    google::FlushLogFiles(google::GLOG_INFO);
-    std::cout.flush();
+    p.log.flush(log_flush_ms);
     std::_Exit(exit_stopped);
 }
 
--- /dev/null
+++ b/src/node/settings_reload.cpp
@@ -0,0 +1,56 @@
+// Settings of a running node; see settings_reload.hpp.
+#include "node/settings_reload.hpp"
+
+#include <system_error>
+
+namespace jasminetray {
+
+watched_file::watched_file(std::string path) : path_(std::move(path))
+{
+    look();
+}
+
+bool watched_file::look()
+{
+    std::error_code ec;
+    const auto time = std::filesystem::last_write_time(path_, ec);
+    const auto size = ec ? 0 : std::filesystem::file_size(path_, ec);
+    if (ec || (time == time_ && size == size_))
+        return false;
+    time_ = time;
+    size_ = size;
+    return true;
+}
+
+bool watched_file::changed()
+{
+    return !path_.empty() && look();
+}
+
+void reload_settings(node_settings& settings, node_state& n)
+{
+    config_error last;
+    const auto s = read_settings(settings.file, last);
+    if (!s || !check_settings(*s, settings.file, last)) {
+        n.events.write(event_id::settings_refused, settings.name, last.text());
+        return;
+    }
+    settings.stamp_bound = s->stamp_bound;
+    settings.silence = s->silence;
+    settings.quiet = s->quiet;
+    settings.drain = s->drain;
+    settings.stop_bound = s->stop_bound;
+    settings.most_in_flight = s->most_in_flight;
+    settings.service_in_flight = s->service_in_flight;
+    settings.most_attempts = s->most_attempts;
+    settings.hosted.service = s->hosted.service;
+    settings.hosted.worker = s->hosted.worker;
+    settings.hosted.retry_ratio = s->hosted.retry_ratio;
+    settings.hosted.retry_window = s->hosted.retry_window;
+    settings.hosted.retry_slack = s->hosted.retry_slack;
+    n.door.limits.stamp_bound = settings.stamp_bound;
+    n.events.write(event_id::settings_reloaded, settings.name,
+                   "service=" + settings.hosted.service);
+}
+
+} // namespace jasminetray
--- a/test/test_pages.cpp
+++ b/test/test_pages.cpp
@@ -2,6 +2,8 @@
 #include "base/id_type.hpp"
 #include "config/node_settings.hpp"
 #include "event/event_log.hpp"
+#include "event/log_writer.hpp"
+#include "node/settings_reload.hpp"
 #include "table/event_table.hpp"
 #include "wire/wire_func.hpp"
 
@@ -10,6 +12,7 @@
 #include <rapidcheck.h>
 #include <set>
 #include <sstream>
+#include <unistd.h>
 
 namespace jasminetray {
 namespace {
@@ -56,6 +59,48 @@
     EXPECT_EQ(log.dropped_lines(), 11U);
 }
 
+// Callers of a node get no answer for seconds: whoever reads its log has
+// stopped reading, the pipe is full, and the request thread stands in a
+// write. A line that cannot be taken is left out and counted, and what is
+// read later says how many.
+TEST(events, a_reader_that_stops_reading_blocks_nobody)
+{
+    std::array<int, 2> ends{};
+    ASSERT_EQ(::pipe(ends.data()), 0);
+    constexpr std::size_t room = 65536;
+    constexpr int lines = 4000; // a pipe and the room hold some 1,500
+    log_writer writer(ends[1], room);
+    event_log log({4, 2, lines + 1}, &writer);
+    for (int n = 0; n < lines; ++n)
+        log.write(event_id::worker_ejected, "w", std::string(60, 'x'));
+    EXPECT_GT(writer.left_out(), 0U);
+    std::string text;
+    std::array<char, 4096> buf{};
+    while (text.find("reason=output-blocked") == std::string::npos) {
+        const auto n = ::read(ends[0], buf.data(), buf.size());
+        ASSERT_GT(n, 0);
+        text.append(buf.data(), static_cast<std::size_t>(n));
+    }
+    EXPECT_NE(text.find("worker_ejected w config=0"), std::string::npos);
+}
+
+// The platform moves a VM to another service by writing its settings anew,
+// without a signal; the node goes on with the old ones. It looks at the file
+// itself, and a file that is away for a moment while it is replaced is none.
+TEST(settings, a_file_that_changes_is_noticed)
+{
+    const auto path = ::testing::TempDir() + "jasminetray-watched.ini";
+    std::ofstream(path) << "[node]\nname = a\n";
+    watched_file file(path);
+    EXPECT_FALSE(file.changed());
+    std::filesystem::remove(path);
+    EXPECT_FALSE(file.changed());
+    std::ofstream(path) << "[node]\nname = longer\n";
+    EXPECT_TRUE(file.changed());
+    EXPECT_FALSE(file.changed());
+    std::filesystem::remove(path);
+}
+
 TEST(identifiers, come_back_from_their_text)
 {
     rc::check([](std::uint64_t entry, std::uint64_t seq, std::uint32_t count) {
