--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -67,8 +67,8 @@
 bool may_send_more(const request_state& r, mono_us now)
 {
     return reached_count(r) < r.policy.most_attempts &&
-           r.tracks.size() < r.policy.most_tries &&
-           !r.out_of_workers && now + r.policy.least_left < r.deadline;
+           r.tracks.size() < r.policy.most_tries && !r.out_of_workers &&
+           now + r.policy.least_left < r.deadline;
 }
 
 /// Ends a request of which no attempt is open any more.
--- a/src/verdict/doubt_type.hpp
+++ b/src/verdict/doubt_type.hpp
@@ -20,12 +20,12 @@
 struct doubt_policy
 {
     bool on = false; ///< only where backend servers are known to do this
-    double sick_share = 0.3;            ///< of backend servers, at any time
-    span_us sick_span = 8 * us_per_s;   ///< mean length of a sick phase
-    double fail_when_sick = 0.85;       ///< share of work
-    double fail_when_well = 0.02;       ///< the same, with calls' failures
-    double suspect_at = 0.5;            ///< doubt at which work is held back
-    double trust_at = 0.3;              ///< doubt below which it comes again
+    double sick_share = 0.3;          ///< of backend servers, at any time
+    span_us sick_span = 8 * us_per_s; ///< mean length of a sick phase
+    double fail_when_sick = 0.85;     ///< share of work
+    double fail_when_well = 0.02;     ///< the same, with calls' failures
+    double suspect_at = 0.5;          ///< doubt at which work is held back
+    double trust_at = 0.3;            ///< doubt below which it comes again
     /// Doubt at which a suspect is probed by any work. Where no work may fail
     /// nothing else would ever show that it is well; from one failure doubt
     /// fades to this in 10 s, longer than most sick phases last.
