--- a/src/event/log_writer.cpp
+++ b/src/event/log_writer.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
+#include <poll.h>
 #include <string>
 #include <thread>
 #include <unistd.h>
@@ -19,13 +20,23 @@
 /// than one call a line, and is soon enough for a reader.
 constexpr std::chrono::milliseconds gather_for(20);
 
+/// Waits for an output that was set not to block, as some readers do.
+void wait_for_room(int fd)
+{
+    constexpr int bound_ms = 100;
+    pollfd p{fd, POLLOUT, 0};
+    ::poll(&p, 1, bound_ms);
+}
+
 /// @return false when the output is closed
 bool write_whole(int fd, const std::string& text)
 {
     std::size_t done = 0;
     while (done < text.size()) {
         const auto n = ::write(fd, text.data() + done, text.size() - done);
-        if (n < 0 && errno != EINTR)
+        if (n < 0 && errno == EAGAIN)
+            wait_for_room(fd);
+        else if (n < 0 && errno != EINTR)
             return false;
         done += n > 0 ? static_cast<std::size_t>(n) : 0;
     }
