--- a/src/limit/limit_func.cpp
+++ b/src/limit/limit_func.cpp
@@ -67,11 +67,6 @@
     ++slice_at(b, now).requests;
 }
 
-void count_retry(retry_budget& b, mono_us now)
-{
-    ++slice_at(b, now).retries;
-}
-
 bool may_retry(const retry_budget& b, mono_us now)
 {
     const auto newest = slice_number(b, now);
@@ -90,7 +85,7 @@
 {
     if (!may_retry(b, now))
         return false;
-    count_retry(b, now);
+    ++slice_at(b, now).retries;
     return true;
 }
 
--- a/src/limit/limit_type.hpp
+++ b/src/limit/limit_type.hpp
@@ -54,9 +54,6 @@
 /// A first attempt was sent.
 void count_request(retry_budget& b, mono_us now);
 
-/// A retry was sent that nobody could be asked about.
-void count_retry(retry_budget& b, mono_us now);
-
 /// Whether a retry is left in the window that ends now.
 bool may_retry(const retry_budget& b, mono_us now);
 
