Take a refusal without an echo for what it is, and no other's for ours

Cause: on a kept connection an answer without an echo was read past as a stray one, also a 421 or a shed that says 'not run': its caller waited until its deadline and got 504. And a stray refusal with another request's echo would have been taken for ours, so that 'not run' could be a lie. Change: a refusal counts when it has no echo or ours. Test: a stranger at the address answers 421 on a kept connection; failed with 504 before.

--- a/src/node/worker_work.cpp
+++ b/src/node/worker_work.cpp
@@ -127,9 +127,15 @@
     return echo.empty() ? !f.echo_required : echo == f.echo;
 }
 
-/// Whether the backend server says that it did not run the work.
-bool is_not_run(const node_state& n, const http::response_header<>& head)
+/// Whether the backend server says that it did not run the work. A refusal
+/// may come without an echo; one with another request's echo is not ours, and
+/// taken for ours it would make "not run" a lie.
+bool is_not_run(const node_state& n, const answer_facts& f,
+                const http::response_header<>& head)
 {
+    const auto echo = field_of(head, beast_text(n.dialect.request));
+    if (!echo.empty() && echo != f.echo)
+        return false;
     const auto status = head.result_int();
     constexpr unsigned too_many = 429;
     constexpr unsigned unavailable = 503;
@@ -169,7 +175,7 @@
 {
     const auto& head = a.parser->get();
     const auto status = head.result_int();
-    if (is_not_run(n, head)) {
+    if (is_not_run(n, f, head)) {
         a.end = work_end::shed;
         a.reason = "shed";
         return;
@@ -213,6 +219,7 @@
                        static_cast<std::size_t>(n.settings.hold_bytes), y);
         const bool stray = !ec && a.link->used && a.parser->is_done() &&
                            a.parser->keep_alive() &&
+                           !is_not_run(n, f, a.parser->get()) &&
                            !echo_fits(n, f, *a.parser);
         if (!stray)
             break;
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -276,6 +276,26 @@
            "a prefix without its slash does not match")
 
 
+# Another process has the address of the one that a request is meant for, and
+# nobody has told yet. It answers 421 on a kept connection, without an echo,
+# and does not run the request. That was read past as a stray answer: the
+# caller waited until its deadline and got "unknown". It gets "not run" at once.
+def check_other_process(h):
+    w = h.workers["w2"]
+    w.alive = False
+    time.sleep(0.5)  # its last check-in is on its way
+    w.name, name = "stranger", w.name
+    seen = len(w.seen)
+    status = h.ask("n1", "/orders/")[0]
+    w.name = name
+    expect(status == 503 and len(w.seen) == seen,
+           "421 is told as not run, and nothing ran")
+    w.alive = True
+    threading.Thread(target=w.check_in_forever, daemon=True).start()
+    expect(wait_for(lambda: h.ask("n1", "/orders/")[0] == 200),
+           "and the one that was meant serves again")
+
+
 def check_split(h):
     before = {n: len(w.seen) for n, w in h.workers.items()}
     for _ in range(100):
@@ -440,8 +460,9 @@
         expect(wait_for(lambda: all(
             h.ask(n, p)[0] == 200 for n in h.nodes
             for p in ("/orders/", "/both/"))), "every node serves")
-        for check in (check_serving, check_split, check_raw, check_config,
-                      check_sick, check_drain, check_restart):
+        for check in (check_serving, check_other_process, check_split,
+                      check_raw, check_config, check_sick, check_drain,
+                      check_restart):
             check(h)
     print("hosted: checks_failed=%d" % len(FAILED))
     return 1 if FAILED else 0
