Read the change again: one question for the queue, one look at the settings

'Starts in time or is served late' stood twice and 'late' three times; each is one function now. A signal for changed settings no longer makes the next tick read the same file again. No decision changes.

--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -91,9 +91,9 @@
     span_us ahead = w.usual;
     for (const auto& x : w.queue)
         ahead += comes_before(w, x, mine, now) ? took_by(w, x.klass) : 0;
-    const bool fits = starts_in_time(w, g.limits, mine, ahead, now) ||
-                      served_late(w, g.limits, mine, ahead, now);
-    return fits ? gate_error::none : gate_error::deadline_short;
+    return is_servable(w, g.limits, mine, ahead, now)
+               ? gate_error::none
+               : gate_error::deadline_short;
 }
 
 /// Notes a refusal down: once "not run" was said of an attempt, a repeated
@@ -179,7 +179,7 @@
     const bool start = room(w) && w.queue.empty();
     if (mode == command_mode::apply && w.doubt.suspect)
         doubt_take_probe(w.doubt, g.limits.doubt, now);
-    if (mode == command_mode::apply && r.due - took_by(w, r.klass) >= now)
+    if (mode == command_mode::apply && !is_late(w, waiting_of(r, 0), now))
         add_pressure(w, g.limits, r.klass, now);
     if (mode == command_mode::apply && start)
         take_slot(g, w, r.attempt, r.idempotent, now);
@@ -209,8 +209,7 @@
         const span_us ahead = free ? 0 : w.usual + queued; // running work too
         // Work that could not be answered any more would spend a slot for
         // nobody. Refused while its caller can still be told.
-        if (!starts_in_time(w, g.limits, x, ahead, now) &&
-            !served_late(w, g.limits, x, ahead, now)) {
+        if (!is_servable(w, g.limits, x, ahead, now)) {
             if (!x.idempotent)
                 remember(g, x.attempt, gate_state::revoked, now);
             decisions.push_back({x.attempt, false, gate_error::deadline_short});
--- a/src/gate/gate_queue.cpp
+++ b/src/gate/gate_queue.cpp
@@ -24,6 +24,27 @@
     return begin + took_by(w, x.klass) / 2 < x.deadline;
 }
 
+/// Whether work starts in time when `ahead` goes first.
+bool starts_in_time(const gate_worker& w, const gate_limits& l,
+                    const gate_waiting& x, span_us ahead, mono_us now)
+{
+    const auto begin = now + wait_for(w, ahead, 1);
+    if (!ends_before_deadline(w, x, begin))
+        return false;
+    if (x.due == mono_never)
+        return true;
+    return begin <= std::max(x.due, x.due - x.target + l.least_wait);
+}
+
+/// Whether the slots that are left over answer late work in time for its
+/// deadline.
+bool served_late(const gate_worker& w, const gate_limits& l,
+                 const gate_waiting& x, span_us ahead, mono_us now)
+{
+    const double rest = std::max(least_rest, 1 - pressure_now(w, l, now));
+    return ends_before_deadline(w, x, now + wait_for(w, ahead, rest));
+}
+
 } // namespace
 
 gate_waiting waiting_of(const gate_request& r, std::uint64_t serial)
@@ -38,6 +59,11 @@
     return own == 0 ? w.usual : own;
 }
 
+bool is_late(const gate_worker& w, const gate_waiting& x, mono_us now)
+{
+    return x.due - took_by(w, x.klass) < now;
+}
+
 bool comes_before(const gate_worker& w, const gate_waiting& a,
                   const gate_waiting& b, mono_us now)
 {
@@ -45,8 +71,8 @@
         return a.priority < b.priority;
     if (a.target != b.target)
         return a.target < b.target;
-    const bool late_a = a.due - took_by(w, a.klass) < now;
-    const bool late_b = b.due - took_by(w, b.klass) < now;
+    const bool late_a = is_late(w, a, now);
+    const bool late_b = is_late(w, b, now);
     if (late_a != late_b)
         return late_b;
     return a.serial < b.serial;
@@ -68,22 +94,11 @@
     w.pressure_at = now;
 }
 
-bool starts_in_time(const gate_worker& w, const gate_limits& l,
-                    const gate_waiting& x, span_us ahead, mono_us now)
-{
-    const auto begin = now + wait_for(w, ahead, 1);
-    if (!ends_before_deadline(w, x, begin))
-        return false;
-    if (x.due == mono_never)
-        return true;
-    return begin <= std::max(x.due, x.due - x.target + l.least_wait);
-}
-
-bool served_late(const gate_worker& w, const gate_limits& l,
+bool is_servable(const gate_worker& w, const gate_limits& l,
                  const gate_waiting& x, span_us ahead, mono_us now)
 {
-    const double rest = std::max(least_rest, 1 - pressure_now(w, l, now));
-    return ends_before_deadline(w, x, now + wait_for(w, ahead, rest));
+    return starts_in_time(w, l, x, ahead, now) ||
+           served_late(w, l, x, ahead, now);
 }
 
 } // namespace jasminetray
--- a/src/gate/gate_queue.hpp
+++ b/src/gate/gate_queue.hpp
@@ -24,6 +24,9 @@
 /// Time that work of a class takes here.
 span_us took_by(const gate_worker& w, std::uint32_t klass);
 
+/// Whether work would end after it is due if it began now.
+bool is_late(const gate_worker& w, const gate_waiting& x, mono_us now);
+
 /// Order of the queue. First by priority. Then short targets: these are
 /// lookups that running work elsewhere waits for, with a slot of its own
 /// spent; behind work that lasts four times as long they time out, and their
@@ -39,14 +42,11 @@
 void add_pressure(gate_worker& w, const gate_limits& l, std::uint32_t klass,
                   mono_us now);
 
-/// Whether work would start in time if `ahead` goes first.
+/// Whether work is worth its place in the queue: it starts in time, or the
+/// slots that work in time leaves over can still answer it before its
+/// deadline.
 /// @param ahead time that all work before it takes in one slot
-bool starts_in_time(const gate_worker& w, const gate_limits& l,
-                    const gate_waiting& x, span_us ahead, mono_us now);
-
-/// Whether work that is late, or would be, can still be answered before its
-/// deadline with the slots that work in time leaves over.
-bool served_late(const gate_worker& w, const gate_limits& l,
+bool is_servable(const gate_worker& w, const gate_limits& l,
                  const gate_waiting& x, span_us ahead, mono_us now);
 
 } // namespace jasminetray
--- a/src/member/member_probe.cpp
+++ b/src/member/member_probe.cpp
@@ -3,7 +3,6 @@
 #include "member/member_query.hpp"
 
 #include <algorithm>
-#include <unordered_map>
 #include <utility>
 
 namespace jasminetray {
--- a/src/member/member_spread.cpp
+++ b/src/member/member_spread.cpp
@@ -141,7 +141,7 @@
                     std::vector<outgoing>& out)
 {
     greet_some(t, others(t, true), t.policy.near_contacts, rng, out);
-    greet_some(t, others(t, false), t.policy.far_contacts, rng, out);
+    greet_some(t, others(t, false), t.policy.any_contacts, rng, out);
 }
 
 void send_digests(member_table& t, random_state& rng,
--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -187,7 +187,7 @@
     std::size_t fanout = 2;                ///< peers per flush
     span_us greet_dead_every = us_per_s;   ///< one dead node is tried again
     std::size_t near_contacts = 3;         ///< tried at once at the start
-    std::size_t far_contacts = 1;          ///< the same, elsewhere
+    std::size_t any_contacts = 1;          ///< beside them, out of all
     std::uint64_t contact_chance = 16; ///< one digest in so many goes to one
     std::size_t rounds = 2;            ///< flushes that repeat news
     /// Flushes that repeat news to other data centres. Digests repair what is
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -566,6 +566,8 @@
     p.reload.async_wait([&p](beast::error_code ec, int) {
         if (ec)
             return;
+        // Looked at first, so that the next tick does not read it again.
+        p.settings_file.changed();
         reload_settings(p.settings, p.state);
         wait_reload(p);
     });
--- a/src/node/settings_reload.cpp
+++ b/src/node/settings_reload.cpp
@@ -7,10 +7,10 @@
 
 watched_file::watched_file(std::string path) : path_(std::move(path))
 {
-    look();
+    changed();
 }
 
-bool watched_file::look()
+bool watched_file::changed()
 {
     std::error_code ec;
     const auto time = std::filesystem::last_write_time(path_, ec);
@@ -22,11 +22,6 @@
     return true;
 }
 
-bool watched_file::changed()
-{
-    return !path_.empty() && look();
-}
-
 void reload_settings(node_settings& settings, node_state& n)
 {
     config_error last;
--- a/src/node/settings_reload.hpp
+++ b/src/node/settings_reload.hpp
@@ -21,8 +21,6 @@
     bool changed();
 
 private:
-    bool look();
-
     std::string path_;
     std::filesystem::file_time_type time_{};
     std::uintmax_t size_ = 0;
