Take what a newer platform adds in its safest meaning

Ruled out: addresses, check-ins, store; the log says config_refused with that reason on every node.

A route whose destination is not understood is refused alone, as not run. Each has a note, event 4006 and a counter.

--- a/src/config/config_check.cpp
+++ b/src/config/config_check.cpp
@@ -173,6 +173,8 @@
 /// What is wrong with a route on its own; empty when nothing is.
 std::string blame_route(const fleet_config& c, const route_config& r)
 {
+    if (!r.unclear.empty())
+        return "";
     if (r.path.empty() || r.service.empty())
         return " needs both path and service";
     std::vector<std::string> named{r.service};
--- a/src/config/config_type.hpp
+++ b/src/config/config_type.hpp
@@ -100,6 +100,9 @@
     std::string idempotent = "GET,HEAD"; ///< methods that may run twice; *
                                          ///< for all
     key_mode keys = key_mode::claim;     ///< what idempotency keys mean
+    /// Why it is not known where its requests go; empty for most. They are
+    /// refused as not run, and the rest of the document is in force.
+    std::string unclear;
 };
 
 /// A team's limit at one entry node.
@@ -129,8 +132,9 @@
     std::vector<service_config> services;
     std::vector<route_config> routes;
     std::unordered_map<std::string, team_config> teams;
-    // Invariant: every index below is within routes or services, and every
-    // route's service exists.
+    std::vector<std::string> notes; ///< what was read in its safest meaning
+    // Invariant: every index below is within routes or services, and the
+    // service of every route that is clear exists.
     std::unordered_map<std::string, std::size_t> service_index; ///< by name
     std::unordered_map<std::string, std::size_t> route_index;   ///< host\npath
 };
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -97,6 +97,12 @@
         x.reason = "no-route";
         return x;
     }
+    if (!r.route->unclear.empty()) {
+        x.event = event_id::refused_unclear;
+        x.reason = "route-unclear";
+        x.retry_after = us_per_s;
+        return x;
+    }
     const auto& name = choose_service(n, *r.route);
     r.service = find_service(*r.config, name);
     r.service_key = service_of(name);
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -57,6 +57,12 @@
                               "Configuration version in force.");
     m->config_age = gauge(r, "jasminetray_config_age_seconds",
                           "Time since that version came into force.");
+    m->config_unclear =
+        &prometheus::BuildCounter()
+             .Name("jasminetray_config_unclear_total")
+             .Help("Parts of configurations taken in their safest meaning.")
+             .Register(r)
+             .Add({});
     m->store_up = gauge(r, "jasminetray_store_reachable",
                         "1 when the platform's store answered last.");
     m->gate_records = gauge(r, "jasminetray_gate_records",
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -27,6 +27,7 @@
     prometheus::Gauge* members;
     prometheus::Gauge* config_version;
     prometheus::Gauge* config_age;
+    prometheus::Counter* config_unclear; ///< parts in their safest meaning
     prometheus::Gauge* store_up;
     prometheus::Gauge* gate_records;
     prometheus::Gauge* dropped_lines;
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -215,6 +215,8 @@
         return;
     n.config = std::move(c);
     n.config_at = mono_now();
+    p.metrics->config_unclear->Increment(
+        static_cast<double>(n.config->notes.size()));
     n.service_places.clear();
     for (std::size_t k = 0; k < n.config->services.size(); ++k)
         n.service_places[service_of(n.config->services[k].name)] = k;
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -70,6 +70,10 @@
     event_row{event_id::work_ended, "work_ended",
               "Work that a backend server was given has ended.",
               "None; the line has worker, end and duration."},
+    event_row{event_id::refused_unclear, "refused_unclear",
+              "The configuration says of this route something that is not "
+              "understood; its requests alone are refused.",
+              "See 4006 of the version in force."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "Evidence against a backend server passed its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
@@ -148,6 +152,10 @@
     event_row{event_id::config_fetch_failed, "config_fetch_failed",
               "A newer version is known but its data could not be had.",
               "None unless it lasts: peers and store are tried in turn."},
+    event_row{event_id::config_unclear, "config_unclear",
+              "A part of a configuration in force was not understood and has "
+              "its safest meaning; the line says which.",
+              "Bring the fleet to a version that knows it."},
     event_row{event_id::operator_drain, "operator_drain",
               "An operator drained a node or a backend server.", "None."},
     event_row{event_id::operator_eject, "operator_eject",
