Let work without room elsewhere try a suspect; settings for experiments

Ruled out: idle slots (the well ones are 0.92 busy), slow recovery (a sick phase that ends is seen within half a second).

Now a request that found no room goes to the suspect that rested longest: repeatable work at any time, since a sick one answers one in seven and fails within 2 ms; other work once the suspect has rested for 1.2 s.

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -82,6 +82,15 @@
     refuse(r, proven ? final_outcome::not_run : final_outcome::unknown, out);
 }
 
+/// Whether a request that found no room may try a suspect. Refusing it serves
+/// nobody, and a suspect is well again in one case in three after a second
+/// and a half; while all wait for proof, well backend servers stand idle.
+bool may_resort(const request_state& r, mono_us now)
+{
+    return r.policy.last_resort && !r.resorted && reached_count(r) == 0 &&
+           all_not_run(r) && now + r.policy.least_left < r.deadline;
+}
+
 /// Tries again if that is safe and allowed; else ends the request unless
 /// another attempt is still open.
 void retry_or_settle(request_state& r, retry_budget& budget, mono_us now,
@@ -98,6 +107,10 @@
         ++r.retries;
         return send(r, attempt_action_kind::send_fresh, now, out);
     }
+    if (may_resort(r, now)) {
+        r.resorted = true;
+        return send(r, attempt_action_kind::send_resort, now, out);
+    }
     settle(r, out, on);
 }
 
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -56,12 +56,13 @@
 /// What the I/O layer is to do.
 enum class attempt_action_kind : std::uint8_t
 {
-    send,       ///< start attempt `count` on a backend server
-    send_fresh, ///< the same on a new connection
-    revoke,     ///< ask the exit node of attempt `count`, newly connected
-    cancel,     ///< drop attempt `count` and close its connection
-    deliver,    ///< give attempt `count`'s answer to the caller
-    refuse,     ///< tell the caller final outcome and reason
+    send,        ///< start attempt `count` on a backend server
+    send_fresh,  ///< the same on a new connection
+    send_resort, ///< the same, to a suspect: there was no room elsewhere
+    revoke,      ///< ask the exit node of attempt `count`, newly connected
+    cancel,      ///< drop attempt `count` and close its connection
+    deliver,     ///< give attempt `count`'s answer to the caller
+    refuse,      ///< tell the caller final outcome and reason
 };
 
 /// One action.
@@ -102,6 +103,7 @@
     span_us silence = 200000;        ///< without an answer, before acting
     span_us revoke_margin = 100000;  ///< kept before the deadline to ask
     span_us least_left = 5000;       ///< no new attempt with less time left
+    bool last_resort = false;        ///< no room: try a suspect before refusing
 };
 
 /// Test hooks that turn a safeguard off; all on in production.
@@ -125,6 +127,7 @@
     std::vector<attempt_track> tracks; ///< by count - 1
     mono_us wake_at = mono_never;      ///< when to feed a timer event
     bool out_of_workers = false;       ///< nobody is left to try
+    bool resorted = false;             ///< the last resort was tried
     std::uint32_t retries = 0;         ///< beyond the first attempt
 };
 
--- a/src/balance/place_func.cpp
+++ b/src/balance/place_func.cpp
@@ -80,6 +80,24 @@
            (c.trickle ? p.ejected_share : 0) + (c.path_bad ? p.path_share : 0);
 }
 
+std::optional<choice> place_resort(const std::vector<candidate>& all,
+                                   const balance_policy& b,
+                                   const std::vector<worker_id>& tried,
+                                   mono_us now)
+{
+    std::optional<choice> best;
+    for (std::size_t n = 0; n < all.size(); ++n) {
+        const auto& c = all[n];
+        if (c.weight <= 0 || c.path_bad || !c.doubt.suspect ||
+            was_tried(tried, c.id))
+            continue;
+        const double sick = doubt_now(c.doubt, b.doubt, now);
+        if (!best || sick < best->cost)
+            best = choice{n, sick, sick};
+    }
+    return best;
+}
+
 std::optional<choice> place(const std::vector<candidate>& all,
                             const place_policy& p, const balance_policy& b,
                             const place_request& r,
--- a/src/balance/place_type.hpp
+++ b/src/balance/place_type.hpp
@@ -15,6 +15,7 @@
 /// others are first estimates.
 struct place_policy
 {
+    bool on = false; ///< only where doubt is told; else by least load of two
     double far_share = 0.3;     ///< of a request that crosses data centres
     double usual_load = 0.6;    ///< of a candidate that said nothing lately
     double retry_share = 0.25;  ///< of idempotent work that fails once
@@ -50,6 +51,14 @@
                      const balance_policy& b, const place_request& r,
                      mono_us now);
 
+/// Chooses the suspect that is most likely well again, for work that found no
+/// room elsewhere; nothing when there is none.
+/// @param tried those that this request was sent to already
+std::optional<choice> place_resort(const std::vector<candidate>& all,
+                                   const balance_policy& b,
+                                   const std::vector<worker_id>& tried,
+                                   mono_us now);
+
 /// Chooses the candidate with the least expected loss, or nothing when none
 /// is usable.
 /// @param tried those that this request was sent to already
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -5,6 +5,7 @@
 #include "base/text_func.hpp"
 #include "base/time_type.hpp"
 #include "config/config_type.hpp"
+#include "config/mechanism_type.hpp"
 
 #include <optional>
 #include <string>
@@ -60,6 +61,7 @@
     int log_lines = 20000;        ///< a second, of one event
     std::string safeguards_off;   ///< test hook; names with commas
     hosted_settings hosted;
+    experiment_settings experiment; ///< nothing changed in production
 };
 
 /// Reads settings from a file, or says what is wrong with file and line.
--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -59,6 +59,22 @@
     return gate_error::none;
 }
 
+gate_class& class_of(gate_worker& w, std::uint32_t klass, mono_us now)
+{
+    if (w.classes.size() >= most_classes && w.classes.count(klass) == 0) {
+        // Routes come and go with configurations for as long as the process
+        // lives; without a bound their records would fill its memory.
+        w.classes.erase(std::min_element(w.classes.begin(), w.classes.end(),
+                                         [](const auto& a, const auto& b) {
+                                             return a.second.seen_at <
+                                                    b.second.seen_at;
+                                         }));
+    }
+    auto& c = w.classes[klass];
+    c.seen_at = now;
+    return c;
+}
+
 /// Work that a sick backend server would fail is better placed elsewhere,
 /// and here it is known first: a failed piece of work is no answer for a
 /// caller, a refusal costs one more hop. Idempotent work goes in now and
@@ -70,7 +86,14 @@
     if (!g.limits.doubt.on || !doubt_holds(w.doubt, g.limits.doubt, now))
         return false;
     const auto& p = g.limits.doubt;
-    const bool may = r.may_probe || doubt_now(w.doubt, p, now) < p.forgive_at;
+    // Nobody else has room for it. Repeatable work loses nothing by a failure
+    // and is answered in one case in seven by a sick one, so it need not wait
+    // for its turn as a probe.
+    if (r.last_resort && r.idempotent)
+        return false;
+    const bool rested = now - w.doubt.at >= p.resort_after;
+    const bool may = r.may_probe || (r.last_resort && rested) ||
+                     doubt_now(w.doubt, p, now) < p.forgive_at;
     return !may || now < w.doubt.probe_at;
 }
 
@@ -90,7 +113,8 @@
     const auto mine = waiting_of(r, UINT64_MAX); // last among equals
     span_us ahead = w.usual;
     for (const auto& x : w.queue)
-        ahead += comes_before(w, x, mine, now) ? took_by(w, x.klass) : 0;
+        ahead +=
+            comes_before(w, g.limits, x, mine, now) ? took_by(w, x.klass) : 0;
     return is_servable(w, g.limits, mine, ahead, now)
                ? gate_error::none
                : gate_error::deadline_short;
@@ -137,7 +161,7 @@
 {
     if (end == work_end::answered) {
         w.usual += (took - w.usual) / usual_weight;
-        auto& own = w.usual_by_class[klass % work_kinds];
+        auto& own = class_of(w, klass, now).usual;
         own = own == 0 ? took : own + (took - own) / usual_weight;
         if (w.in_flight + 1 >= static_cast<int>(w.limit))
             w.limit = std::min(w.slots, w.limit + 1 / w.limit);
@@ -199,8 +223,8 @@
         return decisions;
     auto& w = it->second;
     auto& q = w.queue;
-    std::sort(q.begin(), q.end(), [&w, now](const auto& a, const auto& b) {
-        return comes_before(w, a, b, now);
+    std::sort(q.begin(), q.end(), [&](const auto& a, const auto& b) {
+        return comes_before(w, g.limits, a, b, now);
     });
     std::vector<gate_waiting> left;
     span_us queued = 0;
--- a/src/gate/gate_queue.cpp
+++ b/src/gate/gate_queue.cpp
@@ -41,6 +41,8 @@
 bool served_late(const gate_worker& w, const gate_limits& l,
                  const gate_waiting& x, span_us ahead, mono_us now)
 {
+    if (!l.late_forecast)
+        return false;
     const double rest = std::max(least_rest, 1 - pressure_now(w, l, now));
     return ends_before_deadline(w, x, now + wait_for(w, ahead, rest));
 }
@@ -55,8 +57,9 @@
 
 span_us took_by(const gate_worker& w, std::uint32_t klass)
 {
-    const auto own = w.usual_by_class[klass % work_kinds];
-    return own == 0 ? w.usual : own;
+    const auto it = w.classes.find(klass);
+    return it == w.classes.end() || it->second.usual == 0 ? w.usual
+                                                          : it->second.usual;
 }
 
 bool is_late(const gate_worker& w, const gate_waiting& x, mono_us now)
@@ -64,12 +67,12 @@
     return x.due - took_by(w, x.klass) < now;
 }
 
-bool comes_before(const gate_worker& w, const gate_waiting& a,
-                  const gate_waiting& b, mono_us now)
+bool comes_before(const gate_worker& w, const gate_limits& l,
+                  const gate_waiting& a, const gate_waiting& b, mono_us now)
 {
     if (a.priority != b.priority)
         return a.priority < b.priority;
-    if (a.target != b.target)
+    if (l.short_first && a.target != b.target)
         return a.target < b.target;
     const bool late_a = is_late(w, a, now);
     const bool late_b = is_late(w, b, now);
--- a/src/gate/gate_queue.hpp
+++ b/src/gate/gate_queue.hpp
@@ -32,8 +32,8 @@
 /// spent; behind work that lasts four times as long they time out, and their
 /// parents fail with them. Then what can still be in time, oldest first;
 /// behind it the late ones, oldest first.
-bool comes_before(const gate_worker& w, const gate_waiting& a,
-                  const gate_waiting& b, mono_us now);
+bool comes_before(const gate_worker& w, const gate_limits& l,
+                  const gate_waiting& a, const gate_waiting& b, mono_us now);
 
 /// Share of the backend server's time that work let in in time takes now.
 double pressure_now(const gate_worker& w, const gate_limits& l, mono_us now);
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -64,7 +64,9 @@
 inline constexpr std::array<std::string_view, 5> revoke_reply_names = {
     "not-run", "started", "finished", "ended", "wrong-boot"};
 
-constexpr std::size_t work_kinds = 8; ///< classes with durations of their own
+/// Classes of work that a backend server's gate tells apart; beyond them the
+/// one that was seen least lately is forgotten.
+constexpr std::size_t most_classes = 64;
 
 /// Work that asks to be let in.
 struct gate_request
@@ -74,12 +76,13 @@
     mono_us stamp = 0;        ///< newest stamp that the entry node had
     bool idempotent = false;  ///< may run twice; not remembered
     bool may_probe = false;   ///< a failure would be tried again elsewhere
+    bool last_resort = false; ///< found no room elsewhere
     worker_id worker{};       ///< which backend server
     int priority = 5;         ///< 0 first, 9 last
     mono_us deadline = 0;     ///< on this process's clock
     mono_us due = mono_never; ///< until then an answer is worth all
     span_us target = 0;       ///< from the caller's first byte to `due`
-    std::uint32_t klass = 0;  ///< of the route, below work_kinds
+    std::uint32_t klass = 0;  ///< of the route
 };
 
 /// What was decided about work that was let in.
@@ -111,6 +114,9 @@
     /// Work may always wait so long: lookups with short targets are part of
     /// somebody's request, which fails with them.
     span_us least_wait = us_per_s;
+    /// Whether late work waits for the slots that work in time leaves over.
+    bool late_forecast = true;
+    bool short_first = true; ///< short targets come first in the queue
     /// Over which pressure is measured: longer than one piece of work, and
     /// shorter than the seconds that a burst lasts.
     span_us pressure_span = 2 * us_per_s;
@@ -137,6 +143,13 @@
     std::uint64_t serial = 0; ///< order of arrival among equals
 };
 
+/// One class of work at a backend server.
+struct gate_class
+{
+    span_us usual = 0;   ///< moving mean of the time it takes; 0 for not seen
+    mono_us seen_at = 0; ///< last work of it that came or ended
+};
+
 /// One backend server behind the gate.
 struct gate_worker
 {
@@ -147,7 +160,8 @@
     int foreign = 0;       ///< started through a former process
     bool draining = false; ///< takes no new work
     span_us usual = 20000; ///< moving mean of the time that work takes
-    std::array<span_us, work_kinds> usual_by_class{}; ///< 0 for not seen
+    // Invariant: never more than most_classes.
+    std::unordered_map<std::uint32_t, gate_class> classes; ///< by class
     mono_us lowered_at = 0;  ///< when the limit was last lowered
     worker_doubt doubt;      ///< from the outcomes that were seen here
     double pressure = 0;     ///< share of its time taken by work let in in time
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -143,6 +143,7 @@
     h.worker = t.worker;
     h.idempotent = r.machine.policy.idempotent;
     h.may_probe = r.may_probe;
+    h.last_resort = r.resort;
     h.priority = r.route->priority;
     h.klass = r.klass;
     h.centre = static_cast<std::uint32_t>(n.self.centre);
@@ -248,7 +249,9 @@
     if (it == r.n.view.services.end())
         return std::nullopt;
     const auto& all = it->second.candidates;
-    if (!r.home && r.n.balance.doubt.on)
+    if (r.resort)
+        return place_resort(all, r.n.balance, r.tried, mono_now());
+    if (!r.home && r.n.placing.on)
         return place(all, r.n.placing, r.n.balance,
                      {r.may_probe, r.route->target_us}, r.tried, r.n.rng,
                      mono_now());
@@ -313,16 +316,15 @@
 
 } // namespace
 
-void entry_run::tell(attempt_event_kind kind, std::uint32_t count,
-                     std::string reason, bool reached)
+void entry_run::tell(attempt_event e)
 {
-    inbox.push_back({kind, count, std::move(reason), reached});
+    inbox.push_back(std::move(e));
     signal.cancel();
 }
 
 void note_path(node_state& n, node_id exit, bool lost)
 {
-    if (exit == n.self.id)
+    if (exit == n.self.id || !n.settings.experiment.has(mechanism::path_guard))
         return;
     log_path(n, exit,
              path_seen(n.paths, n.path_settings, exit, lost, mono_now()));
@@ -348,20 +350,23 @@
 } // namespace
 
 void start_attempt(const std::shared_ptr<entry_run>& r, std::uint32_t count,
-                   bool fresh)
+                   attempt_action_kind kind)
 {
+    const bool fresh = kind != attempt_action_kind::send;
+    r->resort = kind == attempt_action_kind::send_resort;
     r->may_probe = others_may_fail(*r);
     r->tries.emplace_back();
     auto& t = r->tries.back();
     if (!aim(*r, t, count))
-        return r->tell(attempt_event_kind::no_worker, count, "no-worker");
+        return r->tell({attempt_event_kind::no_worker, count,
+                        r->resort ? "" : "no-worker"});
     asio::spawn(
         r->n.ctx,
         [r, &t, count, fresh](const yield& y) {
             const auto result = run_try(*r, t, count, fresh, y);
             release(*r, t, result);
             if (!t.cancelled)
-                r->tell(result.kind, count, result.reason, result.reached);
+                r->tell({result.kind, count, result.reason, result.reached});
         },
         asio::detached);
 }
@@ -388,7 +393,7 @@
                                   : attempt_event_kind::revoke_unknown;
             if (!reply)
                 note_path(r->n, r->tries[count - 1].exit, true);
-            r->tell(kind, count, reply ? "" : "exit-silent");
+            r->tell({kind, count, reply ? "" : "exit-silent"});
         });
 }
 
--- a/src/node/entry_run.hpp
+++ b/src/node/entry_run.hpp
@@ -46,17 +46,17 @@
     std::vector<worker_id> tried;
     std::optional<worker_id> home; ///< the only one allowed, by key
     bool may_probe = false; ///< the attempt that begins may meet a suspect
+    bool resort = false;    ///< the attempt that begins is the last resort
     bool watching = false;  ///< the caller's socket is watched
 
     /// Puts an event into the inbox.
-    void tell(attempt_event_kind kind, std::uint32_t count,
-              std::string reason = {}, bool reached = false);
+    void tell(attempt_event e);
 };
 
 /// Starts an attempt.
-/// @param fresh on a new connection
+/// @param kind how it is sent
 void start_attempt(const std::shared_ptr<entry_run>& r, std::uint32_t count,
-                   bool fresh);
+                   attempt_action_kind kind);
 
 /// Asks the exit node of an attempt whether it ran.
 void start_revoke(const std::shared_ptr<entry_run>& r, std::uint32_t count);
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -106,8 +106,7 @@
     const auto& name = choose_service(n, *r.route);
     r.service = find_service(*r.config, name);
     r.service_key = service_of(name);
-    r.klass =
-        static_cast<std::uint32_t>(text_hash(r.route->name) % work_classes);
+    r.klass = static_cast<std::uint32_t>(text_hash(r.route->name));
     const auto team = field_of(r.message, caller_field::team);
     if (!pass_team(n.teams, *r.config, team, mono_now())) {
         x.status = http::status::too_many_requests;
@@ -147,7 +146,7 @@
             if (ec || !run || !run->watching)
                 return;
             if (peer_closed(stream->socket()))
-                run->tell(attempt_event_kind::caller_gone, 0);
+                run->tell({attempt_event_kind::caller_gone, 0, ""});
         });
 }
 
@@ -202,10 +201,9 @@
     for (const auto& a : actions) {
         switch (a.kind) {
         case attempt_action_kind::send:
-            start_attempt(r, a.count, false);
-            break;
         case attempt_action_kind::send_fresh:
-            start_attempt(r, a.count, true);
+        case attempt_action_kind::send_resort:
+            start_attempt(r, a.count, a.kind);
             break;
         case attempt_action_kind::revoke:
             start_revoke(r, a.count);
@@ -282,10 +280,14 @@
     const auto most =
         r.route->attempts > 0 ? r.route->attempts : n.settings.most_attempts;
     p.most_attempts = static_cast<std::uint32_t>(most);
+    if (!n.settings.experiment.has(mechanism::retries))
+        p.most_attempts = 1;
     p.silence = silence_of(n, r, p.idempotent);
     p.revoke_margin = std::min(p.revoke_margin, r.route->deadline_us / 4);
-    if (n.balance.doubt.on)
+    if (n.balance.doubt.on) {
         p.most_tries = most_gates;
+        p.last_resort = n.settings.experiment.has(mechanism::last_resort);
+    }
     return p;
 }
 
@@ -397,7 +399,7 @@
 {
     for (auto* r : n.open_runs) {
         r->machine.deadline = std::min(r->machine.deadline, n.last_answer_at);
-        r->tell(attempt_event_kind::timer, 0);
+        r->tell({attempt_event_kind::timer, 0, ""});
     }
 }
 
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -46,6 +46,7 @@
     w.request.stamp = h->stamp;
     w.request.idempotent = h->idempotent;
     w.request.may_probe = h->may_probe;
+    w.request.last_resort = h->last_resort;
     w.request.priority = h->priority;
     w.request.deadline =
         now + std::min(h->remaining, n.door.limits.longest_deadline);
@@ -54,7 +55,7 @@
         w.request.due = now + h->target - h->elapsed;
     w.source = source_of(n, h->centre);
     w.klass = h->klass % work_classes;
-    w.request.klass = w.klass;
+    w.request.klass = h->klass;
     w.message = std::move(message);
     return w;
 }
--- /dev/null
+++ b/src/node/experiment_func.cpp
@@ -0,0 +1,73 @@
+// Policies of a hosted node; see experiment_func.hpp.
+#include "node/experiment_func.hpp"
+
+namespace jasminetray {
+
+namespace {
+
+span_us times(span_us t, double factor)
+{
+    return static_cast<span_us>(static_cast<double>(t) * factor);
+}
+
+void turn_off(node_state& n)
+{
+    const auto& e = n.settings.experiment;
+    auto& gate = n.door.limits;
+    const bool doubt = e.has(mechanism::doubt);
+    gate.doubt.on = doubt;
+    n.balance.doubt.on = doubt;
+    gate.late_forecast = e.has(mechanism::late_forecast);
+    gate.short_first = e.has(mechanism::short_first);
+    n.placing.on = doubt && e.has(mechanism::placing);
+    if (!e.has(mechanism::quick_probe))
+        gate.doubt.quick_failure = 0;
+    if (!e.has(mechanism::probe_work)) {
+        n.placing.probe_share = 0;
+        n.placing.probe_each = 0;
+    }
+    if (!e.has(mechanism::refusal_memory))
+        n.placing.refusal_memory = 0;
+}
+
+void scale(node_state& n, const scaled_tunable& x)
+{
+    auto& gate = n.door.limits;
+    auto& place = n.placing;
+    switch (x.what) {
+    case tunable::refusal_memory:
+        place.refusal_memory = times(place.refusal_memory, x.factor);
+        break;
+    case tunable::least_wait:
+        gate.least_wait = times(gate.least_wait, x.factor);
+        break;
+    case tunable::probe_share:
+        place.probe_share *= x.factor;
+        place.probe_each *= x.factor;
+        break;
+    case tunable::far_share:
+        place.far_share *= x.factor;
+        break;
+    case tunable::probe_every:
+        gate.doubt.probe_every = times(gate.doubt.probe_every, x.factor);
+        break;
+    case tunable::sick_span:
+        gate.doubt.sick_span = times(gate.doubt.sick_span, x.factor);
+        n.balance.doubt.sick_span = gate.doubt.sick_span;
+        break;
+    case tunable::resort_after:
+        gate.doubt.resort_after = times(gate.doubt.resort_after, x.factor);
+        break;
+    }
+}
+
+} // namespace
+
+void use_hosted_policies(node_state& n)
+{
+    turn_off(n);
+    for (const auto& x : n.settings.experiment.scaled)
+        scale(n, x);
+}
+
+} // namespace jasminetray
--- a/src/node/health_driver.cpp
+++ b/src/node/health_driver.cpp
@@ -170,6 +170,8 @@
 
 void check(node_state& n, local_worker& w, mono_us now)
 {
+    if (!n.settings.experiment.has(mechanism::verdicts))
+        return;
     switch (health_check(w.health, w.policy, now)) {
     case verdict_step::ask_peers:
         return ask(n, w, now);
@@ -230,6 +232,8 @@
 
 void tick_loads(node_state& n, mono_us now)
 {
+    if (!n.settings.experiment.has(mechanism::load_news))
+        return;
     std::vector<load_report> changed;
     for (auto& [id, w] : n.workers) {
         load_report l;
--- a/src/node/hop_func.cpp
+++ b/src/node/hop_func.cpp
@@ -16,6 +16,7 @@
 constexpr double load_scale = 100;
 constexpr std::uint64_t idempotent_bit = 1;
 constexpr std::uint64_t probe_bit = 2;
+constexpr std::uint64_t resort_bit = 4;
 constexpr std::uint64_t failed_bit = 1;
 constexpr std::uint64_t reached_bit = 2;
 constexpr std::uint64_t suspect_bit = 4;
@@ -76,8 +77,9 @@
 {
     std::string out = to_text(r.attempt);
     add(out, static_cast<std::uint64_t>(r.worker));
-    add(out,
-        (r.idempotent ? idempotent_bit : 0) | (r.may_probe ? probe_bit : 0));
+    add(out, (r.idempotent ? idempotent_bit : 0) |
+                 (r.may_probe ? probe_bit : 0) |
+                 (r.last_resort ? resort_bit : 0));
     add(out, static_cast<std::uint64_t>(r.priority));
     add(out, r.klass);
     add(out, r.centre);
@@ -125,6 +127,7 @@
     const auto bits = in.whole();
     r.idempotent = (bits & idempotent_bit) != 0;
     r.may_probe = (bits & probe_bit) != 0;
+    r.last_resort = (bits & resort_bit) != 0;
     r.priority = static_cast<int>(in.whole() & INT32_MAX);
     r.klass = static_cast<std::uint32_t>(in.whole());
     r.centre = static_cast<std::uint32_t>(in.whole());
--- a/src/node/hop_type.hpp
+++ b/src/node/hop_type.hpp
@@ -22,6 +22,7 @@
     worker_id worker{};       ///< chosen one
     bool idempotent = false;  ///< may run more than once
     bool may_probe = false;   ///< a failure would be tried again elsewhere
+    bool last_resort = false; ///< found no room elsewhere
     int priority = 5;         ///< of the route
     std::uint32_t klass = 0;  ///< of the route
     std::uint32_t centre = 0; ///< data centre of the entry node, hashed
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -10,6 +10,7 @@
 #include "node/control.hpp"
 #include "node/entry_server.hpp"
 #include "node/exit_server.hpp"
+#include "node/experiment_func.hpp"
 #include "node/health_driver.hpp"
 #include "node/hosted_worker.hpp"
 #include "node/settings_reload.hpp"
@@ -611,8 +612,7 @@
     accept_on(p, p.admin, serve_admin);
     if (is_hosted(s)) {
         p.state.dialect = make_platform_dialect();
-        p.state.door.limits.doubt.on = true;
-        p.state.balance.doubt.on = true;
+        use_hosted_policies(p.state);
         accept_on(p, p.hosted_control, serve_platform);
         accept_on(p, p.hosted_ready, serve_platform);
     }
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -91,6 +91,37 @@
     return true;
 }
 
+/// Reads mechanisms to turn off; an empty list turns none off.
+inline bool set_off(experiment_settings& e, std::string_view s)
+{
+    e.off.reset();
+    for (const auto& part : split(s, ',')) {
+        const auto m = value_of<mechanism>(mechanism_names, part);
+        if (!m)
+            return false;
+        e.off.set(static_cast<std::size_t>(*m));
+    }
+    return true;
+}
+
+/// Reads constants to scale, as "name:factor".
+inline bool set_scaled(experiment_settings& e, std::string_view s)
+{
+    constexpr double most_factor = 100;
+    e.scaled.clear();
+    for (const auto& part : split(s, ',')) {
+        const auto both = split(part, ':');
+        if (both.size() != 2)
+            return false;
+        const auto what = value_of<tunable>(tunable_names, both[0]);
+        const auto factor = parse_real(both[1]);
+        if (!what || !factor || *factor <= 0 || *factor > most_factor)
+            return false;
+        e.scaled.push_back({*what, *factor});
+    }
+    return true;
+}
+
 inline constexpr std::array settings_table = {
     settings_row{"node",
                  {"name",
@@ -340,6 +371,18 @@
          [](node_settings& s,
             std::string_view v) { return set_int(s.log_lines, v, 0, 1000000); },
          "0 to 1000000", "of one event; the rest is counted"}},
+    settings_row{"experiment",
+                 {"off",
+                  [](node_settings& s,
+                     std::string_view v) { return set_off(s.experiment, v); },
+                  "names of mechanisms with commas",
+                  "only to measure: turned off"}},
+    settings_row{
+        "experiment",
+        {"scale",
+         [](node_settings& s,
+            std::string_view v) { return set_scaled(s.experiment, v); },
+         "NAME:FACTOR with commas", "only to measure: constants multiplied"}},
 };
 
 } // namespace jasminetray
--- a/test/fake_path.cpp
+++ b/test/fake_path.cpp
@@ -72,6 +72,7 @@
     switch (a.kind) {
     case attempt_action_kind::send:
     case attempt_action_kind::send_fresh:
+    case attempt_action_kind::send_resort:
         return send(seq, a.count);
     case attempt_action_kind::revoke: {
         packet p;
--- a/test/test_config.cpp
+++ b/test/test_config.cpp
@@ -184,6 +184,34 @@
     EXPECT_NE(why.find("damaged"), std::string::npos);
 }
 
+/// Reads settings of one section and key; nothing when they are refused.
+std::optional<node_settings> read_one(const std::string& section,
+                                      const std::string& line)
+{
+    const auto file = testing::TempDir() + "/one.ini";
+    std::ofstream(file) << "[" << section << "]\n" << line << "\n";
+    config_error last;
+    return read_settings(file, last);
+}
+
+TEST(settings, experiments_name_mechanisms_and_constants)
+{
+    const auto off = read_one("experiment", "off = last-resort, doubt");
+    ASSERT_TRUE(off);
+    EXPECT_FALSE(off->experiment.has(mechanism::last_resort));
+    EXPECT_FALSE(off->experiment.has(mechanism::doubt));
+    EXPECT_TRUE(off->experiment.has(mechanism::placing));
+    const auto scaled = read_one("experiment", "scale = least-wait:0.5");
+    ASSERT_TRUE(scaled);
+    ASSERT_EQ(scaled->experiment.scaled.size(), 1U);
+    EXPECT_EQ(scaled->experiment.scaled[0].what, tunable::least_wait);
+    EXPECT_EQ(scaled->experiment.scaled[0].factor, 0.5);
+    EXPECT_FALSE(read_one("experiment", "off = last_resort"));
+    EXPECT_FALSE(read_one("experiment", "scale = least-wait"));
+    EXPECT_FALSE(read_one("experiment", "scale = least-wait:0"));
+    EXPECT_FALSE(read_one("experiment", "scale = unknown:2"));
+}
+
 TEST(settings, errors_name_file_and_line)
 {
     const auto file = testing::TempDir() + "/settings.ini";
--- a/test/test_doubt.cpp
+++ b/test/test_doubt.cpp
@@ -479,5 +479,117 @@
         EXPECT_TRUE(spend_retry(b, now)) << k;
 }
 
+// Two routes whose names once fell into the same of eight classes: an upload
+// of seconds made lookups of 80 ms look as long, and they were refused while
+// there was time for them.
+TEST(gate_queue, each_class_has_its_own_usual_time)
+{
+    auto g = make_gate(1);
+    auto upload = work(1, start, 8 * us_per_s);
+    upload.klass = 3;
+    auto lookup = work(2, start, us_per_s);
+    lookup.klass = 3 + 8;
+    gate_error last{};
+    for (const auto& [r, span] :
+         {std::pair{upload, 4 * us_per_s}, std::pair{lookup, 80 * us_per_ms}}) {
+        EXPECT_TRUE(admit(g, r, start, last));
+        gate_finish(g, r, work_end::answered, span, start);
+    }
+    const auto& w = g.workers[backend];
+    EXPECT_EQ(w.classes.at(upload.klass).usual, 4 * us_per_s);
+    EXPECT_EQ(w.classes.at(lookup.klass).usual, 80 * us_per_ms);
+}
+
+// Routes come and go with configurations; the process stays.
+TEST(gate_queue, classes_are_bounded_and_the_oldest_goes)
+{
+    auto g = make_gate(1);
+    gate_error last{};
+    for (std::uint32_t k = 0; k <= most_classes; ++k) {
+        const auto now = start + k * us_per_ms;
+        auto r = work(k + 1, now, us_per_s);
+        r.klass = k;
+        EXPECT_TRUE(admit(g, r, now, last));
+        gate_finish(g, r, work_end::answered, us_per_ms, now);
+    }
+    const auto& classes = g.workers[backend].classes;
+    EXPECT_EQ(classes.size(), most_classes);
+    EXPECT_EQ(classes.count(0), 0U);
+    EXPECT_EQ(classes.count(most_classes), 1U);
+}
+
+/// A gate whose backend server failed at once a moment ago.
+gate make_suspect(mono_us failed_at)
+{
+    auto g = make_gate(2);
+    gate_outcome(g, backend, true, us_per_ms, failed_at);
+    return g;
+}
+
+// All well backend servers of a service are full, and a lookup that running
+// work waits for would be refused; with it fails the request that it is for.
+// Its last resort is a suspect. That one is sick in most cases, but an answer
+// in one case of seven is more than none, and a failed lookup costs nothing.
+TEST(last_resort, repeatable_work_is_let_in_by_a_suspect_at_any_time)
+{
+    auto g = make_suspect(start);
+    const auto now = start + us_per_ms;
+    gate_error last{};
+    auto lookup = work(1, now, us_per_s / 3);
+    EXPECT_FALSE(admit(g, lookup, now, last));
+    EXPECT_EQ(last, gate_error::suspected);
+    for (std::uint64_t k = 2; k < 4; ++k) {
+        lookup = work(k, now, us_per_s / 3);
+        lookup.last_resort = true;
+        EXPECT_TRUE(admit(g, lookup, now, last)) << k;
+    }
+}
+
+// A charge finds no room. A suspect that has just failed would fail it too,
+// and the caller could no longer be told that it has not run; after a rest
+// the suspect may be well, and only work shows that.
+TEST(last_resort, other_work_waits_until_the_suspect_has_rested)
+{
+    auto g = make_suspect(start);
+    const auto charge = [](std::uint64_t seq, mono_us at) {
+        auto r = work(seq, at, us_per_s, false);
+        r.last_resort = true;
+        return r;
+    };
+    gate_error last{};
+    const auto soon = start + us_per_s;
+    EXPECT_FALSE(admit(g, charge(1, soon), soon, last));
+    EXPECT_EQ(last, gate_error::suspected);
+    const auto rested = start + g.limits.doubt.resort_after;
+    EXPECT_TRUE(admit(g, charge(2, rested), rested, last));
+    EXPECT_FALSE(admit(g, charge(3, rested), rested, last));
+}
+
+candidate suspect_at(std::uint64_t id, mono_us failed_at)
+{
+    candidate c;
+    c.id = static_cast<worker_id>(id);
+    c.doubt.sick = 0.95;
+    c.doubt.suspect = true;
+    c.doubt.at = failed_at;
+    return c;
+}
+
+TEST(last_resort, goes_to_the_suspect_that_rested_longest)
+{
+    std::vector<candidate> all{
+        suspect_at(1, start), suspect_at(2, start - 5 * us_per_s), candidate{}};
+    all[2].id = static_cast<worker_id>(3); // well, and full
+    std::vector<worker_id> tried;
+    const balance_policy p;
+    const auto first = place_resort(all, p, tried, start + us_per_ms);
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->index, 1U);
+    tried.push_back(all[1].id);
+    EXPECT_EQ(place_resort(all, p, tried, start)->index, 0U);
+    tried.push_back(all[0].id);
+    EXPECT_FALSE(place_resort(all, p, tried, start));
+}
+
 } // namespace
 } // namespace jasminetray
