Count a process's age for its retry allowance from its start

Cause: the allowance of a process grows over its first window, because a former process may have spent it.

--- a/src/limit/limit_func.cpp
+++ b/src/limit/limit_func.cpp
@@ -47,18 +47,15 @@
 
 } // namespace
 
-void share_allowance(retry_budget& b, const fleet_allowance& a, mono_us now)
+void share_allowance(retry_budget& b, const fleet_allowance& a, span_us age)
 {
     // A tenth is kept for nodes that do not know each other.
     constexpr double used_share = 0.9;
     const double part = used_share * a.slack / static_cast<double>(a.nodes);
-    if (b.began_at == 0)
-        b.began_at = now;
-    // A node that starts anew may have spent its part just before.
-    const auto age = static_cast<double>(now - b.began_at) /
-                     static_cast<double>(std::max<span_us>(1, a.window));
+    const auto windows = static_cast<double>(age) /
+                         static_cast<double>(std::max<span_us>(1, a.window));
     b.share = used_share * a.share;
-    b.fixed = part * std::min(1.0, age);
+    b.fixed = part * std::min(1.0, windows);
     b.window = a.window;
 }
 
--- a/src/limit/limit_type.hpp
+++ b/src/limit/limit_type.hpp
@@ -34,7 +34,6 @@
     double share = 0;  ///< retries per first attempt
     double fixed = 10; ///< beside them, in any window
     span_us window = 10 * us_per_s;
-    mono_us began_at = 0; ///< first use
     std::array<budget_slice, budget_slices> slices{};
 };
 
@@ -49,7 +48,11 @@
 };
 
 /// Sizes a budget to this node's part of the fleet's allowance.
-void share_allowance(retry_budget& b, const fleet_allowance& a, mono_us now);
+/// @param age of this process: one that starts anew may have spent its part
+/// just before. Counted from the first request instead, callers of a fleet
+/// that had just begun to serve were not retried, and unknown backend servers
+/// not tried, for seconds.
+void share_allowance(retry_budget& b, const fleet_allowance& a, span_us age);
 
 /// A first attempt was sent.
 void count_request(retry_budget& b, mono_us now);
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -231,7 +231,7 @@
         share_allowance(budget,
                         {h.retry_ratio, h.retry_slack, h.retry_window,
                          std::max<std::size_t>(1, r->n.most_nodes)},
-                        now);
+                        now - r->n.started_at);
     } else {
         budget.share = r->service->retry_share;
     }
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -371,6 +371,7 @@
     // Unique over restarts without a disk: the boot's random bits are part
     // of every request id.
     n.next_request = random_word() << 24 >> 1;
+    n.started_at = mono_now();
     n.self.id = static_cast<node_id>(text_hash(s.name));
     n.self.boot = n.door.boot;
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -150,6 +150,7 @@
     node_record self;                        ///< as last published
     random_state rng;
     std::uint64_t next_request = 1;
+    mono_us started_at = 0;         ///< this process
     bool stopping = false;          ///< doors are closing
     mono_us refuse_at = mono_never; ///< stopping: new requests come too late
     mono_us last_answer_at = mono_never; ///< stopping: all must have theirs
--- a/test/test_doubt.cpp
+++ b/test/test_doubt.cpp
@@ -438,7 +438,7 @@
     for (std::size_t k = 0; k < tenths; ++k) {
         const auto now = start + static_cast<mono_us>(k) * us_per_s / 10;
         for (auto& b : all) {
-            share_allowance(b, {0.2, 60, 10 * us_per_s, nodes}, now);
+            share_allowance(b, {0.2, 60, 10 * us_per_s, nodes}, now - start);
             const bool asked = k % 5 < 2;
             if (asked)
                 count_request(b, now);
@@ -472,13 +472,31 @@
     mono_us now = start;
     for (int k = 0; k < 240; ++k) {
         now += us_per_s / 4;
-        share_allowance(b, {0.2, 60, 10 * us_per_s, nodes}, now);
+        share_allowance(b, {0.2, 60, 10 * us_per_s, nodes}, now - start);
         count_request(b, now);
     }
     for (int k = 0; k < 6; ++k)
         EXPECT_TRUE(spend_retry(b, now)) << k;
 }
 
+// A fleet has been up for a window when its first callers come, and the
+// backend server of the very first request turns out to be sick. The request
+// is tried again: a process that has run for so long has spent nothing. One
+// that has just started may have, under its former process.
+TEST(allowance, the_first_request_is_retried_unless_the_process_is_new)
+{
+    constexpr span_us window = 10 * us_per_s;
+    const fleet_allowance fleet{0.2, 60, window, 21};
+    retry_budget old_process;
+    share_allowance(old_process, fleet, window);
+    count_request(old_process, start);
+    EXPECT_TRUE(spend_retry(old_process, start));
+    retry_budget new_process;
+    share_allowance(new_process, fleet, 0);
+    count_request(new_process, start);
+    EXPECT_FALSE(spend_retry(new_process, start));
+}
+
 // Two routes whose names once fell into the same of eight classes: an upload
 // of seconds made lookups of 80 ms look as long, and they were refused while
 // there was time for them.
