Keep the last resort to repeatable work

A refusal that says "not run" is worth more to their callers than a failure that has run.

The test that let a charge in after a rest is replaced by one that refuses it always.

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -83,8 +83,9 @@
 }
 
 /// Whether a request that found no room may try a suspect. Refusing it serves
-/// nobody, and a suspect is well again in one case in three after a second
-/// and a half; while all wait for proof, well backend servers stand idle.
+/// nobody, and a sick backend server answers one in seven. Only repeatable
+/// work: a charge that is refused can be told so and come back, one that a
+/// sick backend server fails has run.
 bool may_resort(const request_state& r, mono_us now)
 {
     return r.policy.last_resort && !r.resorted && reached_count(r) == 0 &&
--- a/src/config/mechanism_type.hpp
+++ b/src/config/mechanism_type.hpp
@@ -48,12 +48,11 @@
     far_share,      ///< loss of a request that crosses data centres
     probe_every,    ///< of a suspect
     sick_span,      ///< mean length of a sick phase
-    resort_after,   ///< a suspect's rest before a last resort
 };
 
-inline constexpr std::array<std::string_view, 7> tunable_names = {
-    "refusal-memory", "least-wait", "probe-share", "far-share",
-    "probe-every",    "sick-span",  "resort-after"};
+inline constexpr std::array<std::string_view, 6> tunable_names = {
+    "refusal-memory", "least-wait",  "probe-share",
+    "far-share",      "probe-every", "sick-span"};
 
 /// A constant with the factor that it is multiplied by.
 struct scaled_tunable
--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -91,9 +91,7 @@
     // for its turn as a probe.
     if (r.last_resort && r.idempotent)
         return false;
-    const bool rested = now - w.doubt.at >= p.resort_after;
-    const bool may = r.may_probe || (r.last_resort && rested) ||
-                     doubt_now(w.doubt, p, now) < p.forgive_at;
+    const bool may = r.may_probe || doubt_now(w.doubt, p, now) < p.forgive_at;
     return !may || now < w.doubt.probe_at;
 }
 
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -292,7 +292,8 @@
     p.revoke_margin = std::min(p.revoke_margin, r.route->deadline_us / 4);
     if (n.balance.doubt.on) {
         p.most_tries = most_gates;
-        p.last_resort = n.settings.experiment.has(mechanism::last_resort);
+        p.last_resort =
+            p.idempotent && n.settings.experiment.has(mechanism::last_resort);
         if (r.message.body().size() > large_body) {
             p.most_tries = most_large_gates;
             p.last_resort = false;
--- a/src/node/experiment_func.cpp
+++ b/src/node/experiment_func.cpp
@@ -55,9 +55,6 @@
         gate.doubt.sick_span = times(gate.doubt.sick_span, x.factor);
         n.balance.doubt.sick_span = gate.doubt.sick_span;
         break;
-    case tunable::resort_after:
-        gate.doubt.resort_after = times(gate.doubt.resort_after, x.factor);
-        break;
     }
 }
 
--- a/src/verdict/doubt_type.hpp
+++ b/src/verdict/doubt_type.hpp
@@ -31,9 +31,6 @@
     /// fades to this in 10 s, longer than most sick phases last.
     double forgive_at = 0.4;
     span_us probe_every = us_per_s / 2; ///< of a suspect, by idempotent work
-    /// Rest after its last outcome when a suspect may be tried by work that
-    /// found no room elsewhere, and would be refused.
-    span_us resort_after = 1200 * us_per_ms;
     /// A backend server that fails at once shows within this time that it is
     /// still sick. A probe that lives longer lets the next one in: waiting for
     /// whole answers kept a well one out for 2 to 3 s of every 9.
--- a/test/test_doubt.cpp
+++ b/test/test_doubt.cpp
@@ -563,24 +563,20 @@
     }
 }
 
-// A charge finds no room. A suspect that has just failed would fail it too,
-// and the caller could no longer be told that it has not run; after a rest
-// the suspect may be well, and only work shows that.
-TEST(last_resort, other_work_waits_until_the_suspect_has_rested)
+// A charge finds no room. A suspect would fail it in most cases, and its
+// caller could no longer be told that it has not run. The gate refuses it
+// even if an entry node marks it as a last resort.
+TEST(last_resort, work_that_must_not_run_twice_is_not_let_in)
 {
     auto g = make_suspect(start);
-    const auto charge = [](std::uint64_t seq, mono_us at) {
-        auto r = work(seq, at, us_per_s, false);
-        r.last_resort = true;
-        return r;
-    };
     gate_error last{};
-    const auto soon = start + us_per_s;
-    EXPECT_FALSE(admit(g, charge(1, soon), soon, last));
-    EXPECT_EQ(last, gate_error::suspected);
-    const auto rested = start + g.limits.doubt.resort_after;
-    EXPECT_TRUE(admit(g, charge(2, rested), rested, last));
-    EXPECT_FALSE(admit(g, charge(3, rested), rested, last));
+    for (std::uint64_t k = 1; k < 4; ++k) {
+        const auto now = start + static_cast<span_us>(k) * us_per_s;
+        auto charge = work(k, now, us_per_s, false);
+        charge.last_resort = true;
+        EXPECT_FALSE(admit(g, charge, now, last));
+        EXPECT_EQ(last, gate_error::suspected);
+    }
 }
 
 candidate suspect_at(std::uint64_t id, mono_us failed_at)
