--- a/test/test_platform_config.cpp
+++ b/test/test_platform_config.cpp
@@ -82,12 +82,16 @@
 }
 
 // The operator sees its version refused in the log and the former one stays:
-// a document that is half written, or does not say which requests it is about,
-// must not half apply.
+// a document that is half written, contradicts itself or does not say which
+// requests it is about must not half apply.
 TEST(operator_config, what_is_wrong_refuses_all)
 {
     EXPECT_EQ(error_of(std::string(good).substr(0, 400)),
               "not a whole JSON object");
+    EXPECT_EQ(error_of(with("\"Service\":\"billing\",\"TimeoutS\"",
+                            "\"Service\":\"nobody\",\"TimeoutS\"")),
+              "route charge names service 'nobody', which no [service] "
+              "section defines");
     EXPECT_EQ(error_of(with("\"/x/y/\"", "\"/x/y\"")),
               "route deep: Prefix must be a path that begins and ends with a "
               "slash");
@@ -123,11 +127,6 @@
 // from the fleet, and leave a node that starts without any configuration.
 TEST(operator_config, an_unclear_route_alone_is_refused)
 {
-    expect_unclear(with("\"Service\":\"billing\",\"TimeoutS\"",
-                        "\"Service\":\"nobody\",\"TimeoutS\""),
-                   "charge",
-                   "route charge names service 'nobody', which is not in the "
-                   "document");
     expect_unclear(with("\"TimeoutS\":8,", ""), "charge",
                    "route charge: TimeoutS must be a time in seconds");
     expect_unclear(with(",\"Weight\":90", ""), "deep",
