Let two nodes of each data centre read the configuration for the others

Change: ranked readers follow the feed and say so in the header of each datagram; a node that hears of none for 1.3 s reads itself, of stand-ins the first stays. Others take the document from near peers, then the store, then far peers. Relays keep to 4 s after their first 5 s.

--- a/src/member/member_cmd.cpp
+++ b/src/member/member_cmd.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr span_us catch_up_every = 150 * us_per_ms;
+constexpr std::uint64_t reader_purpose = 0x504f4c4cULL; // ranks them
 
 /// Somebody else's record about this node.
 void hear_self(member_table& t, const record_summary& s, boot_id boot)
@@ -188,6 +189,8 @@
                                   mono_us now)
 {
     std::vector<outgoing> out;
+    if (t.young_until == 0)
+        t.young_until = now + t.policy.young;
     age_members(t, now);
     check_probes(t, rng, now, out);
     if (now >= t.probe_at) {
@@ -198,8 +201,15 @@
         t.digest_at = now + (t.behind ? catch_up_every : t.policy.digest_every);
         send_digests(t, rng, out);
     }
+    if (now >= t.far_digest_at) {
+        // While a node is new to the fleet, others do not know it either.
+        const bool fast = t.behind && now < t.young_until;
+        t.far_digest_at = now + (fast ? catch_up_every : t.policy.digest_every);
+        send_far_digests(t, rng, out);
+    }
     if (now >= t.greet_at) {
         t.greet_at = now + t.policy.refresh_centre;
+        t.readers = ranked_nodes(t, reader_purpose, t.policy.readers);
         greet_centres(t, rng, out);
     }
     if (now >= t.greet_dead_at) {
@@ -220,6 +230,9 @@
     std::vector<outgoing> out;
     const outgoing back{ip, port, {}};
     member_hear_config(t, m.config_version, m.config_hash);
+    if (m.reads_store && m.centre == t.self.centre &&
+        counts_as_reader(t, m.sender.id))
+        t.reader_heard_at = now;
     for (const auto& r : m.records)
         take_record(t, r, now);
     for (const auto& r : m.rumours)
--- a/src/member/member_part.hpp
+++ b/src/member/member_part.hpp
@@ -10,9 +10,6 @@
 
 // Messages and the table (member_message.cpp).
 
-/// A message that says who sends it and which configuration it knows.
-gossip_message make_message(const member_table& t, gossip_kind kind);
-
 /// A message with where it goes.
 outgoing to_address(const node_address& a, gossip_message m);
 
@@ -73,10 +70,16 @@
 /// Pushes what is new to a few near, and by a relay to the others.
 void flush_news(member_table& t, random_state& rng, std::vector<outgoing>& out);
 
-/// Compares with one random peer near, and a relay also with one far.
+/// Compares with one random peer near.
 void send_digests(member_table& t, random_state& rng,
                   std::vector<outgoing>& out);
 
+/// A relay compares with one peer of its other data centre. At its own pace:
+/// where records change all the time two nodes always differ, and relays that
+/// compared again at once made most of the bytes between data centres.
+void send_far_digests(member_table& t, random_state& rng,
+                      std::vector<outgoing>& out);
+
 /// A few contacts are enough, because each passes on who is there: asking all
 /// of them cost a quarter of all bytes between data centres at 80 nodes, the
 /// more the more nodes there are.
--- a/src/member/member_query.cpp
+++ b/src/member/member_query.cpp
@@ -84,20 +84,38 @@
     return {centres.begin(), centres.end()};
 }
 
-std::vector<node_address> fetch_peers(const member_table& t, random_state& rng)
+bool counts_as_reader(const member_table& t, node_id reader)
+{
+    return reader < t.self.id || std::find(t.readers.begin(), t.readers.end(),
+                                           reader) != t.readers.end();
+}
+
+bool should_read_store(const member_table& t, mono_us now)
+{
+    const bool ranked = std::find(t.readers.begin(), t.readers.end(),
+                                  t.self.id) != t.readers.end();
+    return ranked || t.reader_heard_at == 0 ||
+           now - t.reader_heard_at > t.policy.reader_silence;
+}
+
+fetch_sources fetch_peers(const member_table& t, random_state& rng)
 {
     constexpr std::size_t of_each = 2; // a dead one costs its timeout
+    const auto some = [&rng](const std::vector<const member*>& all) {
+        std::vector<node_address> peers;
+        for (std::size_t n = 0; n < of_each && !all.empty(); ++n)
+            peers.push_back(all[random_below(rng, all.size())]->record.address);
+        return peers;
+    };
     std::vector<const member*> far;
     for (const auto centre : foreign_centres(t)) {
         for (const auto* m : alive_members(t, centre))
             far.push_back(m);
     }
-    std::vector<node_address> peers;
-    for (const auto& all : {alive_members(t, t.self.centre), far}) {
-        for (std::size_t n = 0; n < of_each && !all.empty(); ++n)
-            peers.push_back(all[random_below(rng, all.size())]->record.address);
-    }
-    return peers;
+    fetch_sources s;
+    s.near = some(alive_members(t, t.self.centre));
+    s.far = some(far);
+    return s;
 }
 
 } // namespace jasminetray
--- a/src/member/member_query.hpp
+++ b/src/member/member_query.hpp
@@ -30,6 +30,20 @@
 /// Whether this node is among the ranked ones.
 bool is_ranked(const member_table& t, std::uint64_t purpose, std::size_t most);
 
+/// Whether this node follows the configuration in the store. A few of each
+/// data centre do; each datagram carries the newest version's number, so the
+/// others hear of it at once. All of 233 nodes following it made some 40 calls
+/// a second, and each change moved the whole document 233 times.
+bool should_read_store(const member_table& t, mono_us now);
+
+/// Whether a reader's word counts for this node: it is a ranked one, or a
+/// stand-in that comes before this node, so that not all stand-ins stop at
+/// the word of each other.
+bool counts_as_reader(const member_table& t, node_id reader);
+
+/// A message that says who sends it and which configuration it knows.
+gossip_message make_message(const member_table& t, gossip_kind kind);
+
 /// Other alive nodes, of one data centre or, with 0, of all.
 std::vector<const member*> alive_members(const member_table& t,
                                          centre_id centre);
@@ -37,9 +51,17 @@
 /// Data centres that are known, own one left out.
 std::vector<centre_id> foreign_centres(const member_table& t);
 
-/// Nodes to fetch a configuration from: some near ones first, then far ones.
-/// A whole data centre may be cut off from the store; there nobody near has
-/// what the others have had for seconds.
-std::vector<node_address> fetch_peers(const member_table& t, random_state& rng);
+/// Nodes to fetch a configuration from.
+struct fetch_sources
+{
+    std::vector<node_address> near; ///< of the own data centre
+    /// Of the others, whose bytes are dear: a whole data centre may be cut
+    /// off from the store, and nobody near has what the others have had for
+    /// seconds.
+    std::vector<node_address> far;
+};
+
+/// Some at random, of each kind.
+fetch_sources fetch_peers(const member_table& t, random_state& rng);
 
 } // namespace jasminetray
--- a/src/member/member_spread.cpp
+++ b/src/member/member_spread.cpp
@@ -144,17 +144,22 @@
     greet_some(t, others(t, false), t.policy.any_contacts, rng, out);
 }
 
-void send_digests(member_table& t, random_state& rng,
-                  std::vector<outgoing>& out)
+void send_far_digests(member_table& t, random_state& rng,
+                      std::vector<outgoing>& out)
 {
-    if (const auto* m = pick(alive_members(t, t.self.centre), rng))
-        out.push_back(to_address(m->record.address, digest_message(t)));
     for (const auto centre : foreign_centres(t)) {
         if (!is_ranked(t, purpose_of(centre), t.policy.relays))
             continue;
         if (const auto* m = pick(alive_members(t, centre), rng))
             out.push_back(to_address(m->record.address, digest_message(t)));
     }
+}
+
+void send_digests(member_table& t, random_state& rng,
+                  std::vector<outgoing>& out)
+{
+    if (const auto* m = pick(alive_members(t, t.self.centre), rng))
+        out.push_back(to_address(m->record.address, digest_message(t)));
     // While alone, and to find each other again after a partition in which
     // both sides forgot the other.
     if (t.members.empty())
--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -153,6 +153,7 @@
     centre_id centre{};               ///< data centre of the sender
     std::uint64_t config_version = 0; ///< highest that the sender heard of
     std::uint64_t config_hash = 0;    ///< of that version's manifest
+    bool reads_store = false;         ///< the sender follows the store
     std::uint64_t probe = 0;          ///< ping, ack and ping_for: which probe
     node_id target{};                 ///< ping_for: whom to ping
     node_address target_address;      ///< ping_for: where it is
@@ -184,12 +185,15 @@
     span_us digest_every = 4 * us_per_s;   ///< with one peer
     span_us refresh_centre = us_per_s;     ///< relays greet other centres
     span_us forget_after = 600 * us_per_s; ///< a dead member
-    std::size_t fanout = 2;                ///< peers per flush
-    span_us greet_dead_every = us_per_s;   ///< one dead node is tried again
-    std::size_t near_contacts = 3;         ///< tried at once at the start
-    std::size_t any_contacts = 1;          ///< beside them, out of all
-    std::uint64_t contact_chance = 16; ///< one digest in so many goes to one
-    std::size_t rounds = 2;            ///< flushes that repeat news
+    /// After its start a node compares with other data centres as fast as
+    /// with its own: a fleet that starts at once knows itself within it.
+    span_us young = 5 * us_per_s;
+    std::size_t fanout = 2;              ///< peers per flush
+    span_us greet_dead_every = us_per_s; ///< one dead node is tried again
+    std::size_t near_contacts = 3;       ///< tried at once at the start
+    std::size_t any_contacts = 1;        ///< beside them, out of all
+    std::uint64_t contact_chance = 16;   ///< one digest in so many goes to one
+    std::size_t rounds = 2;              ///< flushes that repeat news
     /// Flushes that repeat news to other data centres. Digests repair what is
     /// lost on the way, and bytes there are dear.
     std::size_t far_rounds = 1;
@@ -201,6 +205,12 @@
     std::size_t datagram_bytes = 1200; ///< room for records
     std::size_t most_members = 8192;   ///< more are not taken in
     std::size_t most_wanted = 24;      ///< records asked for at once
+    /// Nodes of a data centre that follow the configuration in the store for
+    /// the others. One may be frozen or cut off; the other goes on.
+    std::size_t readers = 2;
+    /// Without a word of a reader for so long, a node reads the store itself:
+    /// a change must be in force everywhere within 2 s, readers dead or not.
+    span_us reader_silence = 1300 * us_per_ms;
 };
 
 /// Where another node may be; it need not be there any more.
@@ -276,6 +286,9 @@
     std::uint64_t config_version = 0; ///< highest that was heard of
     std::uint64_t config_hash = 0;
     std::size_t config_rounds = 0; ///< flushes that still carry its number
+    bool reads_store = false;      ///< this node follows it; told by the owner
+    std::vector<node_id> readers;  ///< ranked ones; refreshed with greet_at
+    mono_us reader_heard_at = 0;   ///< newest word of a reader that counts
     std::deque<pending_news> news;
     std::vector<open_probe> probes;
     std::vector<relayed_probe> relayed; ///< invariant: <= 64
@@ -287,6 +300,8 @@
     mono_us flush_at = 0;
     mono_us probe_at = 0;
     mono_us digest_at = 0;
+    mono_us far_digest_at = 0; ///< the next with other data centres
+    mono_us young_until = 0;   ///< set by the first tick
     mono_us greet_at = 0;
     mono_us greet_dead_at = 0;
     std::vector<member_change> changes; ///< taken by the owner
--- a/src/node/config_actor.cpp
+++ b/src/node/config_actor.cpp
@@ -16,6 +16,9 @@
 constexpr std::chrono::milliseconds poll_every(1000);
 constexpr std::chrono::milliseconds catch_up_every(200);
 constexpr span_us chunk_bound = us_per_s / 2;
+/// Rounds of near peers until the store is asked as well. In the first one
+/// only the readers have the document.
+constexpr int store_after = 2;
 
 /// State of the actor.
 struct config_keeper
@@ -23,7 +26,8 @@
     std::shared_ptr<control_context> context;
     std::uint64_t in_force = 0; ///< version; only rises
     version_message heard;      ///< highest; only rises
-    std::vector<node_address> peers;
+    fetch_sources from;
+    int tries = 0; ///< at the version that was heard of last
     bool poll = false;
     bool reachable = true;           ///< the store, when it was last asked
     std::vector<std::uint64_t> used; ///< hashes that were read
@@ -47,11 +51,13 @@
     const auto fits = [hash](const std::optional<std::string>& s) {
         return s && text_hash(*s) == hash;
     };
-    for (const auto& p : k.peers) {
-        auto found = call_chunk(p.ip, p.rpc_port, hash, chunk_bound);
-        if (fits(found)) {
-            x.cache->put(hash, *found);
-            return found;
+    for (const auto* peers : {&k.from.near, &k.from.far}) {
+        for (const auto& p : *peers) {
+            auto found = call_chunk(p.ip, p.rpc_port, hash, chunk_bound);
+            if (fits(found)) {
+                x.cache->put(hash, *found);
+                return found;
+            }
         }
     }
     store_error last{};
@@ -103,15 +109,40 @@
     bring_into_force(k, std::move(*c), hash);
 }
 
-/// Fetches a document that was heard of from a peer: this node may be cut
-/// off from the store, or the store's word may be on its way still.
-void catch_up_document(config_keeper& k)
+/// Takes the document that was heard of from one of some peers.
+bool take_from_peers(config_keeper& k, const std::vector<node_address>& peers)
 {
-    for (const auto& p : k.peers) {
-        const auto hash = k.heard.manifest;
+    const auto hash = k.heard.manifest;
+    for (const auto& p : peers) {
         const auto text = call_chunk(p.ip, p.rpc_port, hash, chunk_bound);
-        if (text && text_hash(*text) == hash)
-            return take_document(k, *text);
+        if (text && text_hash(*text) == hash) {
+            take_document(k, *text);
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Fetches a document that was heard of: from near peers, which cost nothing,
+/// then from the store, which may be out or cut off from this node, then from
+/// far peers.
+void catch_up_document(config_keeper& k)
+{
+    auto& x = *k.context;
+    ++k.tries;
+    if (take_from_peers(k, k.from.near) || k.tries < store_after)
+        return;
+    store_error last{};
+    const auto row = x.start.has_store
+                         ? x.start.store.read_row(x.start.documents.at, last)
+                         : std::nullopt;
+    if (row)
+        return take_document(k, row->value);
+    if (!take_from_peers(k, k.from.far)) {
+        x.events->write(event_id::config_fetch_failed,
+                        "version-" + std::to_string(k.heard.version),
+                        "tries=" + std::to_string(k.tries) + " store=" +
+                            std::string(name_of(store_error_names, last)));
     }
 }
 
@@ -154,6 +185,7 @@
                                  k.context->start.settings.platform, "");
     }
     k.reachable = reachable;
+    k.context->follows_store = reachable;
     k.context->sinks.store_state(reachable);
 }
 
@@ -197,16 +229,17 @@
                                tick_atom::value);
         },
         [=](const version_message& m) {
-            if (m.version > k->heard.version)
+            if (m.version > k->heard.version) {
                 k->heard = m;
-            // A document is on its way from the store in most cases: asking
-            // peers for it at once would only cross it.
+                k->tries = 0;
+            }
+            // Nobody near has a document yet that was heard of just now.
             if (!documents)
                 catch_up(*k);
         },
         [=](const peers_message& m) {
             k->poll = m.poll;
-            k->peers = m.peers;
+            k->from = m.from;
         },
     };
 }
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -43,9 +43,11 @@
     r.configuration =
         r.system->spawn<caf::detached>(config_actor, context, r.members);
     caf::anon_send(r.members, members_atom::value, r.configuration);
-    if (context->start.documents.parse)
+    if (context->start.documents.parse) {
         r.feed = r.system->spawn<caf::detached>(feed_actor, context,
                                                 r.configuration);
+        caf::anon_send(r.members, feed_atom::value, r.feed);
+    }
     if (context->start.has_store)
         r.presence =
             r.system->spawn<caf::detached>(presence_actor, context, r.members);
--- a/src/node/control_type.hpp
+++ b/src/node/control_type.hpp
@@ -2,8 +2,10 @@
 // plain structs that CAF moves without serializing.
 #pragma once
 
+#include "member/member_query.hpp"
 #include "node/control.hpp"
 
+#include <atomic>
 #include <caf/all.hpp>
 
 namespace jasminetray {
@@ -41,8 +43,8 @@
 /// What the configuration actor needs to know about members.
 struct peers_message
 {
-    bool poll = false;               ///< this node is one that reads the head
-    std::vector<node_address> peers; ///< some to fetch from
+    bool poll = false; ///< this node is one that reads the head
+    fetch_sources from;
 };
 
 /// How the node's backend servers stand.
@@ -63,8 +65,15 @@
     std::string text;
 };
 
+/// Whether this node is to follow the document in the store.
+struct follow_message
+{
+    bool on = false;
+};
+
 using tick_atom = caf::atom_constant<caf::atom("tick")>;
 using leave_atom = caf::atom_constant<caf::atom("leave")>;
+using feed_atom = caf::atom_constant<caf::atom("feed")>;
 using members_atom = caf::atom_constant<caf::atom("members")>;
 
 /// Settings, sinks and shared objects of both actors.
@@ -74,6 +83,9 @@
     control_sinks sinks;
     event_log* events = nullptr;
     config_cache* cache = nullptr;
+    /// The last call that followed the store was answered. Set by the feed,
+    /// told to others by membership.
+    std::atomic<bool> follows_store{false};
 };
 
 /// Actor that keeps membership.
@@ -85,7 +97,8 @@
                            std::shared_ptr<control_context> context,
                            caf::actor members);
 
-/// Follows the document in the store and hands each new one to `config`.
+/// Follows the document in the store while it is told to, and hands each new
+/// one to `config`.
 caf::behavior feed_actor(caf::event_based_actor* self,
                          std::shared_ptr<control_context> context,
                          caf::actor config);
@@ -105,3 +118,4 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::loads_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::contacts_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::document_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::follow_message)
--- a/src/node/feed_actor.cpp
+++ b/src/node/feed_actor.cpp
@@ -1,5 +1,6 @@
-// The actor that follows the configuration document in the store. It blocks
-// on the store's feed of changes, so it has a thread of its own.
+// The actor that follows the configuration document in the store, at those
+// nodes that read it for their data centre. It blocks on the store's feed of
+// changes, so it has a thread of its own.
 #include "base/random_func.hpp"
 #include "node/control_type.hpp"
 
@@ -10,10 +11,10 @@
 namespace {
 
 /// Longest wait on the feed. Connections may go silent without a reset; each
-/// node waits for another length, so that in a fleet of 21 some node asks
-/// anew every 0.3 s and tells the others.
-constexpr span_us least_wait = 4 * us_per_s;
-constexpr span_us most_wait = 8 * us_per_s;
+/// reader waits for another length, so that of the six in three data centres
+/// some one asks anew every 0.5 s and tells the others.
+constexpr span_us least_wait = 2 * us_per_s;
+constexpr span_us most_wait = 4 * us_per_s;
 constexpr span_us first_pause = 100 * us_per_ms; // after a failed call
 constexpr span_us most_pause = us_per_s;
 
@@ -24,7 +25,9 @@
     random_state rng;
     std::optional<std::uint64_t> position; ///< read up to here
     bool reachable = true;
-    span_us pause = 0; ///< before the next call
+    bool following = true; ///< as membership wants it
+    bool waiting = true;   ///< for its next tick
+    span_us pause = 0;     ///< before the next call
 };
 
 void note_store(feed_reader& k, bool reachable, store_error why)
@@ -36,6 +39,7 @@
             "error=" + std::string(name_of(store_error_names, why)));
     }
     k.reachable = reachable;
+    k.context->follows_store = reachable;
     k.context->sinks.store_state(reachable);
 }
 
@@ -75,6 +79,18 @@
     }
 }
 
+void tick_later(caf::event_based_actor* self, feed_reader& k)
+{
+    // Spread, so that nodes that failed together do not return together.
+    const auto jitter =
+        k.pause == 0 ? 0
+                     : random_below(k.rng, static_cast<std::uint64_t>(k.pause));
+    const auto pause = k.pause / 2 + static_cast<span_us>(jitter);
+    k.waiting = true;
+    self->delayed_send(self, std::chrono::microseconds(pause),
+                       tick_atom::value);
+}
+
 } // namespace
 
 caf::behavior feed_actor(caf::event_based_actor* self,
@@ -85,17 +101,22 @@
     k->context = std::move(context);
     k->rng.value = k->context->start.seed + 1;
     self->send(self, tick_atom::value);
-    return {[=](tick_atom) {
-        read_next(self, *k, config);
-        // Spread, so that nodes that failed together do not return together.
-        const auto jitter =
-            k->pause == 0
-                ? 0
-                : random_below(k->rng, static_cast<std::uint64_t>(k->pause));
-        const auto pause = k->pause / 2 + static_cast<span_us>(jitter);
-        self->delayed_send(self, std::chrono::microseconds(pause),
-                           tick_atom::value);
-    }};
+    return {
+        [=](tick_atom) {
+            k->waiting = false;
+            if (!k->following)
+                return;
+            read_next(self, *k, config);
+            tick_later(self, *k);
+        },
+        [=](const follow_message& m) {
+            k->following = m.on;
+            if (!m.on)
+                k->context->follows_store = false;
+            if (m.on && !k->waiting)
+                tick_later(self, *k);
+        },
+    };
 }
 
 } // namespace jasminetray
--- a/src/node/member_actor.cpp
+++ b/src/node/member_actor.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds tick_every(50);
-constexpr std::uint64_t poll_purpose = 0x504f4c4cULL;
-constexpr std::size_t pollers = 2;    // per data centre
 constexpr int peers_every = 10;       // ticks
 constexpr std::size_t most_told = 32; // nodes, of a change of load
 
@@ -23,7 +21,9 @@
     std::shared_ptr<control_context> context;
     member_table table;
     random_state rng;
-    caf::actor config; ///< told about versions and peers
+    caf::actor config;     ///< told about versions and peers
+    caf::actor feed;       ///< told whether to follow the store; may be none
+    bool following = true; ///< what it was told last
     int ticks = 0;
 };
 
@@ -100,12 +100,21 @@
 void tell_peers(caf::event_based_actor* self, member_keeper& k)
 {
     peers_message m;
-    m.poll = is_ranked(k.table, poll_purpose, pollers);
-    m.peers = fetch_peers(k.table, k.rng);
+    m.poll = should_read_store(k.table, mono_now());
+    m.from = fetch_peers(k.table, k.rng);
     if (k.config)
         self->send(k.config, std::move(m));
 }
 
+void tell_feed(caf::event_based_actor* self, member_keeper& k)
+{
+    const bool on = should_read_store(k.table, mono_now());
+    if (k.feed && on != k.following)
+        self->send(k.feed, follow_message{on});
+    k.following = on;
+    k.table.reads_store = on && k.context->follows_store;
+}
+
 void take_datagram(member_keeper& k, const datagram_message& d)
 {
     wire_error last{};
@@ -128,12 +137,7 @@
 /// empty next to full queues.
 void tell_loads(member_keeper& k, const std::vector<load_report>& loads)
 {
-    gossip_message m;
-    m.kind = gossip_kind::load;
-    m.sender = summary_of(k.table.self);
-    m.centre = k.table.self.centre;
-    m.config_version = k.table.config_version;
-    m.config_hash = k.table.config_hash;
+    auto m = make_message(k.table, gossip_kind::load);
     m.loads = loads;
     const auto bytes = encode(m, k.context->start.keys);
     auto near = alive_members(k.table, k.table.self.centre);
@@ -149,12 +153,8 @@
 
 void send_usual(member_keeper& k, const usual_message& u)
 {
-    gossip_message m;
-    m.kind = u.answer ? gossip_kind::tell_usual : gossip_kind::ask_usual;
-    m.sender = summary_of(k.table.self);
-    m.centre = k.table.self.centre;
-    m.config_version = k.table.config_version;
-    m.config_hash = k.table.config_hash;
+    auto m = make_message(k.table, u.answer ? gossip_kind::tell_usual
+                                            : gossip_kind::ask_usual);
     m.usual = u.question;
     send_all(k, {{u.ip, u.port, std::move(m)}});
 }
@@ -172,6 +172,7 @@
     self->send(self, tick_atom::value);
     return {
         [=](tick_atom) {
+            tell_feed(self, *k);
             send_all(*k, member_tick(k->table, k->rng, mono_now()));
             pass_changes(self, *k);
             if (++k->ticks % peers_every == 1)
@@ -193,6 +194,7 @@
             send_all(*k, member_add_contacts(k->table, m.nodes, k->rng));
         },
         [=](members_atom, const caf::actor& config) { k->config = config; },
+        [=](feed_atom, const caf::actor& feed) { k->feed = feed; },
     };
 }
 
--- a/src/wire/gossip.capnp
+++ b/src/wire/gossip.capnp
@@ -84,4 +84,5 @@
   reports @17 :List(Report);
   about @18 :UInt32;
   loads @19 :List(Load);
+  readsStore @20 :Bool;
 }
--- a/src/wire/gossip.capnp.h
+++ b/src/wire/gossip.capnp.h
@@ -935,6 +935,8 @@
   inline bool hasLoads() const;
   inline  ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
+  inline bool getReadsStore() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1061,6 +1063,9 @@
   inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::jasminetray::wire::Load,  ::capnp::Kind::STRUCT>> disownLoads();
 
+  inline bool getReadsStore();
+  inline void setReadsStore(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2226,6 +2231,20 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::getReadsStore() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool Message::Builder::getReadsStore() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Message::Builder::setReadsStore(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/wire/wire_func.cpp
+++ b/src/wire/wire_func.cpp
@@ -221,6 +221,7 @@
     m.centre = static_cast<centre_id>(r.getCentre());
     m.config_version = r.getConfigVersion();
     m.config_hash = r.getConfigHash();
+    m.reads_store = r.getReadsStore();
     m.probe = r.getProbe();
     m.target = static_cast<node_id>(r.getTarget());
     m.target_address = get_address(r.getTargetAddress());
@@ -263,6 +264,7 @@
     b.setCentre(static_cast<std::uint32_t>(m.centre));
     b.setConfigVersion(m.config_version);
     b.setConfigHash(m.config_hash);
+    b.setReadsStore(m.reads_store);
     b.setProbe(m.probe);
     b.setTarget(static_cast<std::uint64_t>(m.target));
     if (m.kind == gossip_kind::ping_for)
--- a/test/test_core.cpp
+++ b/test/test_core.cpp
@@ -268,11 +268,12 @@
     }
     random_state rng{7};
     const auto peers = fetch_peers(t, rng);
-    ASSERT_EQ(peers.size(), 4U);
-    EXPECT_LE(peers[0].ip, 3U);
-    EXPECT_LE(peers[1].ip, 3U);
-    EXPECT_GE(peers[2].ip, 4U);
-    EXPECT_GE(peers[3].ip, 4U);
+    ASSERT_EQ(peers.near.size(), 2U);
+    ASSERT_EQ(peers.far.size(), 2U);
+    EXPECT_LE(peers.near[0].ip, 3U);
+    EXPECT_LE(peers.near[1].ip, 3U);
+    EXPECT_GE(peers.far[0].ip, 4U);
+    EXPECT_GE(peers.far[1].ip, 4U);
 }
 
 // A caller's request goes to a backend server that is draining: the path to
