--- a/src/balance/place_func.cpp
+++ b/src/balance/place_func.cpp
@@ -30,12 +30,15 @@
 }
 
 /// Whether work should show how a candidate is: it is a suspect, or nothing
-/// has been seen of it for so long that nobody knows.
+/// has been seen of it for so long that nobody knows, or it was ejected. In a
+/// data centre of 20 an ejected one never has the least expected loss; without
+/// work on purpose it was well again and idle for 8 to 10 s.
 bool wants_probe(const candidate& c, const balance_policy& b, mono_us now)
 {
     constexpr double unknown_share = 0.9; // of what is usual
-    return c.doubt.suspect || doubt_now(c.doubt, b.doubt, now) >=
-                                  unknown_share * b.doubt.sick_share;
+    return c.trickle || c.doubt.suspect ||
+           doubt_now(c.doubt, b.doubt, now) >=
+               unknown_share * b.doubt.sick_share;
 }
 
 /// A near candidate to be probed, chosen at random; nothing in most cases.
--- a/test/test_doubt.cpp
+++ b/test/test_doubt.cpp
@@ -399,6 +399,36 @@
     EXPECT_GE(probes, 80);
 }
 
+// Backend servers that were ejected are well again and get nothing for 8 to
+// 10 s: among 20 near ones none of them ever has the least expected loss, so
+// no work shows that they are well. Repeatable work is sent to them on purpose.
+TEST(placing, an_ejected_one_gets_work_that_shows_it_well)
+{
+    balance_policy b;
+    b.doubt = on();
+    std::vector<candidate> all(20);
+    for (std::size_t k = 0; k < all.size(); ++k) {
+        all[k].id = static_cast<worker_id>(k + 1);
+        all[k].doubt = {0.05, start, false, 0, false};
+        all[k].load_at = start;
+    }
+    all[7].trickle = true;
+    all[7].weight = 0.05;
+    random_state rng{5};
+    int sent = 0;
+    int charges = 0;
+    for (int k = 0; k < 200; ++k) {
+        const auto x =
+            place(all, place_policy{}, b, {true, 2 * us_per_s}, {}, rng, start);
+        sent += x && x->index == 7 ? 1 : 0;
+        const auto y = place(all, place_policy{}, b, {false, 2 * us_per_s}, {},
+                             rng, start);
+        charges += y && y->index == 7 ? 1 : 0;
+    }
+    EXPECT_GE(sent, 10);
+    EXPECT_EQ(charges, 0);
+}
+
 // A backend server joins a quiet service and gets nothing for good: those
 // that were proven lately always cost less than one that nobody knows. Some
 // of the work whose failure would be tried again must go there.
