Do not take refusals at any load for overload

Each refusal lowered the gate's limit by 0.3: 13 slots became 5 on average, 1 at the least, and work was refused for want of room at idle backend servers until 8 s after the last refusal (up to 1,050 in 2 s). Change: a refusal lowers the limit only if nothing was answered beside as much running work in the last 4 s.

--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -154,10 +154,31 @@
     return decisions;
 }
 
-void adapt_limit(gate_worker& w, std::uint32_t klass, work_end end,
-                 span_us took, mono_us now)
+/// Work that ran beside this answer was no overload.
+void note_served(gate_worker& w, const gate_limits& l, mono_us now)
+{
+    const int level = w.in_flight + w.foreign;
+    if (level < w.served_level && now - w.served_at <= l.served_span)
+        return;
+    w.served_level = level;
+    w.served_at = now;
+}
+
+/// Work at a backend server that has lately answered beside at least as much
+/// work. Then a refusal there tells of no overload: for seconds some refuse
+/// half of all work at any load. Taken for overload, they brought the limit
+/// from 13 to 1, and work was refused for 8 s after the last of them.
+bool was_served_at(const gate_worker& w, const gate_limits& l, mono_us now)
+{
+    return now - w.served_at <= l.served_span &&
+           w.in_flight + w.foreign <= w.served_level;
+}
+
+void adapt_limit(gate_worker& w, const gate_limits& l, std::uint32_t klass,
+                 work_end end, span_us took, mono_us now)
 {
     if (end == work_end::answered) {
+        note_served(w, l, now);
         w.usual += (took - w.usual) / usual_weight;
         auto& own = class_of(w, klass, now).usual;
         own = own == 0 ? took : own + (took - own) / usual_weight;
@@ -166,7 +187,8 @@
     }
     // The backend server's own count of load lags or misleads; a shed is the
     // one signal that it cannot get wrong. One step per burst of sheds.
-    if (end == work_end::shed && now - w.lowered_at > w.usual) {
+    if (end == work_end::shed && now - w.lowered_at > w.usual &&
+        !was_served_at(w, l, now)) {
         w.limit = std::max(1.0, w.limit * lower_factor);
         w.lowered_at = now;
     }
@@ -252,7 +274,7 @@
 {
     const auto it = g.workers.find(r.worker);
     if (it != g.workers.end()) {
-        adapt_limit(it->second, r.klass, end, took, now);
+        adapt_limit(it->second, g.limits, r.klass, end, took, now);
         it->second.in_flight = std::max(0, it->second.in_flight - 1);
     }
     if (r.idempotent)
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -124,6 +124,10 @@
     /// shorter than the seconds that a burst lasts.
     span_us pressure_span = 2 * us_per_s;
 
+    /// How long an answer shows that so much work beside it was no overload.
+    /// Long enough for some answers of long work.
+    span_us served_span = 4 * us_per_s;
+
     /// How long an attempt is remembered after its last change. A copy can
     /// still arrive until its stamp is too old, and a question can come
     /// until its deadline has passed; nothing can ask after both.
@@ -166,6 +170,8 @@
     // Invariant: never more than most_classes.
     std::unordered_map<std::uint32_t, gate_class> classes; ///< by class
     mono_us lowered_at = 0;  ///< when the limit was last lowered
+    int served_level = 0;    ///< most running work beside an answer, lately
+    mono_us served_at = 0;   ///< when that answer came
     worker_doubt doubt;      ///< from the outcomes that were seen here
     double pressure = 0;     ///< share of its time taken by work let in in time
     mono_us pressure_at = 0; ///< when that was last brought up to date
