--- /dev/null
+++ b/src/node/fleet_news.hpp
@@ -0,0 +1,15 @@
+// News for the request thread: other nodes' records, and configurations.
+#pragma once
+
+#include "node/control.hpp"
+#include "node/node_state.hpp"
+
+namespace jasminetray {
+
+/// Takes other nodes' records and liveness into the view of the fleet.
+void take_members(node_state& n, const std::vector<member_news>& news);
+
+/// Brings a configuration into force, unless a higher one is.
+void take_config(node_state& n, std::shared_ptr<const fleet_config> c);
+
+} // namespace jasminetray
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -11,6 +11,7 @@
 #include "node/entry_server.hpp"
 #include "node/exit_server.hpp"
 #include "node/experiment_func.hpp"
+#include "node/fleet_news.hpp"
 #include "node/health_driver.hpp"
 #include "node/hosted_worker.hpp"
 #include "node/settings_reload.hpp"
@@ -146,85 +147,6 @@
                                 });
 }
 
-/// Log lines for what changed at another node's backend servers.
-void log_workers(node_parts& p, const node_record& r)
-{
-    const auto it = p.state.view.nodes.find(r.id);
-    for (const auto& w : r.workers) {
-        bool was = false;
-        bool known = false;
-        for (const auto& old : it == p.state.view.nodes.end()
-                                   ? r.workers
-                                   : it->second.record.workers) {
-            known = known || old.id == w.id;
-            was = was || (old.id == w.id && old.draining);
-        }
-        const auto subject = to_hex(static_cast<std::uint64_t>(w.id));
-        if (!known || it == p.state.view.nodes.end())
-            p.events.write(event_id::worker_announced, subject,
-                           "node=" + r.name);
-        if (w.draining && !was)
-            p.events.write(event_id::worker_draining, subject,
-                           "node=" + r.name);
-    }
-}
-
-void take_members(node_parts& p, const std::vector<member_news>& news)
-{
-    auto& n = p.state;
-    const auto now = mono_now();
-    for (const auto& x : news) {
-        if (!x.removed)
-            log_workers(p, x.record);
-        if (x.removed)
-            view_remove(n.view, x.record.id, now);
-        else
-            view_update(n.view, x.record, x.state, now);
-    }
-    n.most_nodes = std::max(n.most_nodes, n.view.nodes.size());
-    std::vector<path_complaint> complaints;
-    for (const auto& [id, v] : n.view.nodes) {
-        for (const auto about : v.record.complaints) {
-            complaints.push_back(
-                {id, static_cast<std::uint32_t>(v.record.centre), about});
-        }
-    }
-    auto doubted = agreed_nodes(complaints, n.path_settings);
-    for (const auto id : doubted) {
-        if (std::find(n.view.doubted.begin(), n.view.doubted.end(), id) ==
-            n.view.doubted.end())
-            n.events.write(event_id::node_doubted,
-                           to_hex(static_cast<std::uint64_t>(id)), "");
-    }
-    const bool all = doubted != n.view.doubted;
-    n.view.doubted = std::move(doubted);
-    if (all)
-        return apply_all_claims(n);
-    std::vector<service_id> services;
-    for (const auto& x : news) {
-        for (const auto& w : x.record.workers)
-            services.push_back(w.service);
-    }
-    apply_claims_of(n, services);
-}
-
-void take_config(node_parts& p, std::shared_ptr<const fleet_config> c)
-{
-    auto& n = p.state;
-    // Never back: a slower fetch of an older version may end later.
-    if (n.config && c->version <= n.config->version)
-        return;
-    n.config = std::move(c);
-    n.config_at = mono_now();
-    p.metrics->config_unclear->Increment(
-        static_cast<double>(n.config->notes.size()));
-    n.service_places.clear();
-    for (std::size_t k = 0; k < n.config->services.size(); ++k)
-        n.service_places[service_of(n.config->services[k].name)] = k;
-    refresh_policies(n);
-    apply_all_claims(n);
-}
-
 control_sinks make_sinks(node_parts& p)
 {
     control_sinks k;
@@ -239,11 +161,11 @@
         });
     };
     k.members_changed = [&p, &ctx](std::vector<member_news> news) {
-        asio::post(ctx,
-                   [&p, news = std::move(news)] { take_members(p, news); });
+        asio::post(
+            ctx, [&p, news = std::move(news)] { take_members(p.state, news); });
     };
     k.config_ready = [&p, &ctx](std::shared_ptr<const fleet_config> c) {
-        asio::post(ctx, [&p, c = std::move(c)] { take_config(p, c); });
+        asio::post(ctx, [&p, c = std::move(c)] { take_config(p.state, c); });
     };
     k.store_state = [&p, &ctx](bool reachable) {
         asio::post(ctx,
