Ask the store for a document also while versions come one after the other

Each version heard began the rounds anew, so that the store was never asked, and peers had moved on from the document that was asked for. Change: the rounds count from the last document taken.

--- a/src/node/config_actor.cpp
+++ b/src/node/config_actor.cpp
@@ -35,7 +35,10 @@
     std::uint64_t in_force = 0; ///< version; only rises
     version_message heard;      ///< highest; only rises
     fetch_sources from;
-    int tries = 0; ///< at the version that was heard of last
+    /// Rounds of asking since a document was taken. A newer version does not
+    /// start them anew: while versions come one after the other peers have
+    /// moved on from each that is asked for, and the store was never asked.
+    int tries = 0;
     bool poll = false;
     bool reachable = true;           ///< the store, when it was last asked
     std::vector<std::uint64_t> used; ///< hashes that were read
@@ -80,6 +83,7 @@
 {
     auto& x = *k.context;
     k.in_force = c.version;
+    k.tries = 0;
     x.cache->keep_only(k.used);
     x.events->set_config_version(c.version);
     x.events->write(event_id::config_in_force,
@@ -238,10 +242,8 @@
                                tick_atom::value);
         },
         [=](const version_message& m) {
-            if (m.version > k->heard.version) {
+            if (m.version > k->heard.version)
                 k->heard = m;
-                k->tries = 0;
-            }
             // Nobody near has a document yet that was heard of just now.
             if (!documents)
                 catch_up(*k);
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -375,6 +375,27 @@
                                 for n in h.nodes)), "all serve again")
 
 
+# Versions come each 0.03 s. A node that does not read the store itself hears of
+# one, and by the time that it asks a peer for its document the peer has the
+# next: it never gets any, and goes on with the routes of before the storm.
+def check_storm(h):
+    rules = [route("orders", "/orders/", "orders"),
+             route("new", "/new/", "billing"),
+             route("pay", "/pay/", "billing", "non_idempotent")]
+    sent, late = [], []
+    for turn in range(110):
+        rules.append(route("storm%d" % turn, "/storm%d/" % turn, "nobody"))
+        h.put_config(document(20 + turn, rules,
+                              ("billing", "orders", "nobody")))
+        sent.append(time.monotonic())
+        due = [k for k, at in enumerate(sent) if time.monotonic() - at > 2]
+        late += [(node, due[-1]) for node in h.nodes if due and
+                 h.ask(node, "/storm%d/" % due[-1])[0] == 404]
+        time.sleep(0.02)
+    expect(len(due) > 10 and not late,
+           "versions in quick succession are in force within 2 s: %s" % late)
+
+
 def check_sick(h):
     sick = h.workers["w1"]
     sick.mode = "fail"
@@ -521,8 +542,9 @@
             h.ask(n, p)[0] == 200 for n in h.nodes
             for p in ("/orders/", "/both/"))), "every node serves")
         for check in (check_serving, check_other_process, check_split,
-                      check_raw, check_config, check_frozen_peers, check_sick, check_drain,
-                      check_same_name, check_restart):
+                      check_raw, check_config, check_frozen_peers,
+                      check_storm, check_sick, check_drain, check_same_name,
+                      check_restart):
             check(h)
     print("hosted: checks_failed=%d" % len(FAILED))
     return 1 if FAILED else 0
