--- a/src/member/member_query.cpp
+++ b/src/member/member_query.cpp
@@ -90,11 +90,23 @@
                                            reader) != t.readers.end();
 }
 
+bool is_ranked_reader(const member_table& t)
+{
+    return std::find(t.readers.begin(), t.readers.end(), t.self.id) !=
+           t.readers.end();
+}
+
+span_us reader_pause(span_us last, bool ranked)
+{
+    constexpr span_us first = 100 * us_per_ms; // most outages are short
+    constexpr span_us most_ranked = us_per_s;  // news is late by this at most
+    constexpr span_us most_other = 4 * us_per_s;
+    return std::clamp(2 * last, first, ranked ? most_ranked : most_other);
+}
+
 bool should_read_store(const member_table& t, mono_us now)
 {
-    const bool ranked = std::find(t.readers.begin(), t.readers.end(),
-                                  t.self.id) != t.readers.end();
-    return ranked || t.reader_heard_at == 0 ||
+    return is_ranked_reader(t) || t.reader_heard_at == 0 ||
            now - t.reader_heard_at > t.policy.reader_silence;
 }
 
--- a/src/member/member_query.hpp
+++ b/src/member/member_query.hpp
@@ -36,6 +36,16 @@
 /// a second, and each change moved the whole document 233 times.
 bool should_read_store(const member_table& t, mono_us now);
 
+/// Whether this node is one of the ranked readers of its data centre.
+bool is_ranked_reader(const member_table& t);
+
+/// Pause after a failed call that followed the store; 0 for `last` is the
+/// first. In an outage nobody hears of a reader, and every node becomes a
+/// stand-in: 233 of them that asked again each second made 4,000 calls in 8 s,
+/// and 3,700 would keep a store that returns from serving anybody. The ranked
+/// readers ask as often as before and tell the others.
+span_us reader_pause(span_us last, bool ranked);
+
 /// Whether a reader's word counts for this node: it is a ranked one, or a
 /// stand-in that comes before this node, so that not all stand-ins stop at
 /// the word of each other.
--- a/src/node/control_type.hpp
+++ b/src/node/control_type.hpp
@@ -69,6 +69,7 @@
 struct follow_message
 {
     bool on = false;
+    bool ranked = false; ///< as one that the others rely on
 };
 
 using tick_atom = caf::atom_constant<caf::atom("tick")>;
--- a/src/node/feed_actor.cpp
+++ b/src/node/feed_actor.cpp
@@ -15,8 +15,6 @@
 /// some one asks anew every 0.5 s and tells the others.
 constexpr span_us least_wait = 2 * us_per_s;
 constexpr span_us most_wait = 4 * us_per_s;
-constexpr span_us first_pause = 100 * us_per_ms; // after a failed call
-constexpr span_us most_pause = us_per_s;
 
 /// State of the actor.
 struct feed_reader
@@ -26,6 +24,7 @@
     std::optional<std::uint64_t> position; ///< read up to here
     bool reachable = true;
     bool following = true; ///< as membership wants it
+    bool ranked = true;    ///< one that the others rely on
     bool waiting = true;   ///< for its next tick
     span_us pause = 0;     ///< before the next call
 };
@@ -68,7 +67,7 @@
     }
     note_store(k, found.has_value(), last);
     if (!found) {
-        k.pause = std::clamp(k.pause * 2, first_pause, most_pause);
+        k.pause = reader_pause(k.pause, k.ranked);
         return;
     }
     k.pause = 0;
@@ -111,6 +110,7 @@
         },
         [=](const follow_message& m) {
             k->following = m.on;
+            k->ranked = m.ranked;
             if (!m.on)
                 k->context->follows_store = false;
             if (m.on && !k->waiting)
--- a/src/node/member_actor.cpp
+++ b/src/node/member_actor.cpp
@@ -24,6 +24,7 @@
     caf::actor config;     ///< told about versions and peers
     caf::actor feed;       ///< told whether to follow the store; may be none
     bool following = true; ///< what it was told last
+    bool ranked = true;    ///< the same
     int ticks = 0;
 };
 
@@ -109,9 +110,11 @@
 void tell_feed(caf::event_based_actor* self, member_keeper& k)
 {
     const bool on = should_read_store(k.table, mono_now());
-    if (k.feed && on != k.following)
-        self->send(k.feed, follow_message{on});
+    const bool ranked = is_ranked_reader(k.table);
+    if (k.feed && (on != k.following || ranked != k.ranked))
+        self->send(k.feed, follow_message{on, ranked});
     k.following = on;
+    k.ranked = ranked;
     k.table.reads_store = on && k.context->follows_store;
 }
 
--- a/test/test_readers.cpp
+++ b/test/test_readers.cpp
@@ -108,6 +108,29 @@
     EXPECT_TRUE(should_read_store(early, start));
 }
 
+/// Calls of one node in an outage, each of which fails at once.
+int calls_in(span_us outage, bool ranked)
+{
+    int calls = 0;
+    span_us pause = 0;
+    for (span_us at = 0; at < outage; at += pause) {
+        ++calls;
+        pause = reader_pause(pause, ranked);
+    }
+    return calls;
+}
+
+// The store is out, and when it returns it is out again: nobody hears of a
+// reader, so every node of the fleet asks it each second. Those that nobody
+// relies on ask ever less often.
+TEST(readers, stand_ins_spare_a_store_that_is_out)
+{
+    constexpr span_us outage = 30 * us_per_s;
+    EXPECT_GE(calls_in(outage, true), 30);
+    EXPECT_LE(calls_in(outage, false), 14);
+    EXPECT_LE(reader_pause(60 * us_per_s, true), us_per_s);
+}
+
 TEST(readers, of_another_data_centre_count_for_nothing_here)
 {
     random_state rng{3};
