Let one piece of code serve where the readers and check-ins had made two

No change of behaviour; no assertion changed. One function each for: a backend server in a record (view, fleet news), whether one was tried (two ways of placing), what a relay sends to each data centre (digests, greetings), noting whether the store answers (feed, configuration), who is a ranked reader. One bound for the slots of an announcement.

--- a/src/balance/balance_func.cpp
+++ b/src/balance/balance_func.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-bool was_tried(const std::vector<worker_id>& tried, worker_id id)
-{
-    return std::find(tried.begin(), tried.end(), id) != tried.end();
-}
-
 /// Weights of the usable candidates; all zero when none is.
 std::vector<double> usable_weights(const std::vector<candidate>& all,
                                    const balance_policy& p, bool idempotent,
@@ -47,6 +42,11 @@
 
 } // namespace
 
+bool was_tried(const std::vector<worker_id>& tried, worker_id id)
+{
+    return std::find(tried.begin(), tried.end(), id) != tried.end();
+}
+
 double ramped_weight(const candidate& c, const balance_policy& p, mono_us now)
 {
     const auto age = now - c.born_at;
--- a/src/balance/balance_type.hpp
+++ b/src/balance/balance_type.hpp
@@ -51,6 +51,9 @@
     double other_cost = 0; ///< of the one it was compared with
 };
 
+/// Whether a request was sent to a backend server already.
+bool was_tried(const std::vector<worker_id>& tried, worker_id id);
+
 /// Expected delay of a candidate in units of its own service time.
 double cost_of(const candidate& c, const balance_policy& p, mono_us now);
 
--- a/src/balance/place_func.cpp
+++ b/src/balance/place_func.cpp
@@ -24,11 +24,6 @@
     return c.doubt.suspect && now - c.doubt.at <= p.refusal_memory;
 }
 
-bool was_tried(const std::vector<worker_id>& tried, worker_id id)
-{
-    return std::find(tried.begin(), tried.end(), id) != tried.end();
-}
-
 /// Whether work should show how a candidate is: it is a suspect, or nothing
 /// has been seen of it for so long that nobody knows, or it was ejected. In a
 /// data centre of 20 an ejected one never has the least expected loss; without
--- a/src/balance/view_func.cpp
+++ b/src/balance/view_func.cpp
@@ -3,6 +3,7 @@
 
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
+#include "member/member_query.hpp"
 
 #include <algorithm>
 #include <set>
@@ -75,14 +76,6 @@
     s.claims[n].slots = c.slots;
 }
 
-const worker_record* find_worker(const node_record& r, worker_id id)
-{
-    const auto it =
-        std::find_if(r.workers.begin(), r.workers.end(),
-                     [id](const worker_record& w) { return w.id == id; });
-    return it == r.workers.end() ? nullptr : &*it;
-}
-
 bool is_doubted(const fleet_view& v, node_id id)
 {
     return std::find(v.doubted.begin(), v.doubted.end(), id) != v.doubted.end();
--- a/src/hosted/announcement_type.hpp
+++ b/src/hosted/announcement_type.hpp
@@ -8,6 +8,8 @@
 
 namespace jasminetray {
 
+constexpr int most_slots = 10000; ///< that an announcement may tell
+
 /// One announcement, about one a second.
 struct announcement
 {
--- a/src/member/member_query.cpp
+++ b/src/member/member_query.cpp
@@ -17,6 +17,14 @@
     return {r.id, r.generation, r.sequence};
 }
 
+const worker_record* find_worker(const node_record& r, worker_id id)
+{
+    const auto it =
+        std::find_if(r.workers.begin(), r.workers.end(),
+                     [id](const worker_record& w) { return w.id == id; });
+    return it == r.workers.end() ? nullptr : &*it;
+}
+
 std::size_t bucket_of(node_id id)
 {
     return mix_hash(static_cast<std::uint64_t>(id), 1) % digest_buckets;
@@ -84,16 +92,14 @@
     return {centres.begin(), centres.end()};
 }
 
-bool counts_as_reader(const member_table& t, node_id reader)
+bool is_ranked_reader(const member_table& t, node_id id)
 {
-    return reader < t.self.id || std::find(t.readers.begin(), t.readers.end(),
-                                           reader) != t.readers.end();
+    return std::find(t.readers.begin(), t.readers.end(), id) != t.readers.end();
 }
 
-bool is_ranked_reader(const member_table& t)
+bool counts_as_reader(const member_table& t, node_id reader)
 {
-    return std::find(t.readers.begin(), t.readers.end(), t.self.id) !=
-           t.readers.end();
+    return reader < t.self.id || is_ranked_reader(t, reader);
 }
 
 span_us reader_pause(span_us last, bool ranked)
@@ -106,7 +112,7 @@
 
 bool should_read_store(const member_table& t, mono_us now)
 {
-    return is_ranked_reader(t) || t.reader_heard_at == 0 ||
+    return is_ranked_reader(t, t.self.id) || t.reader_heard_at == 0 ||
            now - t.reader_heard_at > t.policy.reader_silence;
 }
 
--- a/src/member/member_query.hpp
+++ b/src/member/member_query.hpp
@@ -13,6 +13,9 @@
 /// Summary of a record.
 record_summary summary_of(const node_record& r);
 
+/// A backend server in a record; null when there is none.
+const worker_record* find_worker(const node_record& r, worker_id id);
+
 /// Bucket of a node in digests.
 std::size_t bucket_of(node_id id);
 
@@ -36,8 +39,8 @@
 /// a second, and each change moved the whole document 233 times.
 bool should_read_store(const member_table& t, mono_us now);
 
-/// Whether this node is one of the ranked readers of its data centre.
-bool is_ranked_reader(const member_table& t);
+/// Whether a node is one of the ranked readers of this data centre.
+bool is_ranked_reader(const member_table& t, node_id id);
 
 /// Pause after a failed call that followed the store; 0 for `last` is the
 /// first. In an outage nobody hears of a reader, and every node becomes a
--- a/src/member/member_spread.cpp
+++ b/src/member/member_spread.cpp
@@ -110,6 +110,18 @@
     return bits;
 }
 
+/// Sends a message to one node of each data centre that this node relays to.
+void relay(const member_table& t, const gossip_message& message,
+           random_state& rng, std::vector<outgoing>& out)
+{
+    for (const auto centre : foreign_centres(t)) {
+        if (!is_ranked(t, purpose_of(centre), t.policy.relays))
+            continue;
+        if (const auto* m = pick(alive_members(t, centre), rng))
+            out.push_back(to_address(m->record.address, message));
+    }
+}
+
 } // namespace
 
 void flush_news(member_table& t, random_state& rng, std::vector<outgoing>& out)
@@ -147,12 +159,7 @@
 void send_far_digests(member_table& t, random_state& rng,
                       std::vector<outgoing>& out)
 {
-    for (const auto centre : foreign_centres(t)) {
-        if (!is_ranked(t, purpose_of(centre), t.policy.relays))
-            continue;
-        if (const auto* m = pick(alive_members(t, centre), rng))
-            out.push_back(to_address(m->record.address, digest_message(t)));
-    }
+    relay(t, digest_message(t), rng, out);
 }
 
 void send_digests(member_table& t, random_state& rng,
@@ -171,13 +178,7 @@
 void greet_centres(member_table& t, random_state& rng,
                    std::vector<outgoing>& out)
 {
-    for (const auto centre : foreign_centres(t)) {
-        if (!is_ranked(t, purpose_of(centre), t.policy.relays))
-            continue;
-        if (const auto* m = pick(alive_members(t, centre), rng))
-            out.push_back(to_address(m->record.address,
-                                     make_message(t, gossip_kind::news)));
-    }
+    relay(t, make_message(t, gossip_kind::news), rng, out);
 }
 
 void greet_dead(member_table& t, random_state& rng, std::vector<outgoing>& out)
--- a/src/node/announce.cpp
+++ b/src/node/announce.cpp
@@ -14,7 +14,6 @@
 namespace json = boost::json;
 
 constexpr span_us lapse = 5 * us_per_s; // without an announcement
-constexpr int most_slots = 10000;
 
 worker_id id_of(const node_state& n, const announcement& a)
 {
--- a/src/node/config_actor.cpp
+++ b/src/node/config_actor.cpp
@@ -190,18 +190,6 @@
     bring_into_force(k, std::move(*c), k.heard.manifest);
 }
 
-void note_store(config_keeper& k, bool reachable)
-{
-    if (reachable != k.reachable) {
-        k.context->events->write(reachable ? event_id::store_reachable
-                                           : event_id::store_unreachable,
-                                 k.context->start.settings.platform, "");
-    }
-    k.reachable = reachable;
-    k.context->follows_store = reachable;
-    k.context->sinks.store_state(reachable);
-}
-
 /// Reads the head row. Two that do so at once are harmless: both learn the
 /// same, and a version is only ever taken up when it is higher.
 void poll_head(caf::event_based_actor* self, config_keeper& k,
@@ -209,7 +197,7 @@
 {
     store_error last{};
     const auto head = read_head(k.context->start.store, last);
-    note_store(k, head.has_value());
+    note_store(*k.context, k.reachable, head.has_value(), "");
     if (!head || head->version <= k.heard.version)
         return;
     k.heard = {head->version, head->manifest};
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -16,6 +16,19 @@
 
 } // namespace
 
+void note_store(control_context& x, bool& known, bool reachable,
+                const std::string& detail)
+{
+    if (reachable != known) {
+        x.events->write(reachable ? event_id::store_reachable
+                                  : event_id::store_unreachable,
+                        x.start.settings.platform, detail);
+    }
+    known = reachable;
+    x.follows_store = reachable;
+    x.sinks.store_state(reachable);
+}
+
 struct control::running
 {
     caf::actor_system_config config;
--- a/src/node/control_type.hpp
+++ b/src/node/control_type.hpp
@@ -89,6 +89,12 @@
     std::atomic<bool> follows_store{false};
 };
 
+/// Notes whether the store answered: for the log when that changed, for the
+/// request thread, and for what others are told of this node as a reader.
+/// @param known what was noted before; brought up to date
+void note_store(control_context& x, bool& known, bool reachable,
+                const std::string& detail);
+
 /// Actor that keeps membership.
 caf::behavior member_actor(caf::event_based_actor* self,
                            std::shared_ptr<control_context> context);
--- a/src/node/feed_actor.cpp
+++ b/src/node/feed_actor.cpp
@@ -29,19 +29,6 @@
     span_us pause = 0;     ///< before the next call
 };
 
-void note_store(feed_reader& k, bool reachable, store_error why)
-{
-    if (reachable != k.reachable) {
-        k.context->events->write(
-            reachable ? event_id::store_reachable : event_id::store_unreachable,
-            k.context->start.settings.platform,
-            "error=" + std::string(name_of(store_error_names, why)));
-    }
-    k.reachable = reachable;
-    k.context->follows_store = reachable;
-    k.context->sinks.store_state(reachable);
-}
-
 /// The next rows: all of them at first and when history is gone, changes
 /// else.
 std::optional<row_list> read_rows(feed_reader& k, store_error& last)
@@ -65,7 +52,8 @@
         k.position.reset();
         return;
     }
-    note_store(k, found.has_value(), last);
+    note_store(*k.context, k.reachable, found.has_value(),
+               "error=" + std::string(name_of(store_error_names, last)));
     if (!found) {
         k.pause = reader_pause(k.pause, k.ranked);
         return;
--- a/src/node/fleet_news.cpp
+++ b/src/node/fleet_news.cpp
@@ -2,6 +2,7 @@
 #include "node/fleet_news.hpp"
 
 #include "base/text_func.hpp"
+#include "member/member_query.hpp"
 #include "node/health_driver.hpp"
 
 #include <algorithm>
@@ -10,15 +11,6 @@
 
 namespace {
 
-/// A backend server in a record; null when there is none.
-const worker_record* find_worker(const node_record& r, worker_id id)
-{
-    const auto it =
-        std::find_if(r.workers.begin(), r.workers.end(),
-                     [id](const worker_record& w) { return w.id == id; });
-    return it == r.workers.end() ? nullptr : &*it;
-}
-
 /// Log lines for what changed at another node's backend servers.
 void log_workers(node_state& n, const node_record& r)
 {
--- a/src/node/member_actor.cpp
+++ b/src/node/member_actor.cpp
@@ -110,7 +110,7 @@
 void tell_feed(caf::event_based_actor* self, member_keeper& k)
 {
     const bool on = should_read_store(k.table, mono_now());
-    const bool ranked = is_ranked_reader(k.table);
+    const bool ranked = is_ranked_reader(k.table, k.table.self.id);
     if (k.feed && (on != k.following || ranked != k.ranked))
         self->send(k.feed, follow_message{on, ranked});
     k.following = on;
