Take the first check-in of a backend server found by its health answer as its own

Cause: a node that starts beside a backend server finds it by its health answer, which names no start; the first check-in names one, was taken for a restart, and what ran there was ended as unknown (504). Each restart of a node beside a live backend server met this, up to all slots of work. Ruled out: a clock, a lost connection; the log shows worker_restarted former=0. Change: one process at a time stands behind an address, so the one that answered has the latest start before the answer; a check-in that names it completes what is known and ends nothing. A start after the answer is another process, as before; one that lies ahead of the clock ends nothing in doubt. Before: the new case of platform_hosted gave 504 for the charge that ran. After: 200; four cases of the decision in test_incarnation. The fuzzer of incarnations does not play health answers yet.

--- a/src/hosted/incarnation_cmd.cpp
+++ b/src/hosted/incarnation_cmd.cpp
@@ -113,4 +113,12 @@
     return incarnation_step::current;
 }
 
+bool is_start_of_answered(std::uint64_t born, std::uint64_t known,
+                          std::uint64_t answered_ms, std::uint64_t wall_ms)
+{
+    if (answered_ms == 0 || born <= known)
+        return false;
+    return born <= answered_ms || born > wall_ms;
+}
+
 } // namespace jasminetray
--- a/src/hosted/incarnation_type.hpp
+++ b/src/hosted/incarnation_type.hpp
@@ -101,4 +101,19 @@
 incarnation_step incarnation_hear(incarnation_table& t, const announcement& a,
                                   mono_us now, std::uint64_t wall_ms);
 
+/// Whether a start that is named now is that of the process that answered a
+/// health probe, so that its work goes on. A node that starts beside a backend
+/// server finds it by its answer, which does not tell the start; its first
+/// announcement was then taken for a restart, and all that ran there was ended
+/// as unknown. One process at a time stands behind an address, so the one that
+/// answered is the one with the latest start before the answer. A start that
+/// lies ahead shows that the clock stepped back: in doubt the work goes on,
+/// and ends by itself if its process is gone.
+/// @param born start that is named, in milliseconds since 1970
+/// @param known start that was believed so far; 0 for none
+/// @param answered_ms wall clock when the answer came; 0 for no answer
+/// @param wall_ms wall clock now
+bool is_start_of_answered(std::uint64_t born, std::uint64_t known,
+                          std::uint64_t answered_ms, std::uint64_t wall_ms);
+
 } // namespace jasminetray
--- a/src/node/announce.cpp
+++ b/src/node/announce.cpp
@@ -15,8 +15,14 @@
 
 constexpr span_us lapse = 5 * us_per_s; // without an announcement
 
+/// Id of the process that speaks. One whose start was learned late keeps the
+/// id that it was found under: work, evidence and claims bear it already.
 worker_id id_of(const node_state& n, const announcement& a)
 {
+    for (const auto& [id, w] : n.workers) {
+        if (w.name == a.name && w.boot == a.boot)
+            return id;
+    }
     return static_cast<worker_id>(
         text_hash(n.settings.name + "/" + a.name + "/" + to_hex(a.boot)));
 }
--- a/src/node/hosted_worker.cpp
+++ b/src/node/hosted_worker.cpp
@@ -38,7 +38,24 @@
     if (a.slots < 1)
         a.slots = std::max(1, p.slots);
     n.hosted.candidate.reset();
-    take_announcement(n, a);
+    const auto id = take_announcement(n, a);
+    n.workers[id].answered_ms = wall_ms_now();
+}
+
+/// Takes up the start of the process in use, when an announcement names it;
+/// the process keeps its work and all that is known of it.
+bool learn_start(node_state& n, const announcement& a)
+{
+    auto* w = in_use(n);
+    if (w == nullptr || w->name != a.name ||
+        !is_start_of_answered(a.boot, w->boot, w->answered_ms, wall_ms_now()))
+        return false;
+    n.events.write(event_id::worker_start_learned, a.name,
+                   "start=" + std::to_string(a.boot) +
+                       " former=" + std::to_string(w->boot) +
+                       " running=" + std::to_string(w->busy.size()));
+    w->boot = a.boot;
+    return true;
 }
 
 /// Whether the announced service is one that work can be for. Another program
@@ -159,7 +176,9 @@
         break;
     }
     const auto* w = in_use(n);
-    if (w != nullptr && w->name == a.name && w->boot == a.boot) {
+    if (learn_start(n, a) ||
+        (w != nullptr && w->name == a.name && w->boot == a.boot)) {
+        n.hosted.candidate.reset();
         take_announcement(n, a);
         return;
     }
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -49,7 +49,11 @@
     load_report told;           ///< to the data centre, last
     mono_us told_at = 0;
     std::uint64_t boot = 0;     ///< of its process, as announced; its
-                                ///< incarnation together with the name
+                                ///< incarnation together with the name; 0
+                                ///< until a hosted one has told it
+    /// Wall clock when its process answered a health probe before it was
+    /// taken up, in milliseconds since 1970; 0 when none was needed.
+    std::uint64_t answered_ms = 0;
     int by_operator = 0;        ///< severity that an operator set; 0 for none
     mono_us operator_until = 0; ///< when that ends by itself
 };
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -147,6 +147,10 @@
               "A backend server started again under its name; what the former "
               "process had begun is ended as unknown.",
               "None; many of them point at a process that crashes."},
+    event_row{event_id::worker_start_learned, "worker_start_learned",
+              "A backend server that was found by its health answer has told "
+              "when it started; its work goes on.",
+              "None."},
     event_row{event_id::config_in_force, "config_in_force",
               "A configuration version came into force on this node.", "None."},
     event_row{event_id::config_refused, "config_refused",
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -38,7 +38,7 @@
         self.port, self.slots = port, slots
         self.mode, self.state, self.seq, self.acked = "well", "ready", 0, None
         self.seen, self.running, self.work_s = [], 0, 0.02
-        self.alive = True
+        self.alive, self.quiet = True, False
         self.born = int(time.time() * 1000)
         worker = self
 
@@ -117,7 +117,8 @@
     def check_in_forever(self):
         while self.alive:
             try:
-                self.check_in()
+                if not self.quiet:
+                    self.check_in()
             except OSError:
                 pass  # the node is away; the next one tells
             time.sleep(0.3)
@@ -522,6 +523,36 @@
     fleet.post(h.f.platform.address(), "/fault", {"mode": "none"})
 
 
+def check_found_by_answer(h):
+    # A charge runs on a backend server whose node started beside it and knows
+    # it by its health answer alone. Its next announcement names its start; the
+    # charge was ended as unknown, as if the backend server had restarted.
+    worker = h.workers["w1b"]
+    worker.quiet = True
+    node = h.f.nodes["n1"]
+    node.send(signal.SIGKILL)
+    node.popen.wait(5)
+    h.start_node("n1", "billing", worker.port)
+    expect(wait_for(lambda: h.ready("n1"), 20), "a node starts anew")
+    expect(wait_for(lambda: h.ask("n1", "/pay/", "POST", b"c")[0] == 200),
+           "it finds its backend server by the health answer")
+    before, results = len(worker.seen), []
+    other = h.workers["w3"]
+    other.mode, worker.work_s = "shed", 1.5
+    threads = [threading.Thread(target=lambda: results.append(
+        h.ask("n1", "/pay/", "POST", b"c")[0])) for _ in range(4)]
+    for t in threads:
+        t.start()
+    expect(wait_for(lambda: worker.running > 0, 1) and
+           len(worker.seen) > before, "charges run there")
+    worker.quiet = False
+    for t in threads:
+        t.join()
+    other.mode, worker.work_s = "well", 0.02
+    expect(200 in results and set(results) <= {200, 503},
+           "its first announcement ends no charge: %s" % results)
+
+
 def main():
     with fleet.Fleet(cluster="hosted") as f:
         f.start_platform()
@@ -544,7 +575,7 @@
         for check in (check_serving, check_other_process, check_split,
                       check_raw, check_config, check_frozen_peers,
                       check_storm, check_sick, check_drain, check_same_name,
-                      check_restart):
+                      check_restart, check_found_by_answer):
             check(h)
     print("hosted: checks_failed=%d" % len(FAILED))
     return 1 if FAILED else 0
--- a/test/test_incarnation.cpp
+++ b/test/test_incarnation.cpp
@@ -93,5 +93,45 @@
     EXPECT_EQ(t.names.count("billing-0"), 0U);
 }
 
+// A caller gets an unknown outcome for work that runs well: its node started
+// beside the backend server, found it by its health answer, and took its first
+// announcement, which names its start, for a restart. A start before the answer
+// is that of the process that answered.
+TEST(incarnation, the_start_of_the_one_that_answered_ends_nothing)
+{
+    const auto answered = wall - 500;
+    EXPECT_TRUE(is_start_of_answered(first_start, 0, answered, wall));
+    EXPECT_TRUE(is_start_of_answered(answered, 0, answered, wall));
+}
+
+// The former process answered, then it died and another one started: its first
+// announcement names a start after the answer, and begins with nothing.
+TEST(incarnation, a_start_after_the_answer_is_another_process)
+{
+    const auto answered = wall - 2000;
+    EXPECT_FALSE(is_start_of_answered(later_start, 0, answered, wall));
+    EXPECT_FALSE(
+        is_start_of_answered(later_start, first_start, answered, wall));
+}
+
+// A late word of a dead process names an early start first; then the one that
+// answered names its own. It is the latest start before the answer that counts,
+// and neither word ends work.
+TEST(incarnation, a_late_word_of_the_former_is_corrected)
+{
+    const auto answered = wall - 500;
+    EXPECT_TRUE(is_start_of_answered(later_start, first_start, answered, wall));
+    EXPECT_FALSE(
+        is_start_of_answered(first_start, later_start, answered, wall));
+}
+
+// The VM's clock stepped back between the start and now: the start lies ahead.
+// It cannot be told which came first, so work that runs is not ended.
+TEST(incarnation, a_start_that_lies_ahead_ends_nothing)
+{
+    EXPECT_TRUE(is_start_of_answered(wall + 3000, 0, wall - 500, wall));
+    EXPECT_FALSE(is_start_of_answered(wall + 3000, 0, 0, wall));
+}
+
 } // namespace
 } // namespace jasminetray
