Let half of the overage and slack of an allowance serve callers in clumps

Ruled out: homes that cannot be reached (told apart by the reason in the log). Change: the count's burst takes half of the slack, its rate half of the overage; the other halves cover a change of home. The test of a hot team whose home changes every 7 s still holds the users' bound.

--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -29,6 +29,7 @@
     /// After the removal of a key is acknowledged, until no request with it
     /// that is sent then may run on any node; 0 when that is not promised.
     span_us revoke_bound = 0;
+    double allowance_overage = 0; ///< share by which a team's may be passed
     double allowance_slack = 0; ///< requests of a team beyond its allowance
     span_us grace = 0;          ///< from SIGTERM to the kill; 0 for not told
 };
--- a/src/node/entry_team.cpp
+++ b/src/node/entry_team.cpp
@@ -175,7 +175,8 @@
 
 allowance_policy allowance_policy_of(const node_state& n)
 {
-    return {n.settings.hosted.allowance_slack,
+    return {n.settings.hosted.allowance_overage,
+            n.settings.hosted.allowance_slack,
             std::max<std::size_t>(1, n.most_nodes), n.members_changed_at};
 }
 
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -375,6 +375,13 @@
                   "after which a key that was taken away works nowhere; keyed "
                   "requests are refused where that cannot be proven; 0 or left "
                   "out: not promised"}},
+    settings_row{"hosted",
+                 {"allowance_overage",
+                  [](node_settings& s, std::string_view v) {
+                      return v.empty() ||
+                             set_real(s.hosted.allowance_overage, v, 0, 1);
+                  },
+                  "0 to 1", "share by which a team's allowance may be passed"}},
     settings_row{"hosted",
                  {"allowance_slack",
                   [](node_settings& s, std::string_view v) {
--- a/src/team/allowance_cmd.cpp
+++ b/src/team/allowance_cmd.cpp
@@ -7,9 +7,11 @@
 
 namespace {
 
-/// Of the slack, for requests that come in clumps. The rest covers what two
-/// homes grant while nodes disagree about who counts.
-constexpr double clump_share = 0.25;
+/// Of the slack, for requests that come in clumps, and of the overage, for
+/// callers that would be refused for a second's excess. The rest covers what
+/// two homes grant while nodes disagree about who counts.
+constexpr double clump_share = 0.5;
+constexpr double overage_share = 0.5;
 constexpr double own_share = 0.5; ///< of slack and rate, for nodes cut off
 constexpr span_us longest_return = 5 * us_per_s; ///< worth waiting for
 
@@ -31,6 +33,13 @@
     return std::min(most_tokens(l, p), clump_share * p.slack + l.rate * since);
 }
 
+/// The limit that is counted by, with what it may be passed by.
+team_limit widened(team_limit l, const allowance_policy& p)
+{
+    l.rate *= 1 + overage_share * p.overage;
+    return l;
+}
+
 void fill(team_count& c, double most, mono_us now)
 {
     c.tokens =
@@ -91,11 +100,12 @@
 {
     if (limit.rate <= 0)
         return {true, 0};
-    auto* c = find_count(b, team, limit, first_tokens(limit, p, now), p, now);
+    const auto wide = widened(limit, p);
+    auto* c = find_count(b, team, wide, first_tokens(wide, p, now), p, now);
     if (c == nullptr)
         return {false, us_per_s};
     if (limit.version > c->limit.version)
-        c->limit = limit;
+        c->limit = wide;
     return take_token(*c, most_tokens(c->limit, p), patience, now);
 }
 
--- a/src/team/allowance_type.hpp
+++ b/src/team/allowance_type.hpp
@@ -26,6 +26,7 @@
 /// What the fleet promises about limits.
 struct allowance_policy
 {
+    double overage = 0;    ///< share by which a limit may be passed
     double slack = 0;      ///< requests that may pass beyond, in a window
     std::size_t nodes = 1; ///< that share the allowance
     /// Nodes came or went: another home may have counted until then.
--- a/test/test_team.cpp
+++ b/test/test_team.cpp
@@ -225,7 +225,7 @@
     const team_limit l{1, 20, 20};
     random_state rng{5};
     std::vector<allowance_book> homes(2);
-    allowance_policy p{slack, 93, start - 60 * us_per_s};
+    allowance_policy p{overage, slack, 93, start - 60 * us_per_s};
     std::vector<mono_us> passed;
     std::size_t home = 0;
     mono_us moved_at = start;
@@ -251,7 +251,7 @@
 {
     const team_limit l{1, 20, 20};
     allowance_book home;
-    const allowance_policy p{slack, 93, start - 60 * us_per_s};
+    const allowance_policy p{overage, slack, 93, start - 60 * us_per_s};
     for (int clump = 0; clump < 60; ++clump) {
         for (int k = 0; k < 10; ++k) {
             const auto now = start + clump * us_per_s * 10 / 18;
@@ -267,7 +267,7 @@
 {
     const team_limit l{1, 20, 10};
     allowance_book home;
-    const allowance_policy p{0, 93, start - 60 * us_per_s};
+    const allowance_policy p{0, 0, 93, start - 60 * us_per_s};
     constexpr span_us patience = us_per_s / 2;
     int granted = 0;
     span_us last = 0;
@@ -289,7 +289,7 @@
 {
     constexpr std::size_t nodes = 93;
     const team_limit l{1, 40, 40};
-    const allowance_policy p{slack, nodes, start};
+    const allowance_policy p{overage, slack, nodes, start};
     std::vector<allowance_book> all(nodes);
     std::vector<mono_us> passed;
     for (mono_us now = start; now < start + 30 * us_per_s;
@@ -310,7 +310,7 @@
 {
     const team_limit l{1, 10, 0};
     allowance_book home;
-    const allowance_policy p{0, 1, start};
+    const allowance_policy p{0, 0, 1, start};
     std::vector<span_us> returns;
     for (int k = 0; k < 6; ++k) {
         const auto a = take_allowance(home, red, l, 0, p, start);
@@ -327,7 +327,7 @@
 TEST(allowance_of_teams, the_newest_limit_counts)
 {
     allowance_book home;
-    const allowance_policy p{0, 1, start - 60 * us_per_s};
+    const allowance_policy p{0, 0, 1, start - 60 * us_per_s};
     const team_limit former{1, 1000, 1000};
     const team_limit lower{2, 1, 1};
     EXPECT_TRUE(take_allowance(home, red, former, 0, p, start).granted);
