Use survival as proof only where a backend server fails at once

Change: each backend server's failures tell how many come at once; below 0.3 survival counts for nothing. The system finds out, no setting.

--- a/src/gate/gate_proof.cpp
+++ b/src/gate/gate_proof.cpp
@@ -14,11 +14,14 @@
     return took >= l.proof.long_work * l.doubt.quick_failure;
 }
 
-/// Whether survival is evidence: a sickness that shows late, by hanging or
-/// slowness, is not told by it.
+/// Of a backend server's failures, that come at once; below it survival shows
+/// nothing: it fails when its work is done, hangs, or is slow.
+constexpr double least_quick_share = 0.3;
+
+/// Whether survival is evidence, by how the backend server failed so far.
 bool shows_early(const worker_doubt& d)
 {
-    return !d.suspect || d.quick;
+    return d.quick_share >= least_quick_share && (!d.suspect || d.quick);
 }
 
 } // namespace
--- a/src/verdict/doubt_func.cpp
+++ b/src/verdict/doubt_func.cpp
@@ -10,6 +10,7 @@
 
 constexpr double least_sick = 0.005; // never certain: it must be able to turn
 constexpr double most_sick = 0.995;
+constexpr double quick_weight = 4; // failures in the moving mean
 
 void set_sick(worker_doubt& d, const doubt_policy& p, double sick, mono_us now)
 {
@@ -53,8 +54,10 @@
                              ? p.fail_when_sick / p.fail_when_well
                              : (1 - p.fail_when_sick) / (1 - p.fail_when_well);
     set_sick(d, p, updated(doubt_now(d, p, now), ratio), now);
-    if (failed)
+    if (failed) {
         d.quick = took <= p.quick_failure;
+        d.quick_share += ((d.quick ? 1.0 : 0.0) - d.quick_share) / quick_weight;
+    }
     d.probe_at = failed ? now + p.probe_every : now;
 }
 
--- a/src/verdict/doubt_type.hpp
+++ b/src/verdict/doubt_type.hpp
@@ -45,6 +45,8 @@
     bool suspect = false; ///< between suspect_at and trust_at it stays
     mono_us probe_at = 0; ///< a suspect's next idempotent work
     bool quick = false;   ///< its last failure came at once
+    /// Of its failures, those that came at once; a moving mean.
+    double quick_share = 0.5;
 };
 
 /// Probability of sickness now: without outcomes it drifts back to what is
--- a/test/test_proof.cpp
+++ b/test/test_proof.cpp
@@ -90,6 +90,24 @@
     EXPECT_TRUE(is_suspect(g, backend, now));
 }
 
+// Its failures come when its work is done. That new work lives through its
+// first milliseconds says nothing of it, also while it is trusted.
+TEST(proof, where_failures_come_late_survival_counts_for_nothing)
+{
+    auto g = make_gate();
+    for (int k = 0; k < 3; ++k)
+        gate_outcome(g, backend, true, charge_time, start);
+    auto& d = g.workers[backend].doubt;
+    d.suspect = false;
+    d.sick = 0.3;
+    gate_error last{};
+    auto r = work(1, start, false);
+    r.klass = charge_class;
+    gate_admit(command_mode::apply, g, r, start, last);
+    gate_survive(g, backend, start + 60 * us_per_ms);
+    EXPECT_DOUBLE_EQ(d.sick, 0.3);
+}
+
 /// Seconds of two minutes for which a well backend server was held back,
 /// after phases of 3 s every 9 s, with the work that its entry nodes offer.
 double held_back_s(bool survival)
