Count teams without keys in the same book as the others

What stood twice: a bucket of a team at one entry node, and the count of a team at its home. The former is the latter with nobody to share it with. Behaviour is the same; the tests keep their assertions.

--- a/src/limit/limit_func.cpp
+++ b/src/limit/limit_func.cpp
@@ -1,31 +1,22 @@
 // Budgets and rate limits; see limit_type.hpp.
 #include "limit/limit_type.hpp"
 
+#include "base/text_func.hpp"
+
 #include <algorithm>
+#include <limits>
 
 namespace jasminetray {
 
 namespace {
 
-struct team_limit
-{
-    double rate;
-    double burst;
-};
-
+/// Limit of a team, or the one of teams that the configuration does not name.
 team_limit limit_of(const fleet_config& c, const std::string& team)
 {
     const auto it = c.teams.find(team);
     if (it != c.teams.end())
-        return {it->second.rate, std::max(1.0, it->second.burst)};
-    return {c.default_team_rate, std::max(1.0, c.default_team_burst)};
-}
-
-void fill(team_bucket& b, const team_limit& l, mono_us now)
-{
-    const auto passed = static_cast<double>(now - b.filled_at) / us_per_s;
-    b.tokens = std::min(l.burst, b.tokens + passed * l.rate);
-    b.filled_at = now;
+        return {c.version, it->second.rate, it->second.burst};
+    return {c.version, c.default_team_rate, c.default_team_burst};
 }
 
 /// Which slice a moment falls in.
@@ -86,37 +77,19 @@
     return true;
 }
 
-bool pass_team(team_buckets& b, const fleet_config& c, const std::string& team,
-               mono_us now)
+allowance_policy own_limit_policy()
 {
-    const auto limit = limit_of(c, team);
-    if (limit.rate <= 0)
-        return true;
-    auto it = b.active.find(team);
-    if (it == b.active.end()) {
-        if (b.active.size() >= b.most)
-            forget_idle_teams(b, c, now);
-        // Full of active teams: a caller could invent names to grow the
-        // table, so new ones are refused rather than remembered.
-        if (b.active.size() >= b.most)
-            return false;
-        it = b.active.emplace(team, team_bucket{limit.burst, now}).first;
-    }
-    fill(it->second, limit, now);
-    if (it->second.tokens < 1)
-        return false;
-    it->second.tokens -= 1;
-    return true;
+    allowance_policy p;
+    p.changed_at = std::numeric_limits<mono_us>::min() / 2; // never
+    return p;
 }
 
-void forget_idle_teams(team_buckets& b, const fleet_config& c, mono_us now)
+bool pass_team(allowance_book& b, const fleet_config& c,
+               const std::string& team, mono_us now)
 {
-    for (auto it = b.active.begin(); it != b.active.end();) {
-        const auto limit = limit_of(c, it->first);
-        fill(it->second, limit, now);
-        it = it->second.tokens >= limit.burst ? b.active.erase(it)
-                                              : std::next(it);
-    }
+    return take_allowance(b, text_hash(team), limit_of(c, team), 0,
+                          own_limit_policy(), now)
+        .granted;
 }
 
 } // namespace jasminetray
--- a/src/limit/limit_type.hpp
+++ b/src/limit/limit_type.hpp
@@ -4,11 +4,11 @@
 
 #include "base/time_type.hpp"
 #include "config/config_type.hpp"
+#include "team/allowance_type.hpp"
 
 #include <array>
 #include <cstdint>
 #include <string>
-#include <unordered_map>
 
 namespace jasminetray {
 
@@ -63,28 +63,15 @@
 /// Takes a retry out of the budget; false when there is none left.
 bool spend_retry(retry_budget& b, mono_us now);
 
-/// Rate limit of one team.
-struct team_bucket
-{
-    double tokens = 0;     ///< requests that may pass now
-    mono_us filled_at = 0; ///< when tokens was last brought up to date
-};
-
-/// Buckets of the teams that were active lately. 330,000 teams are known by
-/// configuration; a bucket exists only while a team sends requests.
-struct team_buckets
-{
-    std::size_t most = 100000; ///< active teams; beyond it the idle ones go
-    std::unordered_map<std::string, team_bucket> active;
-};
-
-/// Whether a request of a team may pass; takes a token when it may.
+/// Whether a request of a team may pass at this node; takes a token when it
+/// may. For fleets whose teams have no keys: the caller's word counts, and a
+/// limit holds at each entry node.
 /// @param c configuration with the team's rate
 /// @param team value of the caller's team header; empty for none
-bool pass_team(team_buckets& b, const fleet_config& c, const std::string& team,
-               mono_us now);
+bool pass_team(allowance_book& b, const fleet_config& c,
+               const std::string& team, mono_us now);
 
-/// Forgets buckets that are full again: a new one would be full too.
-void forget_idle_teams(team_buckets& b, const fleet_config& c, mono_us now);
+/// What such limits are counted by: there is nobody to share them with.
+allowance_policy own_limit_policy();
 
 } // namespace jasminetray
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -424,8 +424,7 @@
     // The platform may change the file and send no signal.
     if (p.settings_file.changed())
         reload_settings(p.settings, n);
-    if (n.config)
-        forget_idle_teams(n.teams, *n.config, now);
+    forget_idle_allowances(n.teams, own_limit_policy(), now);
     forget_idle_allowances(n.allowances, allowance_policy_of(n), now);
     forget_idle_allowances(n.own_parts, allowance_policy_of(n), now);
     std::vector<node_id> members;
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -179,7 +179,7 @@
     std::unordered_map<std::string, retry_budget> budgets;
     std::unordered_map<std::string, int> in_flight_by_service;
     int in_flight = 0;
-    team_buckets teams;
+    allowance_book teams; ///< where teams have no keys
     /// Where the next request of a route falls among its parts, by route.
     std::unordered_map<std::string, double> split_places;
 };
--- a/test/test_core.cpp
+++ b/test/test_core.cpp
@@ -179,7 +179,7 @@
 {
     fleet_config c;
     c.teams["a"] = {10, 5};
-    team_buckets b;
+    allowance_book b;
     int passed = 0;
     for (int n = 0; n < 100; ++n)
         passed += pass_team(b, c, "a", us_per_s) ? 1 : 0;
@@ -192,11 +192,11 @@
 {
     fleet_config c;
     c.default_team_rate = 1;
-    team_buckets b;
+    allowance_book b;
     b.most = 10;
     for (int n = 0; n < 100; ++n)
         pass_team(b, c, "team-" + std::to_string(n), 1000);
-    EXPECT_EQ(b.active.size(), 10U);
+    EXPECT_EQ(b.teams.size(), 10U);
 }
 
 // Five of six claim to be sick. Ejecting all would leave one; the worst two
