Let operators ask about teams; refuse a long body by its head

Change: ctl teams list, teams show, whois (the key by standard input); the team in the line of its refusal; a request whose body is long is refused by its head. Short bodies are still read, so that the caller's connection goes on.

--- a/src/ctl/ctl_main.cpp
+++ b/src/ctl/ctl_main.cpp
@@ -18,6 +18,8 @@
     "  config show|history --platform IP:PORT [--number N]\n"
     "  config rollback --platform IP:PORT --number N\n"
     "  fleet show | node show | service show NAME   --node IP:PORT [--json]\n"
+    "  teams list | teams show NAME                 --node IP:PORT [--json]\n"
+    "  whois --node IP:PORT    (the key comes by standard input)\n"
     "  explain request|refusal|ejection|config|member|change [SUBJECT]\n"
     "  drain|undrain|eject|readmit WORKER --reason TEXT [--token T]\n"
     "  events | settings\n"
@@ -41,7 +43,7 @@
         return jasminetray::exit_done;
     }
     if (what == "fleet" || what == "node" || what == "service" ||
-        what == "explain")
+        what == "teams" || what == "whois" || what == "explain")
         return jasminetray::run_query(words);
     std::cerr << usage << "\n";
     return jasminetray::exit_usage;
--- a/src/ctl/ctl_node.cpp
+++ b/src/ctl/ctl_node.cpp
@@ -93,6 +93,20 @@
     return answer->contains("error") ? exit_refused : exit_done;
 }
 
+/// The key comes by standard input: a command line stands in process lists and
+/// in histories of shells.
+int whois()
+{
+    std::string key;
+    std::getline(std::cin, key);
+    if (key.empty()) {
+        std::cerr << "usage: whois --node IP:PORT, with the key in standard "
+                     "input\n";
+        return exit_usage;
+    }
+    return show({{"query", "whois"}, {"key", key}});
+}
+
 int explain(const ctl_words& words)
 {
     const std::string what = words.size() > 1 ? words[1] : "";
@@ -128,10 +142,16 @@
         return show({{"query", "status"}});
     if (what == "service" && words.size() == 3)
         return show({{"query", "service"}, {"name", words[2]}});
+    if (what == "teams" && words.size() == 2 && words[1] == "list")
+        return show({{"query", "teams"}});
+    if (what == "teams" && words.size() == 3 && words[1] == "show")
+        return show({{"query", "team"}, {"name", words[2]}});
+    if (what == "whois")
+        return whois();
     if (what == "explain")
         return explain(words);
     std::cerr << "usage: fleet show | node show | service show NAME | "
-                 "explain ...\n";
+                 "teams list | teams show NAME | whois | explain ...\n";
     return exit_usage;
 }
 
--- a/src/node/admin_api.hpp
+++ b/src/node/admin_api.hpp
@@ -22,7 +22,8 @@
 };
 
 /// Answers a question. `request` is {"query": NAME, ...}:
-/// status, fleet, service {name}, explain {family, subject, most}.
+/// status, fleet, service {name}, teams, team {name}, whois {key}, explain
+/// {family, subject, most}.
 api_answer answer_query(const node_state& n, const std::string& request);
 
 /// Carries a command out. `request` is {"command": NAME, "worker": HEX,
--- a/src/node/admin_query.cpp
+++ b/src/node/admin_query.cpp
@@ -3,6 +3,7 @@
 #include "config/config_query.hpp"
 #include "gate/gate_query.hpp"
 #include "node/admin_api.hpp"
+#include "node/admin_team.hpp"
 #include "table/event_table.hpp"
 #include "verdict/verdict_query.hpp"
 
@@ -12,8 +13,6 @@
 
 namespace {
 
-namespace json = boost::json;
-
 constexpr std::size_t most_records = 200;
 
 inline constexpr std::array<std::string_view, event_families> family_names = {
@@ -172,6 +171,15 @@
         return {{"error",
                  "no backend server of service '" + service + "' is known"}};
     }
+    const bool of_teams = name == "teams" || name == "team" || name == "whois";
+    if (of_teams && !n.config)
+        return {{"error", "this node has no configuration yet"}};
+    if (name == "teams")
+        return teams_json(n);
+    if (name == "team")
+        return team_json(n, text_at(q, "name"));
+    if (name == "whois")
+        return whois_json(n, text_at(q, "key"));
     return {{"error", "unknown query '" + name + "'"}};
 }
 
--- /dev/null
+++ b/src/node/admin_team.cpp
@@ -0,0 +1,78 @@
+// Questions of the administration API about teams; see admin_api.hpp. No
+// answer holds a key.
+#include "node/admin_team.hpp"
+#include "base/text_func.hpp"
+#include "node/entry_team.hpp"
+
+namespace jasminetray {
+
+namespace {
+
+constexpr std::size_t most_teams = 1000; // in one answer
+
+json::object limits_json(const std::string& name, const team_config& t)
+{
+    json::object o{{"team", name}, {"rate", t.rate}, {"burst", t.burst}};
+    if (t.priority)
+        o["priority"] = *t.priority;
+    return o;
+}
+
+/// How fresh the configuration is, and until when that is enough.
+json::object freshness_json(const node_state& n)
+{
+    const auto age = age_of(n.fresh, uptime_now());
+    json::object o{
+        {"served", may_serve_keys(n)},
+        {"version", static_cast<std::int64_t>(n.fresh.in_force)},
+        {"proven_version", static_cast<std::int64_t>(n.fresh.proven.version)},
+        {"bound_ms", n.settings.hosted.revoke_bound / us_per_ms}};
+    if (age)
+        o["age_ms"] = *age / us_per_ms;
+    return o;
+}
+
+} // namespace
+
+json::object teams_json(const node_state& n)
+{
+    json::array teams;
+    for (const auto& [name, t] : n.config->teams) {
+        if (teams.size() < most_teams)
+            teams.push_back(limits_json(name, t));
+    }
+    return {{"node", n.settings.name},
+            {"keys_required", n.config->keys_required},
+            {"teams_in_all", n.config->teams.size()},
+            {"freshness", freshness_json(n)},
+            {"teams", teams}};
+}
+
+json::object team_json(const node_state& n, const std::string& name)
+{
+    const auto it = n.config->teams.find(name);
+    if (it == n.config->teams.end())
+        return {{"error", "no team '" + name + "' in the configuration"}};
+    auto o = limits_json(name, it->second);
+    const auto key = text_hash(name);
+    const auto homes = team_homes(n, key, 1);
+    if (!homes.empty()) {
+        const auto home = n.view.nodes.find(homes.front());
+        o["home"] = home->second.record.name;
+    }
+    const auto count = n.allowances.teams.find(key);
+    if (count != n.allowances.teams.end())
+        o["tokens_here"] = count->second.tokens;
+    o["freshness"] = freshness_json(n);
+    return o;
+}
+
+json::object whois_json(const node_state& n, const std::string& key)
+{
+    const auto place = find_key(n.config->keys, key);
+    if (!place)
+        return {{"error", "no team has this key"}};
+    return {{"team", n.config->team_names[*place]}};
+}
+
+} // namespace jasminetray
--- a/src/node/caller_read.cpp
+++ b/src/node/caller_read.cpp
@@ -2,6 +2,7 @@
 #include "node/caller_read.hpp"
 
 #include "base/text_func.hpp"
+#include "node/entry_team.hpp"
 #include "node/http_func.hpp"
 
 namespace jasminetray {
@@ -127,7 +128,16 @@
     http::async_write(stream, go_on, y[ec]);
 }
 
-std::optional<refusal> read_head(beast::tcp_stream& stream,
+/// Whether much of the body is still to come. A short one is read first, so
+/// that the caller's connection can go on after a refusal.
+bool is_body_long(const request_parser& parser)
+{
+    constexpr std::uint64_t long_body = 16384;
+    const auto left = parser.content_length_remaining();
+    return !parser.is_done() && (!left || *left > long_body);
+}
+
+std::optional<refusal> read_head(const node_state& n, beast::tcp_stream& stream,
                                  beast::flat_buffer& buf,
                                  request_parser& parser, span_us bound,
                                  beast::error_code& ec, const yield& y)
@@ -138,6 +148,10 @@
         return bad_request(http::status::request_timeout, "slow-head");
     if (!ec && !is_framed(parser.get()))
         return bad_request(http::status::bad_request, "unknown-coding");
+    if (!ec && is_body_long(parser)) {
+        if (auto refused = refuse_head(n, parser.get()))
+            return refused;
+    }
     if (!ec)
         say_continue(stream, parser.get(), ec, y);
     return std::nullopt;
@@ -172,7 +186,7 @@
     parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
     stream.expires_never();
     beast::error_code ec;
-    r.refused = read_head(stream, buf, parser, limits.header_us, ec, y);
+    r.refused = read_head(n, stream, buf, parser, limits.header_us, ec, y);
     if (!ec && !r.refused)
         r.refused = read_body(stream, buf, parser, ec, y);
     if (r.refused)
--- a/src/node/entry_refusal.hpp
+++ b/src/node/entry_refusal.hpp
@@ -14,6 +14,7 @@
     event_id event = event_id::refused_not_run;
     std::string reason;
     span_us retry_after = 0; ///< 0 when repeating is of no use
+    std::string team;        ///< of the caller, for the log; empty for none
 };
 
 /// Message for a caller.
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -54,7 +54,8 @@
     n.events.write(x.event, label,
                    "reason=" + x.reason + " status=" +
                        std::to_string(static_cast<unsigned>(x.status)) +
-                       " retry_after_us=" + std::to_string(x.retry_after));
+                       " retry_after_us=" + std::to_string(x.retry_after) +
+                       (x.team.empty() ? "" : " team=" + x.team));
     count(*n.metrics.requests, "outcome",
           std::string(name_of(final_outcome_names, x.outcome)));
     return send(c, make_refusal(id, x, n.dialect.explain), y);
--- a/src/node/entry_team.cpp
+++ b/src/node/entry_team.cpp
@@ -3,6 +3,8 @@
 
 #include "base/random_func.hpp"
 #include "base/text_func.hpp"
+#include "config/config_query.hpp"
+#include "limit/limit_type.hpp"
 #include "node/http_func.hpp"
 
 #include <algorithm>
@@ -43,7 +45,7 @@
 }
 
 /// The one value of a header field; nothing when it is missing or doubled.
-std::optional<std::string> only_value(const string_request& m,
+std::optional<std::string> only_value(const http::fields& m,
                                       std::string_view name)
 {
     const auto range = m.equal_range(beast_text(name));
@@ -72,30 +74,6 @@
     r.priority = t.priority.value_or(r.route->priority);
 }
 
-/// Living nodes in the order in which they are a team's home.
-std::vector<node_id> homes_of(const node_state& n, std::uint64_t team,
-                              std::size_t most)
-{
-    std::vector<std::pair<std::uint64_t, node_id>> ranks;
-    ranks.reserve(n.view.nodes.size());
-    for (const auto& [id, v] : n.view.nodes) {
-        const auto silent = n.silent_homes.find(id);
-        const bool asked = silent == n.silent_homes.end() ||
-                           mono_now() - silent->second > silence_memory;
-        if (v.state == liveness::alive && !v.record.leaving && asked)
-            ranks.emplace_back(mix_hash(team, static_cast<std::uint64_t>(id)),
-                               id);
-    }
-    const auto count = std::min(most, ranks.size());
-    std::partial_sort(ranks.begin(),
-                      ranks.begin() + static_cast<std::ptrdiff_t>(count),
-                      ranks.end(), std::greater<>());
-    std::vector<node_id> homes;
-    for (std::size_t k = 0; k < count; ++k)
-        homes.push_back(ranks[k].second);
-    return homes;
-}
-
 /// One exchange on a connection; nothing when it fails.
 std::optional<allowance_answer> exchange(http_link& link,
                                          const allowance_ask& a,
@@ -144,7 +122,7 @@
 std::optional<allowance_answer> ask_homes(node_state& n, allowance_ask a,
                                           const yield& y)
 {
-    const auto homes = homes_of(n, a.team, homes_asked);
+    const auto homes = team_homes(n, a.team, homes_asked);
     for (const auto id : homes) {
         if (id == n.self.id)
             return take_allowance(n.allowances, a.team, a.limit, a.patience,
@@ -155,6 +133,26 @@
     return std::nullopt;
 }
 
+/// Checks a request's key.
+/// @param place of the key's team, when it is not refused
+std::optional<refusal> check_key(const node_state& n, const fleet_config& c,
+                                 const http::fields& m, std::uint32_t& place)
+{
+    // An unproven configuration knows neither which keys still work nor which
+    // work by now; what it says of a key would be a guess.
+    if (!may_serve_keys(n))
+        return refuse(http::status::service_unavailable,
+                      event_id::refused_unproven, "config-unproven",
+                      unproven_retry);
+    const auto key = only_value(m, n.dialect.team_key);
+    const auto found = key ? find_key(c.keys, *key) : std::nullopt;
+    if (!found)
+        return refuse(http::status::unauthorized, event_id::refused_key,
+                      key ? "unknown-key" : "no-key", 0);
+    place = *found;
+    return std::nullopt;
+}
+
 /// How long a request may wait for its team's next token.
 span_us patience_for(const entry_run& r)
 {
@@ -173,6 +171,29 @@
 
 } // namespace
 
+std::vector<node_id> team_homes(const node_state& n, std::uint64_t team,
+                                std::size_t most)
+{
+    std::vector<std::pair<std::uint64_t, node_id>> ranks;
+    ranks.reserve(n.view.nodes.size());
+    for (const auto& [id, v] : n.view.nodes) {
+        const auto silent = n.silent_homes.find(id);
+        const bool asked = silent == n.silent_homes.end() ||
+                           mono_now() - silent->second > silence_memory;
+        if (v.state == liveness::alive && !v.record.leaving && asked)
+            ranks.emplace_back(mix_hash(team, static_cast<std::uint64_t>(id)),
+                               id);
+    }
+    const auto count = std::min(most, ranks.size());
+    std::partial_sort(ranks.begin(),
+                      ranks.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranks.end(), std::greater<>());
+    std::vector<node_id> homes;
+    for (std::size_t k = 0; k < count; ++k)
+        homes.push_back(ranks[k].second);
+    return homes;
+}
+
 allowance_policy allowance_policy_of(const node_state& n)
 {
     return {n.settings.hosted.allowance_overage,
@@ -209,21 +230,27 @@
         return take_word(n, r);
     if (r.route->open)
         return std::nullopt;
-    // An unproven configuration knows neither which keys still work nor which
-    // work by now; what it says of a key would be a guess.
-    if (!may_serve_keys(n))
-        return refuse(http::status::service_unavailable,
-                      event_id::refused_unproven, "config-unproven",
-                      unproven_retry);
-    const auto key = only_value(r.message, n.dialect.team_key);
-    const auto place = key ? find_key(r.config->keys, *key) : std::nullopt;
-    if (!place)
-        return refuse(http::status::unauthorized, event_id::refused_key,
-                      key ? "unknown-key" : "no-key", 0);
-    take_team(r, *place);
+    std::uint32_t place = 0;
+    if (auto refused = check_key(n, *r.config, r.message, place))
+        return refused;
+    take_team(r, place);
     return std::nullopt;
 }
 
+std::optional<refusal> refuse_head(const node_state& n,
+                                   const http::request_header<>& head)
+{
+    if (!n.config || !n.config->keys_required)
+        return std::nullopt;
+    const std::string_view target(head.target().data(), head.target().size());
+    const auto host = field_of(head, "host");
+    const auto* r = find_route(*n.config, host.substr(0, host.find(':')),
+                               target.substr(0, target.find('?')));
+    std::uint32_t place = 0;
+    return r == nullptr || r->open ? std::nullopt
+                                   : check_key(n, *n.config, head, place);
+}
+
 void name_team(const node_state& n, entry_run& r)
 {
     r.message.erase(beast_text(n.dialect.team_key));
@@ -251,8 +278,11 @@
         wait_turn(n, answer->wait, y);
         return std::nullopt;
     }
-    return refuse(http::status::too_many_requests, event_id::refused_team_limit,
-                  alone ? "team-limit-alone" : "team-limit", answer->wait);
+    auto refused =
+        refuse(http::status::too_many_requests, event_id::refused_team_limit,
+               alone ? "team-limit-alone" : "team-limit", answer->wait);
+    refused.team = r.team;
+    return refused;
 }
 
 bool answer_ask(node_state& n, const string_request& m, beast::tcp_stream& to,
@@ -264,7 +294,7 @@
     std::optional<allowance_answer> answer;
     // Asked as the second home by a node that cannot reach the first: if this
     // node can, the first one goes on counting alone.
-    const auto homes = homes_of(n, ask->team, 1);
+    const auto homes = team_homes(n, ask->team, 1);
     if (!ask->passed_on && !homes.empty() && homes.front() != n.self.id) {
         ask->passed_on = true;
         answer = ask_node(n, homes.front(), *ask, y);
--- a/src/node/entry_team.hpp
+++ b/src/node/entry_team.hpp
@@ -12,6 +12,11 @@
 /// @return a refusal, or nothing with the team's fields of `r` filled in
 std::optional<refusal> identify_team(node_state& n, entry_run& r);
 
+/// Refuses a request by its head, when a long body would be read for a caller
+/// whose key lets nobody in.
+std::optional<refusal> refuse_head(const node_state& n,
+                                   const http::request_header<>& head);
+
 /// Takes the key out of what is passed on and puts the team's name in.
 void name_team(const node_state& n, entry_run& r);
 
@@ -25,6 +30,11 @@
 bool answer_ask(node_state& n, const string_request& m, beast::tcp_stream& to,
                 const yield& y);
 
+/// Living nodes in the order in which they are a team's home.
+/// @param team hash of its name
+std::vector<node_id> team_homes(const node_state& n, std::uint64_t team,
+                                std::size_t most);
+
 /// What nodes share allowances by, as this node sees them.
 allowance_policy allowance_policy_of(const node_state& n);
 
