--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -30,8 +30,8 @@
     /// that is sent then may run on any node; 0 when that is not promised.
     span_us revoke_bound = 0;
     double allowance_overage = 0; ///< share by which a team's may be passed
-    double allowance_slack = 0; ///< requests of a team beyond its allowance
-    span_us grace = 0;          ///< from SIGTERM to the kill; 0 for not told
+    double allowance_slack = 0;   ///< requests of a team beyond its allowance
+    span_us grace = 0;            ///< from SIGTERM to the kill; 0 for not told
 };
 
 /// Everything a node is told when it starts.
