--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -215,7 +215,7 @@
     /// A proof of freshness is passed on at once when it is newer than the
     /// last by so much. Less often, callers of nodes that hear of few changes
     /// are refused for want of a proof; more often costs datagrams: with this,
-    /// ten of 180 bytes a node and second.
+    /// by its rounds and fanout, five of 180 bytes a node and second.
     span_us proof_step = 800 * us_per_ms;
     /// Without a word of a reader for so long, a node reads the store itself:
     /// a change must be in force everywhere within 2 s, readers dead or not.
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -10,8 +10,6 @@
 constexpr span_us connect_bound = 250 * us_per_ms;
 constexpr span_us ping_bound = 100 * us_per_ms;
 constexpr span_us revoke_bound = 80 * us_per_ms;
-constexpr span_us keep_idle = 30 * us_per_s;
-constexpr std::size_t most_idle = 32; // connections per exit node
 
 /// What an attempt came to, before it is told to the machine.
 struct try_result
@@ -97,7 +95,7 @@
 {
     auto& n = r.n;
     if (!fresh) {
-        auto link = take_idle(n.exits[t.exit], mono_now() - keep_idle);
+        auto link = take_idle(n.exits[t.exit], mono_now() - keep_exit_idle);
         // A connection that was quiet may have been forgotten by something
         // in between; non-idempotent work is not the way to find out.
         if (link &&
@@ -220,7 +218,8 @@
     const bool complete = t.parser && t.parser->is_done() && !t.cancelled;
     if (complete && result.reason != "echo-mismatch" &&
         is_clean(*t.link, t.parser->keep_alive())) {
-        give_back(r.n.exits[t.exit], std::move(t.link), most_idle, mono_now());
+        give_back(r.n.exits[t.exit], std::move(t.link), most_exit_idle,
+                  mono_now());
     } else if (complete || t.cancelled) {
         t.link.reset();
     }
--- a/src/node/entry_team.cpp
+++ b/src/node/entry_team.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// For an answer of a home, most of which come within 5 ms. A caller whose
-/// answer is due in a second still gets it after two homes stayed silent.
+/// For an answer of a home: a caller whose answer is due in a second still gets
+/// it after two homes stayed silent.
 constexpr span_us ask_bound = 100 * us_per_ms;
 /// The same for a question that is passed on, so that whoever asked first still
 /// hears the answer of the node that passed it on. With one bound for both, a
@@ -27,8 +27,6 @@
 constexpr span_us silence_memory = us_per_s;
 /// Of the target, that a request waits for its team's next token.
 constexpr double patience_share = 0.1;
-constexpr span_us keep_idle = 30 * us_per_s;
-constexpr std::size_t most_idle = 32; // connections per node
 /// When to come back to a node that lost its proof: readers find another way
 /// to the store, or a peer, within about this.
 constexpr span_us unproven_retry = us_per_s;
@@ -105,14 +103,14 @@
     const auto to = it->second.record.address;
     const auto deadline =
         mono_now() + (a.passed_on ? passed_on_bound : ask_bound);
-    auto link = take_idle(n.exits[id], mono_now() - keep_idle);
+    auto link = take_idle(n.exits[id], mono_now() - keep_exit_idle);
     auto answer = link ? exchange(*link, a, deadline, y) : std::nullopt;
     if (!answer && mono_now() < deadline) {
         link = connect_exit(n, to, deadline, y);
         answer = link ? exchange(*link, a, deadline, y) : std::nullopt;
     }
     if (answer)
-        give_back(n.exits[id], std::move(link), most_idle, mono_now());
+        give_back(n.exits[id], std::move(link), most_exit_idle, mono_now());
     else
         n.silent_homes[id] = mono_now();
     return answer;
--- a/src/node/feed_actor.cpp
+++ b/src/node/feed_actor.cpp
@@ -16,9 +16,9 @@
 constexpr span_us least_wait = 2 * us_per_s;
 constexpr span_us most_wait = 4 * us_per_s;
 /// The same where keys that are taken away must stop working within a bound:
-/// each answer proves that nothing was changed before it. Of six readers one
-/// answers every 0.2 s; a proof is then some 0.6 s old at most nodes, of the 4
-/// s that a bound of 5 s leaves.
+/// each answer proves that nothing was changed before it. By this and the time
+/// that passing on takes, worked out, a proof is 2.7 s old at the worst, of the
+/// 4 s that a bound of 5 s leaves; beyond, callers are refused.
 constexpr span_us least_proof_wait = 800 * us_per_ms;
 constexpr span_us most_proof_wait = 1200 * us_per_ms;
 
