Tell the gates when an entry node stops; try slow reads elsewhere in time

Cause: the entry node lowered the deadline of its requests in its own memory. Gates went on to forecast and to give slots by the old one: three of four such reads were begun 2.4 to 4.2 s after the stop and cut 1.2 s before the kill (1001, 6002, 1016, 1023 end=lost caller-left). The fourth ran on a slow backend server for 9.4 s.

Ruled out: a second SIGTERM (none arrives); a longer grace (killed 6 s after the first signal).

Mend: a notice at the stop lowers the deadline of what waits; work of a leaving node needs 1.5 usual times to its deadline, waiting or new; repeatable work that has run for its usual time is tried elsewhere while that can end, within the allowance. New: 1027 work_waited, 1028 request_shortened, gate wait histogram.

Work too slow for two tries within the grace stays open.

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -165,6 +165,12 @@
         settle(r, out, on);
 }
 
+bool is_silent(const request_state& r, const attempt_track& t, mono_us now)
+{
+    return now - t.sent_at >= r.policy.silence ||
+           (t.sent_at < r.hurry_at && now >= r.hurry_at);
+}
+
 void on_timer(request_state& r, retry_budget& budget, mono_us now, actions& out,
               const attempt_safeguards& on)
 {
@@ -176,7 +182,7 @@
     const bool margin = now >= r.deadline - r.policy.revoke_margin;
     for (std::uint32_t n = 1; n <= r.tracks.size(); ++n) {
         auto& t = r.tracks[n - 1];
-        const bool silent = now - t.sent_at >= r.policy.silence;
+        const bool silent = is_silent(r, t, now);
         if (t.phase != attempt_phase::open || t.asked || !(silent || margin))
             continue;
         if (!r.policy.idempotent) {
@@ -202,6 +208,8 @@
         const auto margin = r.deadline - r.policy.revoke_margin;
         if (silent > now)
             at = std::min(at, silent);
+        if (r.hurry_at > now)
+            at = std::min(at, r.hurry_at);
         if (!r.policy.idempotent && margin > now)
             at = std::min(at, margin);
     }
@@ -251,6 +259,19 @@
     return r;
 }
 
+void attempt_shorten(request_state& r, mono_us deadline, span_us usual,
+                     mono_us now)
+{
+    if (deadline >= r.deadline)
+        return;
+    r.deadline = deadline;
+    if (!r.policy.idempotent || r.tracks.empty())
+        return;
+    const auto last_chance = deadline - 2 * usual;
+    const auto overdue = r.tracks.back().sent_at + usual;
+    r.hurry_at = std::max(now, std::min(last_chance, overdue));
+}
+
 std::vector<attempt_action> attempt_step(request_state& r,
                                          const attempt_event& e,
                                          retry_budget& budget, mono_us now,
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -126,9 +126,11 @@
     std::string reason;                ///< of the last failure
     std::vector<attempt_track> tracks; ///< by count - 1
     mono_us wake_at = mono_never;      ///< when to feed a timer event
-    bool out_of_workers = false;       ///< nobody is left to try
-    bool resorted = false;             ///< the last resort was tried
-    std::uint32_t retries = 0;         ///< beyond the first attempt
+    /// From here on an attempt that was sent before counts as silent.
+    mono_us hurry_at = mono_never;
+    bool out_of_workers = false; ///< nobody is left to try
+    bool resorted = false;       ///< the last resort was tried
+    std::uint32_t retries = 0;   ///< beyond the first attempt
 };
 
 } // namespace jasminetray
--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -35,6 +35,8 @@
     refused_unclear = 1024,
     refused_key = 1025,
     refused_unproven = 1026,
+    work_waited = 1027,
+    request_shortened = 1028,
     worker_ejected = 2001,
     worker_returned = 2002,
     ejection_held_by_floor = 2003,
--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -103,13 +103,16 @@
         return gate_error::draining;
     if (is_held_back(g, w, r, now))
         return gate_error::suspected;
-    if (room(w) && w.queue.empty())
-        return r.deadline > now ? gate_error::none : gate_error::deadline_short;
+    const auto mine = waiting_of(r, UINT64_MAX); // last among equals
+    if (room(w) && w.queue.empty()) {
+        const bool fits = r.leaving ? is_servable(w, g.limits, mine, 0, now)
+                                    : r.deadline > now;
+        return fits ? gate_error::none : gate_error::deadline_short;
+    }
     if (w.queue.size() >= g.limits.queue)
         return gate_error::queue_full;
     // Work that would only time out in the queue is refused while there is
     // still time to try another backend server.
-    const auto mine = waiting_of(r, UINT64_MAX); // last among equals
     span_us ahead = w.usual;
     for (const auto& x : w.queue)
         ahead +=
@@ -347,6 +350,22 @@
     return true;
 }
 
+std::optional<worker_id> gate_shorten(gate& g, const attempt_id& a,
+                                      mono_us deadline)
+{
+    for (auto& [id, w] : g.workers) {
+        const auto it =
+            std::find_if(w.queue.begin(), w.queue.end(),
+                         [&](const gate_waiting& x) { return x.attempt == a; });
+        if (it == w.queue.end())
+            continue;
+        it->deadline = std::min(it->deadline, deadline);
+        it->leaving = true;
+        return id;
+    }
+    return std::nullopt;
+}
+
 revoke_reply gate_revoke(gate& g, const attempt_id& a, boot_id boot,
                          mono_us now, const gate_safeguards& on)
 {
--- a/src/gate/gate_cmd.hpp
+++ b/src/gate/gate_cmd.hpp
@@ -76,6 +76,13 @@
 /// @return false when it was not queued any more
 bool gate_abandon(gate& g, const gate_request& r, mono_us now);
 
+/// The entry node of queued work stops: nobody takes an answer after
+/// `deadline`. Changes its deadline alone; gate_advance() refuses it if it
+/// can't end by then.
+/// @return the backend server that it waits for; nothing when it does not wait
+std::optional<worker_id> gate_shorten(gate& g, const attempt_id& a,
+                                      mono_us deadline);
+
 /// Answers whether an attempt ran; one that has not started never will.
 /// @param boot process that the attempt was sent to
 revoke_reply gate_revoke(gate& g, const attempt_id& a, boot_id boot,
--- a/src/gate/gate_queue.cpp
+++ b/src/gate/gate_queue.cpp
@@ -17,11 +17,22 @@
     return static_cast<span_us>(static_cast<double>(ahead) / slots);
 }
 
-/// Half of the usual time: most work that has less left ends too late.
+/// Usual times that work needs to its deadline. Half of one: most work that has
+/// less left ends too late.
+constexpr double needed = 0.5;
+
+/// The same where the entry node ends at the deadline. Work that is cut there
+/// has run for nobody and its caller is told so after seconds; refused as not
+/// run, it goes to another gate or its caller to another node at once. One
+/// piece of work in seven takes longer than this.
+constexpr double needed_leaving = 1.5;
+
 bool ends_before_deadline(const gate_worker& w, const gate_waiting& x,
                           mono_us begin)
 {
-    return begin + took_by(w, x.klass) / 2 < x.deadline;
+    const auto usual = static_cast<double>(took_by(w, x.klass));
+    const double times = x.leaving ? needed_leaving : needed;
+    return begin + static_cast<span_us>(times * usual) < x.deadline;
 }
 
 /// Whether work starts in time when `ahead` goes first.
@@ -51,8 +62,8 @@
 
 gate_waiting waiting_of(const gate_request& r, std::uint64_t serial)
 {
-    return {r.attempt, r.idempotent, r.priority, r.deadline,
-            r.due,     r.target,     r.klass,    serial};
+    return {r.attempt, r.idempotent, r.priority, r.deadline, r.due,
+            r.target,  r.klass,      serial,     r.leaving};
 }
 
 span_us took_by(const gate_worker& w, std::uint32_t klass)
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -77,6 +77,7 @@
     bool idempotent = false;  ///< may run twice; not remembered
     bool may_probe = false;   ///< a failure would be tried again elsewhere
     bool last_resort = false; ///< found no room elsewhere
+    bool leaving = false;     ///< its entry node ends at the deadline
     worker_id worker{};       ///< which backend server
     int priority = 5;         ///< 0 first, 9 last
     mono_us deadline = 0;     ///< on this process's clock
@@ -173,6 +174,7 @@
     span_us target = 0;
     std::uint32_t klass = 0;
     std::uint64_t serial = 0; ///< order of arrival among equals
+    bool leaving = false;     ///< its entry node ends at the deadline
 };
 
 /// One class of work at a backend server.
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -125,6 +125,7 @@
     h.idempotent = r.machine.policy.idempotent;
     h.may_probe = r.may_probe;
     h.last_resort = r.resort;
+    h.leaving = r.machine.deadline >= n.last_answer_at;
     h.priority = r.priority;
     h.klass = r.klass;
     h.centre = static_cast<std::uint32_t>(n.self.centre);
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -406,14 +406,6 @@
     stream.socket().shutdown(tcp::socket::shutdown_send, ec);
 }
 
-void shorten_requests(node_state& n)
-{
-    for (auto* r : n.open_runs) {
-        r->machine.deadline = std::min(r->machine.deadline, n.last_answer_at);
-        r->tell({attempt_event_kind::timer, 0, ""});
-    }
-}
-
 void tick_paths(node_state& n, mono_us now)
 {
     for (const auto id : path_probes(n.paths, n.path_settings, now))
--- a/src/node/entry_server.hpp
+++ b/src/node/entry_server.hpp
@@ -9,9 +9,6 @@
 /// Serves one connection of a caller until it ends.
 void serve_caller(node_state& n, beast::tcp_stream stream, const yield& y);
 
-/// The node stops: no request may last beyond `n.last_answer_at`.
-void shorten_requests(node_state& n);
-
 /// Pings avoided paths whose time has come.
 void tick_paths(node_state& n, mono_us now);
 
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr span_us idle_bound = 60 * us_per_s; // of an entry node's connection
+constexpr span_us noticed_wait = 250 * us_per_ms; // of work for a slot
 
 /// One piece of work at the exit side.
 struct exit_work
@@ -48,6 +49,7 @@
     w.request.idempotent = h->idempotent;
     w.request.may_probe = h->may_probe;
     w.request.last_resort = h->last_resort;
+    w.request.leaving = h->leaving;
     w.request.priority = h->priority;
     w.request.deadline =
         now + std::min(h->remaining, n.door.limits.longest_deadline);
@@ -120,10 +122,10 @@
 
 /// Waits for a slot. The entry node's connection is watched meanwhile: work
 /// whose caller has left is taken out of the queue.
-gate_error wait_for_slot(node_state& n, const exit_work& w,
-                         beast::tcp_stream& stream, const yield& y)
+gate_error wait_for_slot(node_state& n, exit_work& w, beast::tcp_stream& stream,
+                         const yield& y)
 {
-    auto ticket = std::make_shared<gate_ticket>(n.ctx);
+    auto ticket = std::make_shared<gate_ticket>(n.ctx, w.request.deadline);
     n.tickets[w.request.attempt] = ticket;
     stream.socket().async_wait(
         tcp::socket::wait_read, [ticket, &stream](beast::error_code ec) {
@@ -133,7 +135,7 @@
             ticket->signal.cancel();
         });
     while (!ticket->decision && !ticket->caller_left) {
-        const auto left = w.request.deadline - mono_now() + us_per_ms;
+        const auto left = ticket->deadline - mono_now() + us_per_ms;
         ticket->signal.expires_after(std::chrono::microseconds(left));
         beast::error_code ec;
         ticket->signal.async_wait(y[ec]);
@@ -141,6 +143,8 @@
             advance_gate(n, w.request.worker);
     }
     n.tickets.erase(w.request.attempt);
+    w.request.deadline = ticket->deadline;
+    w.request.leaving = w.request.leaving || ticket->shortened;
     // A late handler sees the decision and leaves the stream alone.
     if (!ticket->decision)
         ticket->decision = gate_decision{};
@@ -153,17 +157,75 @@
     return gate_error::revoked;
 }
 
+/// Says how long work waited and what it had left when that was over. Between
+/// its arrival and its end nothing else tells whether it waited or ran.
+void note_wait(node_state& n, const exit_work& w, mono_us since,
+               gate_error refused)
+{
+    const auto now = mono_now();
+    const auto waited = now - since;
+    n.metrics.gate_wait->Observe(static_cast<double>(waited) / us_per_s);
+    const auto text =
+        "worker=" + name_at(n, w.request.worker) +
+        " waited_ms=" + std::to_string(waited / us_per_ms) +
+        " left_ms=" + std::to_string((w.request.deadline - now) / us_per_ms) +
+        " outcome=" +
+        (refused == gate_error::none
+             ? "started"
+             : std::string(name_of(gate_error_names, refused))) +
+        (w.request.leaving ? " leaving=1" : "");
+    // A busy gate makes most work wait for a moment; the log is for waits that
+    // a caller would notice.
+    if (waited < noticed_wait && refused == gate_error::none)
+        n.events.note(event_id::work_waited, label_of(n, w), text);
+    else
+        n.events.write(event_id::work_waited, label_of(n, w), text);
+}
+
 /// Lets work in; waits when it is queued.
-gate_error let_in(node_state& n, const exit_work& w, beast::tcp_stream& stream,
+gate_error let_in(node_state& n, exit_work& w, beast::tcp_stream& stream,
                   const yield& y)
 {
     gate_error last{};
-    const auto a = gate_admit(command_mode::apply, n.door, w.request,
-                              mono_now(), last, n.safeguards.gate);
+    const auto since = mono_now();
+    const auto a = gate_admit(command_mode::apply, n.door, w.request, since,
+                              last, n.safeguards.gate);
     if (!a)
         return last;
-    return *a == admission::queued ? wait_for_slot(n, w, stream, y)
-                                   : gate_error::none;
+    if (*a != admission::queued)
+        return gate_error::none;
+    last = wait_for_slot(n, w, stream, y);
+    note_wait(n, w, since, last);
+    return last;
+}
+
+/// The entry node of some work stops. What waits here is refused as soon as it
+/// can't end in time: begun late, it was cut while it ran, and its caller heard
+/// "unknown" seconds later of work that could have gone elsewhere.
+bool take_shorten(node_state& n, const string_request& m, beast::tcp_stream& to,
+                  const yield& y)
+{
+    const auto notice = parse_shorten_notice(field_of(m, hop_name));
+    if (!notice)
+        return false;
+    const auto deadline = mono_now() + notice->remaining;
+    std::set<worker_id> touched;
+    for (const auto& a : notice->attempts) {
+        const auto waits_for = gate_shorten(n.door, a, deadline);
+        const auto it = n.tickets.find(a);
+        if (!waits_for || it == n.tickets.end())
+            continue;
+        it->second->deadline = std::min(it->second->deadline, deadline);
+        it->second->shortened = true;
+        touched.insert(*waits_for);
+    }
+    for (const auto id : touched)
+        advance_gate(n, id);
+    string_response r(http::status::no_content, 11);
+    r.keep_alive(true);
+    beast::error_code ec;
+    http::async_write(to, r, y[ec]);
+    return !ec;
 }
 
 bool send_answer(node_state& n, const exit_work& w, worker_answer& a,
@@ -304,6 +366,8 @@
             alive = send_pong(n, stream, y);
         else if (message.target() == allowance_path)
             alive = answer_ask(n, message, stream, y);
+        else if (message.target() == shorten_path)
+            alive = take_shorten(n, message, stream, y);
         else
             alive = handle_work(n, std::move(message), stream, y);
     }
--- a/src/node/hop_func.cpp
+++ b/src/node/hop_func.cpp
@@ -15,11 +15,13 @@
 const std::string no_reason = "-";       // splitting drops empty parts
 constexpr double load_scale = 100;
 constexpr double limit_scale = 1000;       // rates and bursts in thousandths
+constexpr std::size_t shorten_parts = 2;   // without the attempts
 constexpr std::size_t ask_parts = 6;       // of a question for leave
 constexpr std::size_t allowance_parts = 2; // of its answer
 constexpr std::uint64_t idempotent_bit = 1;
 constexpr std::uint64_t probe_bit = 2;
 constexpr std::uint64_t resort_bit = 4;
+constexpr std::uint64_t leaving_bit = 8;
 constexpr std::uint64_t failed_bit = 1;
 constexpr std::uint64_t reached_bit = 2;
 constexpr std::uint64_t suspect_bit = 4;
@@ -80,9 +82,9 @@
 {
     std::string out = to_text(r.attempt);
     add(out, static_cast<std::uint64_t>(r.worker));
-    add(out, (r.idempotent ? idempotent_bit : 0) |
-                 (r.may_probe ? probe_bit : 0) |
-                 (r.last_resort ? resort_bit : 0));
+    add(out,
+        (r.idempotent ? idempotent_bit : 0) | (r.may_probe ? probe_bit : 0) |
+            (r.last_resort ? resort_bit : 0) | (r.leaving ? leaving_bit : 0));
     add(out, static_cast<std::uint64_t>(r.priority));
     add(out, r.klass);
     add(out, r.centre);
@@ -115,6 +117,15 @@
     return out;
 }
 
+std::string to_text(const shorten_notice& s)
+{
+    std::string out(1, 's');
+    add_span(out, s.remaining);
+    for (const auto& a : s.attempts)
+        out += ',' + to_text(a);
+    return out;
+}
+
 std::string to_text(const allowance_ask& a)
 {
     std::string out(1, a.passed_on ? 'p' : 'a');
@@ -135,6 +146,24 @@
     return out;
 }
 
+std::optional<shorten_notice> parse_shorten_notice(const std::string& text)
+{
+    const auto parts = split(text, ',');
+    if (parts.size() < shorten_parts || parts.front() != "s" ||
+        parts.size() > shorten_parts + most_shortened)
+        return std::nullopt;
+    part_reader in{parts, 1};
+    shorten_notice s;
+    s.remaining = in.span();
+    while (in.next < parts.size()) {
+        const auto a = parse_attempt_id(parts[in.next++]);
+        if (!a)
+            return std::nullopt;
+        s.attempts.push_back(*a);
+    }
+    return in.good ? std::make_optional(std::move(s)) : std::nullopt;
+}
+
 std::optional<allowance_ask> parse_allowance_ask(const std::string& text)
 {
     const auto parts = split(text, ',');
@@ -183,6 +212,7 @@
     r.idempotent = (bits & idempotent_bit) != 0;
     r.may_probe = (bits & probe_bit) != 0;
     r.last_resort = (bits & resort_bit) != 0;
+    r.leaving = (bits & leaving_bit) != 0;
     r.priority = static_cast<int>(in.whole() & INT32_MAX);
     r.klass = static_cast<std::uint32_t>(in.whole());
     r.centre = static_cast<std::uint32_t>(in.whole());
--- a/src/node/hop_type.hpp
+++ b/src/node/hop_type.hpp
@@ -10,6 +10,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace jasminetray {
 
@@ -24,6 +25,7 @@
     bool idempotent = false;  ///< may run more than once
     bool may_probe = false;   ///< a failure would be tried again elsewhere
     bool last_resort = false; ///< found no room elsewhere
+    bool leaving = false;     ///< the entry node ends at the deadline
     int priority = 5;         ///< of the route
     std::uint32_t klass = 0;  ///< of the route
     std::uint32_t centre = 0; ///< data centre of the entry node, hashed
@@ -69,6 +71,24 @@
     bool passed_on = false; ///< by a node that is not the home itself
 };
 
+/// Attempts that one shorten_notice names at most; more go into the next, so
+/// that a head stays within the 8 KB that the HTTP library reads.
+inline constexpr std::size_t most_shortened = 64;
+
+/// From an entry node that stops: work that an exit node has of it is of use
+/// only so long.
+struct shorten_notice
+{
+    span_us remaining = 0; ///< until the entry node gives its last answers
+    std::vector<attempt_id> attempts; ///< invariant: at most most_shortened
+};
+
+/// Field text.
+std::string to_text(const shorten_notice& s);
+
+/// Parses what to_text() gave, or nothing.
+std::optional<shorten_notice> parse_shorten_notice(const std::string& text);
+
 /// Field text.
 std::string to_text(const allowance_ask& a);
 
--- a/src/node/http_type.hpp
+++ b/src/node/http_type.hpp
@@ -40,6 +40,9 @@
 /// Path that a node answers itself with its boot id and a fresh stamp.
 inline constexpr char ping_path[] = "/.jasminetray/ping";
 
+/// Path at which an exit node hears that an entry node stops.
+inline constexpr char shorten_path[] = "/.jasminetray/shorten";
+
 /// Path at which a team's home grants leave for requests.
 inline constexpr char allowance_path[] = "/.jasminetray/leave";
 
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -52,6 +52,13 @@
                        .Add({}, prometheus::Histogram::BucketBoundaries{
                                     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05,
                                     0.1, 0.25, 0.5, 1, 2.5, 5, 10});
+    m->gate_wait =
+        &prometheus::BuildHistogram()
+             .Name("jasminetray_gate_wait_seconds")
+             .Help("Wait for a slot of work that had to wait.")
+             .Register(r)
+             .Add({}, prometheus::Histogram::BucketBoundaries{
+                          0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10});
     m->in_flight = gauge(r, "jasminetray_requests_in_flight",
                          "Requests of callers without a final answer.");
     m->members = gauge(r, "jasminetray_members", "Nodes known and not dead.");
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -23,7 +23,8 @@
     prometheus::Family<prometheus::Counter>* check_ins; ///< by fate
     prometheus::Counter* bytes_in;                      ///< of datagrams
     prometheus::Counter* bytes_out;                     ///< of datagrams
-    prometheus::Histogram* duration; ///< seconds, at the entry side
+    prometheus::Histogram* duration;  ///< seconds, at the entry side
+    prometheus::Histogram* gate_wait; ///< seconds, of work that had to wait
     prometheus::Gauge* in_flight;
     prometheus::Gauge* members;
     prometheus::Gauge* config_version;
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -9,6 +9,7 @@
 #include "node/announce.hpp"
 #include "node/control.hpp"
 #include "node/entry_server.hpp"
+#include "node/entry_stop.hpp"
 #include "node/entry_team.hpp"
 #include "node/exit_server.hpp"
 #include "node/experiment_func.hpp"
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -62,11 +62,14 @@
 /// Queued work that waits for the gate's decision.
 struct gate_ticket
 {
-    explicit gate_ticket(asio::io_context& ctx) : signal(ctx)
+    gate_ticket(asio::io_context& ctx, mono_us until)
+        : signal(ctx), deadline(until)
     {
     }
 
     asio::steady_timer signal; ///< cancelled when there is a decision
+    mono_us deadline = 0;      ///< of the work; its entry node may shorten it
+    bool shortened = false;    ///< it did
     std::optional<gate_decision> decision;
     bool caller_left = false;
 };
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -83,6 +83,14 @@
               "The node cannot prove that its configuration is fresh enough "
               "to honour keys; the request did not run.",
               "See 4007 of the node."},
+    event_row{event_id::work_waited, "work_waited",
+              "Work waited at an exit node's gate; the wait is over.",
+              "None; the line has the wait, what was left then and whether "
+              "it was started or refused."},
+    event_row{event_id::request_shortened, "request_shortened",
+              "A node that stops has less time for a request than its caller "
+              "gave it; the gates where it may wait are told.",
+              "None; `told=0` means that the exit node could not be reached."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "Evidence against a backend server passed its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -554,6 +554,60 @@
            "its first announcement ends no charge: %s" % results)
 
 
+# A read waits at the gates of other nodes when its own node is told to stop. The
+# gates did not hear of it: the caller got 504 at the end of the grace, as if the
+# read might have run, or it was begun late and cut. It never ran; its caller is
+# told so while there is still time for another node.
+def check_stop_tells_gates(h):
+    workers = [h.workers["w1b"], h.workers["w3"]]
+    slow = route("slow", "/slow/", "billing", timeout=8)
+    slow["TargetLatencyS"] = 6  # it waits for longer than the grace is
+    h.put_config(document(9000, [slow, route("pay", "/pay/", "billing",
+                                             "non_idempotent")]))
+    expect(wait_for(lambda: all(h.ask(n, "/slow/")[0] == 200
+                                for n in h.nodes)), "a patient route serves")
+
+    def fill_slots(work_s):
+        for w in workers:
+            w.work_s = work_s
+        threads = [threading.Thread(target=lambda: h.ask("n3", "/slow/"))
+                   for _ in range(8)]
+        for t in threads:
+            t.start()
+        return threads
+
+    # Work that suddenly lasts for a hundred times as long would be taken for a
+    # backend server that hangs; it grows step by step.
+    for work_s in (0.05, 0.1, 0.2, 0.4, 0.4, 0.8, 0.8, 0.8, 1.4, 1.4):
+        for t in fill_slots(work_s):
+            t.join()
+    fill = fill_slots(2.4)
+    expect(wait_for(lambda: all(w.running >= w.slots for w in workers), 2),
+           "all slots of the service are taken")
+    results = []
+    reads = [threading.Thread(target=lambda: results.append(
+        h.ask("n2", "/slow/")[0])) for _ in range(2)]
+    seen = sum(len(w.seen) for w in workers)
+    for t in reads:
+        t.start()
+    time.sleep(0.1)
+    node = h.f.nodes["n2"]
+    node.send(signal.SIGTERM)
+    for t in reads:
+        t.join()
+    expect(results == [503, 503] and
+           sum(len(w.seen) for w in workers) == seen,
+           "what only waits when its node stops is told as not run: %s" %
+           results)
+    for w in workers:
+        w.work_s = 0.02
+    for t in fill:
+        t.join()
+    node.popen.wait(5)
+    h.start_node("n2", "orders")
+    expect(wait_for(lambda: h.ready("n2"), 20), "the node starts anew")
+
+
 def team_document(version, keys, rate=0):
     # One team, one route that needs its key and one that is open.
     open_route = route("orders", "/orders/", "orders")
@@ -630,7 +684,8 @@
         for check in (check_serving, check_other_process, check_split,
                       check_raw, check_config, check_frozen_peers,
                       check_storm, check_sick, check_drain, check_same_name,
-                      check_restart, check_found_by_answer, check_teams):
+                      check_restart, check_found_by_answer,
+                      check_stop_tells_gates, check_teams):
             check(h)
     print("hosted: checks_failed=%d" % len(FAILED))
     return 1 if FAILED else 0
--- a/test/test_hop.cpp
+++ b/test/test_hop.cpp
@@ -20,6 +20,7 @@
         r.worker = static_cast<worker_id>(*rc::gen::arbitrary<std::uint64_t>());
         r.idempotent = *rc::gen::arbitrary<bool>();
         r.may_probe = *rc::gen::arbitrary<bool>();
+        r.leaving = *rc::gen::arbitrary<bool>();
         r.priority = *rc::gen::inRange(0, 1000);
         r.centre = *rc::gen::arbitrary<std::uint32_t>();
         r.remaining = *rc::gen::inRange<span_us>(0, 60 * us_per_s);
@@ -33,6 +34,7 @@
         RC_ASSERT(back->worker == r.worker);
         RC_ASSERT(back->idempotent == r.idempotent);
         RC_ASSERT(back->may_probe == r.may_probe);
+        RC_ASSERT(back->leaving == r.leaving);
         RC_ASSERT(back->priority == r.priority);
         RC_ASSERT(back->centre == r.centre);
         RC_ASSERT(back->remaining == r.remaining);
