Give each route durations of its own

Callers of reads lost sound backend servers again and again.

Cause: routes fell into eight classes by the hash of their names. A lookup or a 404 test of a millisecond and a read of two seconds shared what is usual, so each read was missing after a second, and none could ever be told to be slow.

Mend: a backend server's health keeps a table of its 16 routes seen last; a new one inherits nothing.

--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -25,7 +25,6 @@
     string_request message;
     gate_request request;
     std::uint32_t source = 0; ///< index of the entry node's data centre
-    std::uint32_t klass = 0;
 };
 
 std::uint32_t source_of(node_state& n, std::uint32_t id)
@@ -57,7 +56,6 @@
     if (h->target > 0)
         w.request.due = now + h->target - h->elapsed;
     w.source = source_of(n, h->centre);
-    w.klass = h->klass % work_classes;
     w.request.klass = h->klass;
     w.message = std::move(message);
     return w;
@@ -257,8 +255,7 @@
                  const yield& y)
 {
     const auto began = mono_now();
-    auto a =
-        run_on_worker(n, w.message, w.request, w.source, w.klass, stream, y);
+    auto a = run_on_worker(n, w.message, w.request, w.source, stream, y);
     // Doubt moves before the answer goes out, so that the answer carries it.
     note_doubt(n, w.request.worker, a.seen, mono_now() - began);
     bool alive = true;
--- a/src/node/worker_work.cpp
+++ b/src/node/worker_work.cpp
@@ -280,21 +280,20 @@
 
 worker_answer run_on_worker(node_state& n, const string_request& message,
                             const gate_request& r, std::uint32_t source,
-                            std::uint32_t klass, beast::tcp_stream& entry,
-                            const yield& y)
+                            beast::tcp_stream& entry, const yield& y)
 {
     worker_answer a;
     a.source = source;
-    a.klass = klass;
     a.began = mono_now();
     auto it = n.workers.find(r.worker);
     if (it == n.workers.end()) {
         a.reason = "no-worker";
         return a;
     }
+    a.klass = health_class(it->second.health, r.klass, a.began);
     a.key = ++it->second.next_key;
     health_sent(it->second.health,
-                {a.key, a.began, source, klass, r.target, false});
+                {a.key, a.began, source, a.klass, r.target, false});
     a.link = connect_worker(n, it->second, r, y);
     it = n.workers.find(r.worker); // it may have left while we connected
     if (it != n.workers.end() && a.link) {
--- a/src/node/worker_work.hpp
+++ b/src/node/worker_work.hpp
@@ -17,7 +17,7 @@
     mono_us began = 0;
     bool parser_sent = false; ///< the answer's head went on already
     std::uint32_t source = 0;
-    std::uint32_t klass = 0;
+    std::uint32_t klass = 0; ///< of the route, at its backend server
 };
 
 /// Sends work to its backend server and reads the answer, or as much as is
@@ -25,8 +25,7 @@
 /// caller has left is cancelled.
 worker_answer run_on_worker(node_state& n, const string_request& message,
                             const gate_request& r, std::uint32_t source,
-                            std::uint32_t klass, beast::tcp_stream& entry,
-                            const yield& y);
+                            beast::tcp_stream& entry, const yield& y);
 
 /// Ends an exchange whose answer was passed on: the evidence, and what
 /// becomes of the connection.
--- a/src/verdict/verdict_cmd.cpp
+++ b/src/verdict/verdict_cmd.cpp
@@ -240,6 +240,23 @@
         follow_climb(h, p, now);
 }
 
+std::uint32_t health_class(worker_health& h, std::uint32_t route, mono_us now)
+{
+    auto& all = h.classes;
+    const auto own = std::find_if(all.begin(), all.end(), [&](const auto& x) {
+        return x.seen_at != 0 && x.route == route;
+    });
+    const auto oldest = std::min_element(
+        all.begin(), all.end(),
+        [](const auto& a, const auto& b) { return a.seen_at < b.seen_at; });
+    const auto at = own != all.end() ? own : oldest;
+    const auto place = static_cast<std::size_t>(at - all.begin());
+    if (own == all.end())
+        h.usual.times[place] = time_usual{};
+    *at = {route, now};
+    return static_cast<std::uint32_t>(place);
+}
+
 std::size_t health_overdue(worker_health& h, span_us least, mono_us now)
 {
     std::size_t marked = 0;
--- a/src/verdict/verdict_cmd.hpp
+++ b/src/verdict/verdict_cmd.hpp
@@ -10,6 +10,12 @@
 /// @param rate requests a second at the worker
 double threshold_for(double per_day, double rate);
 
+/// Class of a route's work. Each route has its own: where a lookup of a
+/// millisecond and a read of two seconds share what is usual, each read is
+/// missing when it has just begun and none is ever slow.
+/// @param route hash of its name
+std::uint32_t health_class(worker_health& h, std::uint32_t route, mono_us now);
+
 /// Work was sent.
 void health_sent(worker_health& h, const outstanding& o);
 
--- a/src/verdict/verdict_type.hpp
+++ b/src/verdict/verdict_type.hpp
@@ -14,7 +14,9 @@
 
 namespace jasminetray {
 
-constexpr std::size_t work_classes = 8; ///< route classes with own durations
+/// Routes of a backend server whose durations are told apart; beyond them the
+/// one that was seen least lately is forgotten.
+constexpr std::size_t work_classes = 16;
 
 /// How long work of one class usually takes.
 struct time_usual
@@ -124,6 +126,13 @@
     bool split_sources = true; ///< eject for one data centre only
 };
 
+/// A route that has a class of its own.
+struct class_slot
+{
+    std::uint32_t route = 0; ///< hash of its name
+    mono_us seen_at = 0;     ///< last work of it; 0 for a free slot
+};
+
 /// Work that has been sent and has not ended.
 struct outstanding
 {
@@ -155,7 +164,9 @@
     std::array<recent_bucket, recent_buckets> recent; ///< ring by time
     std::vector<outstanding> open; ///< invariant: at most its slots
     service_usual usual;           ///< what "as usual" means now
-    double base_rate = 0.005;      ///< own long memory of failures
+    // Invariant: no route has two slots; the class of a route is its place.
+    std::array<class_slot, work_classes> classes;
+    double base_rate = 0.005; ///< own long memory of failures
     mono_us ejected_at = 0;
     mono_us may_return_at = 0;
     double peak = 0;          ///< evidence at the ejection
--- a/test/test_silence.cpp
+++ b/test/test_silence.cpp
@@ -79,6 +79,42 @@
     EXPECT_EQ(health_overdue(h, least, start + 2 * target), 0U); // once
 }
 
+// Callers of reads lose a third of their backend servers again and again,
+// though all are well: a lookup of a millisecond and a read of two seconds fell
+// into one of eight classes by their hashes, the usual time became some tens of
+// milliseconds, and each read was missing after a second.
+TEST(silence, routes_share_no_durations_whatever_their_hashes)
+{
+    worker_health h;
+    const std::uint32_t lookup_route = 5;
+    const std::uint32_t read_route = 5 + 8 * 16;
+    const auto lookup = health_class(h, lookup_route, start);
+    const auto read = health_class(h, read_route, start);
+    ASSERT_NE(lookup, read);
+    teach(h, lookup, us_per_ms, 60);
+    teach(h, read, 2 * us_per_s, 20);
+    send(h, 1, start, read);
+    EXPECT_EQ(health_overdue(h, least, start + 2 * us_per_s), 0U);
+    EXPECT_EQ(health_class(h, read_route, start + 1), read);
+}
+
+// Routes come and go with configurations for as long as the process lives. A
+// new one takes the place of the one seen least lately, and none of what was
+// learned of that.
+TEST(silence, a_new_route_inherits_nothing)
+{
+    worker_health h;
+    const auto first = health_class(h, 1, start);
+    teach(h, first, us_per_ms, 60);
+    for (std::uint32_t route = 2; route <= work_classes; ++route)
+        health_class(h, route, start + route);
+    const auto late = health_class(h, 99, start + us_per_s);
+    EXPECT_EQ(late, first);
+    send(h, 1, start, late);
+    EXPECT_EQ(health_overdue(h, least, start + 2 * us_per_s), 0U);
+    EXPECT_NE(health_class(h, 1, start + us_per_s), late);
+}
+
 // A backend server that hangs is still ejected by its silence alone, once its
 // usual durations are known.
 TEST(silence, one_that_hangs_is_ejected)
