--- a/test/test_spread.cpp
+++ b/test/test_spread.cpp
@@ -55,7 +55,8 @@
         balance.doubt.on = true;
         for (std::size_t k = 0; k < servers; ++k) {
             all[k].doubt.at = start;
-            all[k].phase = static_cast<span_us>(k) * sick_every / servers;
+            all[k].phase = static_cast<span_us>(k) * sick_every /
+                           static_cast<span_us>(servers);
             told[k].id = static_cast<worker_id>(k + 1);
             told[k].slots = slots;
         }
