Log which requests ran when a backend server's process ended

A process that ends under a request was seen only as lost answers, each with the id of one try: whether the same request had run at several ends could not be told. A request has a fingerprint now, a keyed hash of team, method, host, path with query and body, equal at any node and for any id. Event 3016 names the fingerprints that ran when nobody listens at a backend server's address any more after its connections closed; 1023 names fingerprint, attempt and path of lost work. A closed connection alone is no end: a sick backend server resets connections and lives. No decision is changed.

--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -63,6 +63,7 @@
     check_in_refused = 3013,
     worker_restarted = 3014,
     worker_start_learned = 3015,
+    worker_crashed = 3016,
     config_in_force = 4001,
     config_refused = 4002,
     store_unreachable = 4003,
--- a/src/node/announce.cpp
+++ b/src/node/announce.cpp
@@ -2,6 +2,7 @@
 #include "node/announce.hpp"
 
 #include "base/text_func.hpp"
+#include "node/crash_watch.hpp"
 #include "node/exit_server.hpp"
 #include "node/health_driver.hpp"
 
@@ -65,7 +66,7 @@
 {
     // A hosted VM has one address with one process behind it at a time.
     const bool single = !n.settings.hosted.control.empty();
-    for (const auto& [other, w] : n.workers) {
+    for (auto& [other, w] : n.workers) {
         if (other == id || !(single || w.name == a.name))
             continue;
         if (w.name == a.name) {
@@ -75,6 +76,7 @@
                                " ended=" + std::to_string(w.busy.size()));
             end_busy(w);
         }
+        note_replaced(n, w);
         return remove_worker(n, other, "replaced");
     }
 }
--- /dev/null
+++ b/src/node/crash_watch.cpp
@@ -0,0 +1,114 @@
+// Ends of backend servers; see crash_watch.hpp.
+#include "node/crash_watch.hpp"
+
+#include "base/text_func.hpp"
+#include "node/http_func.hpp"
+
+#include <algorithm>
+
+namespace jasminetray {
+
+namespace {
+
+/// Before the address is asked: a process that ends closes its connections and
+/// stops listening within this.
+constexpr span_us check_delay = 10 * us_per_ms;
+constexpr span_us check_bound = 250 * us_per_ms; // for a connection
+/// Lost work is kept so long for the process's end to be noticed; cancelled
+/// work may still run, and end the process, for as long.
+constexpr span_us lost_memory = us_per_s;
+constexpr std::size_t max_lost = 64; // pieces of lost work kept per process
+
+void forget_old(local_worker& w, mono_us now)
+{
+    auto& lost = w.lost;
+    const auto is_old = [now](const lost_work& x) {
+        return now - x.at > lost_memory;
+    };
+    lost.erase(std::remove_if(lost.begin(), lost.end(), is_old), lost.end());
+}
+
+/// Reports the lost work of a process that has ended.
+void report_crash(node_state& n, local_worker& w, const char* evidence)
+{
+    if (w.lost.empty())
+        return;
+    std::string running;
+    for (const auto& x : w.lost)
+        running += (running.empty() ? "" : ",") + to_text(x.request);
+    n.events.write(event_id::worker_crashed, w.name,
+                   "service=" + w.service + " evidence=" + evidence +
+                       " running=" + running);
+    w.lost.clear();
+}
+
+/// Whether nobody listens at an address.
+bool is_refused(node_state& n, const tcp::endpoint& at, const yield& y)
+{
+    http_link link(n.ctx);
+    link.stream.expires_after(std::chrono::microseconds(check_bound));
+    beast::error_code ec;
+    link.stream.async_connect(at, y[ec]);
+    return ec == asio::error::connection_refused;
+}
+
+void check_process(node_state& n, worker_id id, const yield& y)
+{
+    asio::steady_timer timer(n.ctx);
+    timer.expires_after(std::chrono::microseconds(check_delay));
+    beast::error_code ec;
+    timer.async_wait(y[ec]);
+    auto it = n.workers.find(id);
+    if (it == n.workers.end())
+        return;
+    const bool ended = is_refused(n, it->second.at, y);
+    it = n.workers.find(id); // it may have been replaced while we connected
+    if (it == n.workers.end())
+        return;
+    it->second.checking = false;
+    if (ended && !it->second.draining)
+        report_crash(n, it->second, "refused");
+}
+
+} // namespace
+
+fingerprint fingerprint_of(const node_state& n, const string_request& m)
+{
+    const auto team = field_of(m, beast_text(n.dialect.team));
+    const auto host = field_of(m, "host");
+    const auto method = m.method_string();
+    const auto target = m.target();
+    return fingerprint_of({team,
+                           {method.data(), method.size()},
+                           host,
+                           {target.data(), target.size()},
+                           m.body()},
+                          n.fingerprints);
+}
+
+void note_lost_work(node_state& n, worker_id id, const string_request& m,
+                    bool closed)
+{
+    const auto it = n.workers.find(id);
+    if (it == n.workers.end())
+        return;
+    auto& w = it->second;
+    const auto now = mono_now();
+    forget_old(w, now);
+    if (w.lost.size() < max_lost)
+        w.lost.push_back({fingerprint_of(n, m), now});
+    if (!closed || w.checking)
+        return;
+    w.checking = true;
+    asio::spawn(
+        n.ctx, [&n, id](const yield& y) { check_process(n, id, y); },
+        asio::detached);
+}
+
+void note_replaced(node_state& n, local_worker& w)
+{
+    if (!w.draining)
+        report_crash(n, w, "replaced");
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/crash_watch.hpp
@@ -0,0 +1,25 @@
+// Notices that a backend server's process ended while it ran work, and what it
+// ran. A closed connection alone is no proof: a sick backend server resets
+// connections too, and lives. That nobody listens at its address any more is.
+#pragma once
+
+#include "node/node_state.hpp"
+
+namespace jasminetray {
+
+/// Fingerprint of a request as it is passed on between nodes.
+fingerprint fingerprint_of(const node_state& n, const string_request& m);
+
+/// Work was sent to a backend server and its answer is lost. Asks the address
+/// whether the process lives, unless that is being asked already.
+/// @param id backend server that ran it
+/// @param closed the backend server ended the connection; else the work was
+///        cancelled by its caller, and is suspect only if the process ends
+///        within a moment
+void note_lost_work(node_state& n, worker_id id, const string_request& m,
+                    bool closed);
+
+/// Another process has taken the place of `w`, which was not draining.
+void note_replaced(node_state& n, local_worker& w);
+
+} // namespace jasminetray
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -6,6 +6,7 @@
 #include "gate/gate_query.hpp"
 #include "gate/gate_queue.hpp"
 #include "node/announce.hpp"
+#include "node/crash_watch.hpp"
 #include "node/entry_team.hpp"
 #include "node/health_driver.hpp"
 #include "node/http_func.hpp"
@@ -17,6 +18,7 @@
 namespace {
 
 constexpr span_us idle_bound = 60 * us_per_s; // of an entry node's connection
+constexpr std::size_t max_target = 200;       // bytes of it, in a log line
 constexpr span_us noticed_wait = 250 * us_per_ms; // of work for a slot
 
 /// One piece of work at the exit side.
@@ -250,6 +252,21 @@
     return !ec;
 }
 
+/// What lost work was, for the log: with its id alone the same request that
+/// came again could not be told from another one.
+std::string lost_text(const node_state& n, const exit_work& w,
+                      const worker_answer& a)
+{
+    if (a.end != work_end::lost)
+        return "";
+    const std::string method(w.message.method_string());
+    const std::string target(w.message.target());
+    return " attempt=" + std::to_string(w.request.attempt.count) +
+           " closed=" + std::to_string(a.closed ? 1 : 0) +
+           " fingerprint=" + to_text(fingerprint_of(n, w.message)) +
+           " method=" + method + " target=" + target.substr(0, max_target);
+}
+
 /// Runs started work to its end and answers the entry node.
 bool run_started(node_state& n, exit_work& w, beast::tcp_stream& stream,
                  const yield& y)
@@ -262,8 +279,12 @@
     if (a.end == work_end::answered) {
         alive = send_answer(n, w, a, stream, y);
         const bool whole = a.parser->is_done();
-        if (!whole)
+        if (!whole) {
             a.end = work_end::lost;
+            a.closed = a.link && peer_closed(a.link->stream.socket());
+        }
+        if (a.closed)
+            note_lost_work(n, w.request.worker, w.message, true);
         end_on_worker(n, w.request, a, whole);
     }
     const auto now = mono_now();
@@ -276,7 +297,7 @@
             (a.end == work_end::answered
                  ? " status=" + std::to_string(a.parser->get().result_int())
                  : "") +
-            " us=" + std::to_string(mono_now() - began));
+            lost_text(n, w, a) + " us=" + std::to_string(mono_now() - began));
     advance_gate(n, w.request.worker);
     count(*n.metrics.gate, "decision", a.reason.empty() ? "ran" : a.reason);
     if (a.end == work_end::answered || a.parser_sent)
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -318,6 +318,7 @@
                       p.admin.local_endpoint(ec).port()};
     n.view.centre = n.self.centre;
     n.slow_calls = &p.slow;
+    n.fingerprints = make_fingerprint_key(s.key);
 }
 
 void turn_off_safeguards(node_state& n)
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -16,6 +16,7 @@
 #include "node/dialect_type.hpp"
 #include "node/http_type.hpp"
 #include "node/node_metrics.hpp"
+#include "quarantine/fingerprint_func.hpp"
 #include "store/store_type.hpp"
 #include "team/allowance_type.hpp"
 #include "verdict/verdict_type.hpp"
@@ -28,6 +29,13 @@
 
 namespace jasminetray {
 
+/// Work whose answer is lost.
+struct lost_work
+{
+    fingerprint request{};
+    mono_us at = 0; ///< when its connection ended
+};
+
 /// A backend server on this VM.
 struct local_worker
 {
@@ -55,8 +63,10 @@
     /// Wall clock when its process answered a health probe before it was
     /// taken up, in milliseconds since 1970; 0 when none was needed.
     std::uint64_t answered_ms = 0;
-    int by_operator = 0;        ///< severity that an operator set; 0 for none
-    mono_us operator_until = 0; ///< when that ends by itself
+    std::vector<lost_work> lost; ///< lately; suspect if the process ended
+    bool checking = false;       ///< whether it did is being asked
+    int by_operator = 0;         ///< severity that an operator set; 0 for none
+    mono_us operator_until = 0;  ///< when that ends by itself
 };
 
 /// Queued work that waits for the gate's decision.
@@ -160,6 +170,7 @@
     std::unordered_map<service_id, std::size_t> service_places;
 
     http_dialect dialect;
+    fingerprint_key fingerprints{}; ///< key of requests' fingerprints
     hosted_state hosted;
     gate door;
     std::map<worker_id, local_worker> workers;
--- a/src/node/worker_work.cpp
+++ b/src/node/worker_work.cpp
@@ -3,6 +3,7 @@
 
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
+#include "node/crash_watch.hpp"
 #include "node/health_driver.hpp"
 #include "node/http_func.hpp"
 #include "verdict/verdict_cmd.hpp"
@@ -270,6 +271,9 @@
     a.reason = left_early ? "caller-left"
                : written  ? "worker-silent"
                           : "worker-write";
+    a.closed = !left_early && ec != beast::error::timeout;
+    if (a.end == work_end::lost && (left_early || a.closed))
+        note_lost_work(n, id, message, a.closed);
     if (it != n.workers.end() && !left_early)
         a.seen = written ? judge_silence(it->second, a.klass, r.target, ec,
                                          mono_now() - a.began)
--- a/src/node/worker_work.hpp
+++ b/src/node/worker_work.hpp
@@ -11,6 +11,7 @@
     work_end end = work_end::unsent;
     outcome_kind seen = outcome_kind::neutral; ///< as evidence
     std::string reason;                        ///< when there is no answer
+    bool closed = false; ///< no answer: the backend server ended it
     std::unique_ptr<http_link> link;
     std::unique_ptr<response_parser> parser; ///< of the answer
     std::uint64_t key = 0; ///< of the outstanding work, for the evidence
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -168,6 +168,11 @@
               "A backend server that was found by its health answer has told "
               "when it started; its work goes on.",
               "None."},
+    event_row{event_id::worker_crashed, "worker_crashed",
+              "A backend server's process ended while it ran work; `running` "
+              "has the fingerprints of that work.",
+              "A fingerprint that comes at one end after the other is a "
+              "request that crashes what runs it."},
     event_row{event_id::config_in_force, "config_in_force",
               "A configuration version came into force on this node.", "None."},
     event_row{event_id::config_refused, "config_refused",
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -59,6 +59,7 @@
         self.mode, self.state, self.seq, self.acked = "well", "ready", 0, None
         self.seen, self.running, self.work_s = [], 0, 0.02
         self.alive, self.quiet = True, False
+        self.connections = set()
         self.born = int(time.time() * 1000)
         worker = self
 
@@ -68,6 +69,23 @@
             def log_message(self, *_):
                 pass
 
+            def setup(self):
+                worker.connections.add(self.request)
+                super().setup()
+
+            def handle(self):
+                try:
+                    super().handle()
+                except OSError:
+                    pass  # the other side left, or this process has crashed
+                worker.connections.discard(self.request)
+
+            def finish(self):
+                try:
+                    super().finish()
+                except OSError:
+                    pass  # as above
+
             def reply(self, status, headers, body=b""):
                 self.send_response_only(status)
                 for key, value in headers.items():
@@ -97,7 +115,7 @@
                 if worker.mode == "shed":
                     return self.reply(503, {"X-Not-Executed": "1"})
                 worker.running += 1
-                time.sleep(worker.work_s)
+                worker.work(body)
                 worker.running -= 1
                 text = ("%s by %s" % (request, worker.name)).encode()
                 headers = {"X-Attempt-Id": request, "X-Server-Seal": "s",
@@ -112,11 +130,22 @@
             allow_reuse_address = daemon_threads = True
             request_queue_size = 64
 
-        self.server = Server(("127.0.0.1", port), Handler)
-        threading.Thread(target=self.server.serve_forever,
+        self.make_server = lambda: Server(("127.0.0.1", port), Handler)
+        self.start_serving()
+
+    def start_serving(self):
+        self.server = self.make_server()
+        threading.Thread(target=self.server.serve_forever, args=(0.005,),
                          daemon=True).start()
         threading.Thread(target=self.check_in_forever, daemon=True).start()
 
+    def stop_serving(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+    def work(self, _body):
+        time.sleep(self.work_s)
+
     def call(self, method, body=None):
         request = urllib.request.Request(
             "http://%s/api/instances/%s" % (self.control, self.name),
@@ -155,8 +184,7 @@
 
     def stop(self):
         self.alive = False
-        self.server.shutdown()
-        self.server.server_close()
+        self.stop_serving()
 
 
 def route(name, prefix, service=None, kind="idempotent", split=None,
@@ -184,8 +212,9 @@
 class Hosted:
     """Store, nodes and workers."""
 
-    def __init__(self, f):
+    def __init__(self, f, make_worker=Worker):
         self.f = f
+        self.make_worker = make_worker
         self.nodes = {}
         self.workers = {}
         self.requests = 0
@@ -213,9 +242,9 @@
 
     def start_worker(self, name, node):
         ports = self.nodes[node]
-        self.workers[name] = Worker(name, ports["service"],
-                                    "127.0.0.1:%d" % ports["control"],
-                                    ports["worker"])
+        self.workers[name] = self.make_worker(
+            name, ports["service"], "127.0.0.1:%d" % ports["control"],
+            ports["worker"])
         return self.workers[name]
 
     def put_config(self, text):
@@ -272,6 +301,11 @@
 FAILED = []
 
 
+def summarize(name):
+    print("%s: checks_failed=%d" % (name, len(FAILED)))
+    return 1 if FAILED else 0
+
+
 def expect(good, what):
     print("%s %s" % ("ok  " if good else "FAIL", what), flush=True)
     if not good:
@@ -707,8 +741,7 @@
                       check_restart, check_found_by_answer,
                       check_stop_tells_gates, check_teams):
             check(h)
-    print("hosted: checks_failed=%d" % len(FAILED))
-    return 1 if FAILED else 0
+    return summarize("hosted")
 
 
 if __name__ == "__main__":
