--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -68,7 +68,7 @@
 {
     return reached_count(r) < r.policy.most_attempts &&
            r.tracks.size() < r.policy.most_tries && !r.out_of_workers &&
-           now + r.policy.least_left < r.deadline;
+           !r.quarantined && now + r.policy.least_left < r.deadline;
 }
 
 /// Ends a request of which no attempt is open any more.
@@ -88,8 +88,9 @@
 /// sick backend server fails has run.
 bool may_resort(const request_state& r, mono_us now)
 {
-    return r.policy.last_resort && !r.resorted && reached_count(r) == 0 &&
-           all_not_run(r) && now + r.policy.least_left < r.deadline;
+    return r.policy.last_resort && !r.resorted && !r.quarantined &&
+           reached_count(r) == 0 && all_not_run(r) &&
+           now + r.policy.least_left < r.deadline;
 }
 
 /// Tries again if that is safe and allowed; else ends the request unless
@@ -239,6 +240,11 @@
         return retry_or_settle(r, budget, now, out, on);
     case attempt_event_kind::lost:
         return on_lost(r, e.count, budget, now, out, on);
+    case attempt_event_kind::quarantined:
+        t.phase = attempt_phase::not_run;
+        t.reached = false;
+        r.quarantined = true;
+        return retry_or_settle(r, budget, now, out, on);
     case attempt_event_kind::no_worker:
         t.phase = attempt_phase::not_run;
         t.reached = false;
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -39,6 +39,7 @@
     revoke_open,    ///< the exit node says started or finished
     revoke_unknown, ///< no reply, ended, or another process replied
     no_worker,      ///< nobody is left to send the next attempt to
+    quarantined,    ///< did not run, and must not be sent to anybody else
     timer,          ///< the time that was asked for has come
     caller_gone,    ///< the caller closed its connection
 };
@@ -129,6 +130,7 @@
     /// From here on an attempt that was sent before counts as silent.
     mono_us hurry_at = mono_never;
     bool out_of_workers = false; ///< nobody is left to try
+    bool quarantined = false;    ///< must not be sent again
     bool resorted = false;       ///< the last resort was tried
     std::uint32_t retries = 0;   ///< beyond the first attempt
 };
--- a/src/config/mechanism_type.hpp
+++ b/src/config/mechanism_type.hpp
@@ -31,13 +31,14 @@
     verdicts,        ///< ejections by sequential tests
     survival,        ///< work that outlives a quick failure shows health
     allowance_homes, ///< teams' allowances are counted at one node each
+    quarantine,      ///< requests that crash what runs them are refused
 };
 
-inline constexpr std::array<std::string_view, 14> mechanism_names = {
-    "doubt",       "quick-probe",    "last-resort", "late-forecast",
-    "short-first", "placing",        "probe-work",  "refusal-memory",
-    "load-news",   "retries",        "path-guard",  "verdicts",
-    "survival",    "allowance-homes"};
+inline constexpr std::array<std::string_view, 15> mechanism_names = {
+    "doubt",       "quick-probe",     "last-resort", "late-forecast",
+    "short-first", "placing",         "probe-work",  "refusal-memory",
+    "load-news",   "retries",         "path-guard",  "verdicts",
+    "survival",    "allowance-homes", "quarantine"};
 
 /// A set of mechanisms.
 using mechanism_set = std::bitset<mechanism_names.size()>;
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -34,6 +34,14 @@
     span_us grace = 0;            ///< from SIGTERM to the kill; 0 for not told
 };
 
+/// Requests that crash the backend servers that run them.
+struct quarantine_settings
+{
+    int crashes = 3;                     ///< processes that end, until refused
+    span_us memory = 86400 * us_per_s;   ///< of an end
+    span_us retry_after = 60 * us_per_s; ///< told to callers that are refused
+};
+
 /// Everything a node is told when it starts.
 struct node_settings
 {
@@ -68,6 +76,7 @@
     int log_lines = 20000;        ///< a second, of one event
     std::string safeguards_off;   ///< test hook; names with commas
     hosted_settings hosted;
+    quarantine_settings quarantine;
     experiment_settings experiment; ///< nothing changed in production
 };
 
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -31,12 +31,13 @@
     queue_full,     ///< the queue of its backend server is full
     no_worker,      ///< no such backend server on this VM
     suspected,      ///< its backend server is likely sick at the moment
+    quarantined,    ///< the request crashes the processes that run it
 };
 
-inline constexpr std::array<std::string_view, 11> gate_error_names = {
+inline constexpr std::array<std::string_view, 12> gate_error_names = {
     "none",       "wrong-boot", "stale-stamp",  "revoked",
     "duplicate",  "draining",   "records-full", "deadline-short",
-    "queue-full", "no-worker",  "suspected"};
+    "queue-full", "no-worker",  "suspected",    "quarantined"};
 
 /// What the gate remembers of one attempt at non-idempotent work.
 enum class gate_state : std::uint8_t
--- a/src/member/member_cmd.cpp
+++ b/src/member/member_cmd.cpp
@@ -131,6 +131,7 @@
     case gossip_kind::ask_usual:
     case gossip_kind::tell_usual:
     case gossip_kind::load:
+    case gossip_kind::quarantine:
         break; // records were taken in; questions are the owner's
     }
 }
--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -8,6 +8,7 @@
 #include "base/names_type.hpp"
 #include "base/random_func.hpp"
 #include "base/time_type.hpp"
+#include "quarantine/quarantine_type.hpp"
 #include "team/freshness_type.hpp"
 
 #include <array>
@@ -113,9 +114,10 @@
     ask_usual,  ///< how does your backend server of a service look?
     tell_usual, ///< answer to ask_usual
     load,       ///< how busy backend servers are at this moment
+    quarantine, ///< requests that crash what runs them
 };
 
-constexpr std::size_t gossip_kinds = 10; ///< number of kinds
+constexpr std::size_t gossip_kinds = 11; ///< number of kinds
 
 /// How a backend server stands at this moment, told to its data centre.
 struct load_report
@@ -169,6 +171,7 @@
     std::vector<node_id> want;
     usual_question usual;
     std::vector<load_report> loads;
+    quarantine_message quarantine;
 };
 
 /// A datagram to send.
--- a/src/node/control.cpp
+++ b/src/node/control.cpp
@@ -93,6 +93,13 @@
     caf::anon_send(running_->members, loads_message{std::move(loads)});
 }
 
+void control::send_crashes(std::vector<node_address> to,
+                           std::vector<quarantine_message> messages)
+{
+    caf::anon_send(running_->members,
+                   crashes_message{std::move(to), std::move(messages)});
+}
+
 void control::leave()
 {
     if (running_->presence)
--- a/src/node/control.hpp
+++ b/src/node/control.hpp
@@ -38,6 +38,8 @@
                        bool answer)>
         usual;
     std::function<void(std::vector<load_report>)> loads;
+    /// From another node, which `from` names by its gossip address alone.
+    std::function<void(const node_address& from, quarantine_message)> crashes;
     std::function<void(wire_error, std::size_t bytes)> datagram_counted;
 };
 
@@ -72,6 +74,10 @@
     /// The node's own record changed.
     void update_self(node_record r);
 
+    /// Sends each message to each of some nodes.
+    void send_crashes(std::vector<node_address> to,
+                      std::vector<quarantine_message> messages);
+
     /// Tells the nodes of the own data centre how its backend servers stand.
     void tell_loads(std::vector<load_report> loads);
 
--- a/src/node/control_type.hpp
+++ b/src/node/control_type.hpp
@@ -53,6 +53,13 @@
     std::vector<load_report> loads;
 };
 
+/// Crashes to tell other nodes of.
+struct crashes_message
+{
+    std::vector<node_address> to;
+    std::vector<quarantine_message> messages; ///< each to all of them
+};
+
 /// Contacts for membership, found in the store.
 struct contacts_message
 {
@@ -142,6 +149,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::version_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::peers_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::loads_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::crashes_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::contacts_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::store_time_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::read_until_message)
--- a/src/node/crash_watch.cpp
+++ b/src/node/crash_watch.cpp
@@ -3,6 +3,7 @@
 
 #include "base/text_func.hpp"
 #include "node/http_func.hpp"
+#include "node/quarantine_driver.hpp"
 
 #include <algorithm>
 
@@ -33,13 +34,25 @@
 {
     if (w.lost.empty())
         return;
-    std::string running;
+    const auto now = mono_now();
+    // Its connections may be seen to end one after the other.
+    if (w.crashes == 0 || now - w.crashed_at > lost_memory) {
+        ++w.crashes;
+        w.crashed_at = now;
+    }
+    std::vector<fingerprint> running;
     for (const auto& x : w.lost)
-        running += (running.empty() ? "" : ",") + to_text(x.request);
+        running.push_back(x.request);
+    w.lost.clear();
+    std::sort(running.begin(), running.end());
+    running.erase(std::unique(running.begin(), running.end()), running.end());
+    std::string text;
+    for (const auto f : running)
+        text += (text.empty() ? "" : ",") + to_text(f);
     n.events.write(event_id::worker_crashed, w.name,
                    "service=" + w.service + " evidence=" + evidence +
-                       " running=" + running);
-    w.lost.clear();
+                       " running=" + text);
+    note_crash(n, w, running);
 }
 
 /// Whether nobody listens at an address.
@@ -72,20 +85,6 @@
 
 } // namespace
 
-fingerprint fingerprint_of(const node_state& n, const string_request& m)
-{
-    const auto team = field_of(m, beast_text(n.dialect.team));
-    const auto host = field_of(m, "host");
-    const auto method = m.method_string();
-    const auto target = m.target();
-    return fingerprint_of({team,
-                           {method.data(), method.size()},
-                           host,
-                           {target.data(), target.size()},
-                           m.body()},
-                          n.fingerprints);
-}
-
 void note_lost_work(node_state& n, worker_id id, const string_request& m,
                     bool closed)
 {
--- a/src/node/crash_watch.hpp
+++ b/src/node/crash_watch.hpp
@@ -7,9 +7,6 @@
 
 namespace jasminetray {
 
-/// Fingerprint of a request as it is passed on between nodes.
-fingerprint fingerprint_of(const node_state& n, const string_request& m);
-
 /// Work was sent to a backend server and its answer is lost. Asks the address
 /// whether the process lives, unless that is being asked already.
 /// @param id backend server that ran it
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -2,6 +2,7 @@
 #include "base/text_func.hpp"
 #include "node/entry_run.hpp"
 #include "node/http_func.hpp"
+#include "node/quarantine_driver.hpp"
 
 namespace jasminetray {
 
@@ -160,7 +161,9 @@
                 a.failed ? "server-failure" : ""};
     }
     case hop_outcome::not_run:
-        return {attempt_event_kind::not_run, a.reason, a.reached};
+        return {a.reason == quarantined_reason ? attempt_event_kind::quarantined
+                                               : attempt_event_kind::not_run,
+                a.reason, a.reached};
     case hop_outcome::unknown:
         break;
     }
--- a/src/node/entry_refusal.cpp
+++ b/src/node/entry_refusal.cpp
@@ -1,6 +1,8 @@
 // Refusals; see entry_refusal.hpp.
 #include "node/entry_refusal.hpp"
 
+#include "node/quarantine_driver.hpp"
+
 #include <boost/json.hpp>
 #include <cstdio>
 
@@ -55,6 +57,15 @@
     return m;
 }
 
+refusal quarantine_refusal(const node_state& n)
+{
+    refusal x;
+    x.event = event_id::refused_quarantined;
+    x.reason = quarantined_reason;
+    x.retry_after = n.quarantine.policy.retry_after;
+    return x;
+}
+
 refusal final_refusal(const entry_run& r)
 {
     refusal x;
@@ -73,6 +84,8 @@
         x.event = event_id::refused_overload;
     else if (x.reason == "no-worker")
         x.event = event_id::refused_no_worker;
+    else if (x.reason == quarantined_reason)
+        return quarantine_refusal(r.n);
     return x;
 }
 
--- a/src/node/entry_refusal.hpp
+++ b/src/node/entry_refusal.hpp
@@ -22,6 +22,9 @@
 string_response make_refusal(const request_id& id, const refusal& x,
                              bool explain);
 
+/// Refusal of a request in quarantine that has not run.
+refusal quarantine_refusal(const node_state& n);
+
 /// Refusal of a request whose attempts have all ended.
 refusal final_refusal(const entry_run& r);
 
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -9,6 +9,7 @@
 #include "node/entry_team.hpp"
 #include "node/http_func.hpp"
 #include "node/key_claim.hpp"
+#include "node/quarantine_driver.hpp"
 
 #include <cmath>
 
@@ -224,6 +225,16 @@
     return delivered;
 }
 
+/// A request that came into quarantine while it was tried is sent to nobody
+/// else, and costs the service no retry.
+void note_quarantine(entry_run& r, attempt_event& e)
+{
+    if (r.machine.quarantined || !is_quarantined(r.n, r.message))
+        return;
+    r.machine.quarantined = true;
+    e.reason = quarantined_reason;
+}
+
 /// Feeds the machine until the request has its final outcome.
 std::uint32_t drive(const std::shared_ptr<entry_run>& r, const yield& y)
 {
@@ -256,6 +267,7 @@
             e = std::move(r->inbox.front());
             r->inbox.pop_front();
         }
+        note_quarantine(*r, e);
         delivered =
             carry_out(r, attempt_step(r->machine, e, budget, mono_now(), on));
     }
@@ -376,6 +388,8 @@
         make_request(policy_of(n, *r),
                      std::min(n.last_answer_at, r->began + patience_of(n, *r)));
     prepare_message(n, *r);
+    if (is_quarantined(n, r->message))
+        return send_refusal(n, c, r->id, r->label, quarantine_refusal(n), y);
     if (const auto x = take_leave(n, *r, y))
         return send_refusal(n, c, r->id, r->label, *x, y);
     if (const auto x = settle_key(n, *r, y))
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -10,6 +10,7 @@
 #include "node/entry_team.hpp"
 #include "node/health_driver.hpp"
 #include "node/http_func.hpp"
+#include "node/quarantine_driver.hpp"
 #include "node/worker_work.hpp"
 #include "verdict/verdict_query.hpp"
 
@@ -18,7 +19,9 @@
 namespace {
 
 constexpr span_us idle_bound = 60 * us_per_s; // of an entry node's connection
-constexpr std::size_t max_target = 200;       // bytes of it, in a log line
+/// A sick backend server may answer 500 without running anything.
+constexpr unsigned first_failure = 500;
+constexpr std::size_t max_target = 200;           // bytes of it, in a log line
 constexpr span_us noticed_wait = 250 * us_per_ms; // of work for a slot
 
 /// One piece of work at the exit side.
@@ -182,12 +185,34 @@
         n.events.write(event_id::work_waited, label_of(n, w), text);
 }
 
+/// Refuses quarantined work that is not begun, for good: a late copy must not
+/// run once the quarantine is over.
+gate_error refuse_quarantined(node_state& n, const exit_work& w)
+{
+    if (!w.request.idempotent)
+        gate_revoke(n.door, w.request.attempt, w.request.boot, mono_now(),
+                    n.safeguards.gate);
+    return gate_error::quarantined;
+}
+
+/// Gives back the slot of work that is in quarantine since it was let in.
+gate_error withdraw_quarantined(node_state& n, const exit_work& w)
+{
+    gate_finish(n.door, w.request, work_end::unsent, 0, mono_now());
+    advance_gate(n, w.request.worker);
+    return gate_error::quarantined;
+}
+
 /// Lets work in; waits when it is queued.
 gate_error let_in(node_state& n, exit_work& w, beast::tcp_stream& stream,
                   const yield& y)
 {
     gate_error last{};
     const auto since = mono_now();
+    // A request that ended several processes ends the next one too, with all
+    // the work beside it, whatever its id is this time.
+    if (is_quarantined(n, w.message))
+        return refuse_quarantined(n, w);
     const auto a = gate_admit(command_mode::apply, n.door, w.request, since,
                               last, n.safeguards.gate);
     if (!a)
@@ -196,6 +221,8 @@
         return gate_error::none;
     last = wait_for_slot(n, w, stream, y);
     note_wait(n, w, since, last);
+    if (last == gate_error::none && is_quarantined(n, w.message))
+        return withdraw_quarantined(n, w);
     return last;
 }
 
@@ -285,6 +312,8 @@
         }
         if (a.closed)
             note_lost_work(n, w.request.worker, w.message, true);
+        if (whole && a.parser->get().result_int() < first_failure)
+            note_survived(n, w.message);
         end_on_worker(n, w.request, a, whole);
     }
     const auto now = mono_now();
--- a/src/node/member_actor.cpp
+++ b/src/node/member_actor.cpp
@@ -151,6 +151,8 @@
     }
     if (!m->loads.empty())
         k.context->sinks.loads(m->loads);
+    if (m->kind == gossip_kind::quarantine)
+        k.context->sinks.crashes(node_address{d.ip, d.port}, m->quarantine);
     send_all(k, member_receive(k.table, *m, d.ip, d.port, k.rng, mono_now()));
 }
 
@@ -173,6 +175,17 @@
     }
 }
 
+void send_crashes(member_keeper& k, const crashes_message& c)
+{
+    auto m = make_message(k.table, gossip_kind::quarantine);
+    for (const auto& q : c.messages) {
+        m.quarantine = q;
+        const auto bytes = encode(m, k.context->start.keys);
+        for (const auto& to : c.to)
+            k.context->sinks.send_datagram(bytes, to.ip, to.gossip_port);
+    }
+}
+
 void send_usual(member_keeper& k, const usual_message& u)
 {
     auto m = make_message(k.table, u.answer ? gossip_kind::tell_usual
@@ -212,6 +225,7 @@
         [=](const self_message& m) { member_update_self(k->table, m.record); },
         [=](const usual_message& m) { send_usual(*k, m); },
         [=](const loads_message& m) { tell_loads(*k, m.loads); },
+        [=](const crashes_message& m) { send_crashes(*k, m); },
         [=](const version_message& m) {
             member_hear_config(k->table, m.version, m.manifest);
             pass_changes(self, *k);
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -16,11 +16,14 @@
 #include "node/fleet_news.hpp"
 #include "node/health_driver.hpp"
 #include "node/hosted_worker.hpp"
+#include "node/quarantine_driver.hpp"
+#include "node/quarantine_store.hpp"
 #include "node/settings_reload.hpp"
 #include "platform/check_in.hpp"
 #include "platform/dialect.hpp"
 #include "platform/operator_config.hpp"
 #include "platform/store_client.hpp"
+#include "quarantine/quarantine_cmd.hpp"
 #include "rpc/peer_rpc.hpp"
 
 #include <array>
@@ -194,6 +197,11 @@
             take_loads(p.state, loads);
         });
     };
+    k.crashes = [&p, &ctx](const node_address& from, quarantine_message m) {
+        asio::post(ctx, [&p, from, m = std::move(m)] {
+            take_crashes(p.state, from, m);
+        });
+    };
     k.datagram_counted = [&p](wire_error e, std::size_t bytes) {
         p.metrics->bytes_in->Increment(static_cast<double>(bytes));
         count(*p.metrics->datagrams, "fate",
@@ -217,6 +225,10 @@
                         const usual_question& q, bool answer) {
         p.slow_state->send_usual(ip, port, q, answer);
     };
+    h.send_crashes = [&p](std::vector<node_address> to,
+                          std::vector<quarantine_message> messages) {
+        p.slow_state->send_crashes(std::move(to), std::move(messages));
+    };
     h.revoke = [&p](const node_address& to, const attempt_id& a, boot_id boot,
                     span_us bound, auto done) {
         if (p.revokes_open >= most_revokes)
@@ -319,6 +331,10 @@
     n.view.centre = n.self.centre;
     n.slow_calls = &p.slow;
     n.fingerprints = make_fingerprint_key(s.key);
+    n.quarantine.policy.crashes =
+        static_cast<std::size_t>(s.quarantine.crashes);
+    n.quarantine.policy.memory = s.quarantine.memory;
+    n.quarantine.policy.retry_after = s.quarantine.retry_after;
 }
 
 void turn_off_safeguards(node_state& n)
@@ -429,6 +445,7 @@
     forget_idle_allowances(n.teams, own_limit_policy(), now);
     forget_idle_allowances(n.allowances, allowance_policy_of(n), now);
     forget_idle_allowances(n.own_parts, allowance_policy_of(n), now);
+    quarantine_forget(n.quarantine, uptime_now());
     std::vector<node_id> members;
     for (const auto& [id, v] : n.view.nodes)
         members.push_back(id);
@@ -466,6 +483,7 @@
         tick_health(p.state, now);
         tick_paths(p.state, now);
         tick_freshness(p.state);
+        tick_quarantine(p.state);
         if (is_hosted(p.settings)) {
             tick_hosted(p.state, now);
             tick_loads(p.state, now);
@@ -553,6 +571,7 @@
         accept_on(p, p.hosted_ready, serve_platform);
     }
     receive_datagrams(p);
+    load_quarantine(p.state);
     tick(p);
     p.signals.async_wait([&p](beast::error_code ec, int) {
         if (!ec)
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -16,7 +16,7 @@
 #include "node/dialect_type.hpp"
 #include "node/http_type.hpp"
 #include "node/node_metrics.hpp"
-#include "quarantine/fingerprint_func.hpp"
+#include "quarantine/quarantine_type.hpp"
 #include "store/store_type.hpp"
 #include "team/allowance_type.hpp"
 #include "verdict/verdict_type.hpp"
@@ -65,6 +65,8 @@
     std::uint64_t answered_ms = 0;
     std::vector<lost_work> lost; ///< lately; suspect if the process ended
     bool checking = false;       ///< whether it did is being asked
+    std::uint32_t crashes = 0;   ///< that were noticed under this id
+    mono_us crashed_at = 0;      ///< the last of them
     int by_operator = 0;         ///< severity that an operator set; 0 for none
     mono_us operator_until = 0;  ///< when that ends by itself
 };
@@ -112,6 +114,9 @@
     std::function<void(std::uint32_t ip, std::uint16_t port,
                        const usual_question&, bool answer)>
         send_usual;
+    std::function<void(std::vector<node_address> to,
+                       std::vector<quarantine_message>)>
+        send_crashes;
     /// Asks an exit node on a new connection; `done` runs on the request
     /// thread, with nothing when there was no reply.
     std::function<void(const node_address&, const attempt_id&, boot_id,
@@ -171,6 +176,7 @@
 
     http_dialect dialect;
     fingerprint_key fingerprints{}; ///< key of requests' fingerprints
+    quarantine_book quarantine;
     hosted_state hosted;
     gate door;
     std::map<worker_id, local_worker> workers;
--- /dev/null
+++ b/src/node/quarantine_driver.cpp
@@ -0,0 +1,143 @@
+// The quarantine at this node; see quarantine_driver.hpp.
+#include "node/quarantine_driver.hpp"
+
+#include "base/text_func.hpp"
+#include "node/http_func.hpp"
+#include "node/quarantine_store.hpp"
+#include "quarantine/quarantine_cmd.hpp"
+#include "quarantine/quarantine_query.hpp"
+#include "quarantine/quarantine_spread.hpp"
+
+#include <algorithm>
+
+namespace jasminetray {
+
+namespace {
+
+/// A process that ended and its successor share the id of a backend server
+/// until the successor announces itself.
+process_id process_of(const local_worker& w)
+{
+    return static_cast<process_id>(
+        mix_hash(static_cast<std::uint64_t>(w.id), w.crashes));
+}
+
+std::vector<node_address> alive_nodes(const node_state& n)
+{
+    std::vector<node_address> all;
+    for (const auto& [id, v] : n.view.nodes) {
+        if (id != n.self.id && v.state == liveness::alive)
+            all.push_back(v.record.address);
+    }
+    return all;
+}
+
+std::vector<node_address> some_nodes(node_state& n, std::size_t most)
+{
+    auto all = alive_nodes(n);
+    while (all.size() > most) {
+        const auto k = random_below(n.rng, all.size());
+        all.erase(all.begin() + static_cast<std::ptrdiff_t>(k));
+    }
+    return all;
+}
+
+/// Nodes that guard other backend servers of a service.
+std::vector<node_address> guards_of(const node_state& n, service_id service)
+{
+    std::vector<node_address> guards;
+    const auto it = n.view.services.find(service);
+    if (it == n.view.services.end())
+        return guards;
+    for (const auto& c : it->second.candidates) {
+        const auto node = n.view.nodes.find(c.exit);
+        if (c.exit != n.self.id && node != n.view.nodes.end())
+            guards.push_back(node->second.record.address);
+    }
+    return guards;
+}
+
+void tell(node_state& n, std::vector<node_address> to,
+          std::vector<quarantine_message> messages)
+{
+    if (!to.empty() && !messages.empty())
+        n.control.send_crashes(std::move(to), std::move(messages));
+}
+
+void log_begun(node_state& n, const std::vector<fingerprint>& begun)
+{
+    for (const auto f : begun)
+        n.events.write(event_id::quarantine_began, to_text(f),
+                       "crashes=" +
+                           std::to_string(crashes_of(n.quarantine, f)));
+}
+
+} // namespace
+
+fingerprint fingerprint_of(const node_state& n, const string_request& m)
+{
+    const auto team = field_of(m, beast_text(n.dialect.team));
+    const auto host = field_of(m, "host");
+    const auto method = m.method_string();
+    const auto target = m.target();
+    return fingerprint_of({team,
+                           {method.data(), method.size()},
+                           host,
+                           {target.data(), target.size()},
+                           m.body()},
+                          n.fingerprints);
+}
+
+bool is_quarantined(const node_state& n, const string_request& m)
+{
+    // Most of the time there is no suspect, and no request is hashed.
+    return !n.quarantine.suspects.empty() &&
+           n.settings.experiment.has(mechanism::quarantine) &&
+           is_quarantined(n.quarantine, fingerprint_of(n, m));
+}
+
+void note_crash(node_state& n, const local_worker& w,
+                const std::vector<fingerprint>& running)
+{
+    const auto now = uptime_now();
+    const auto begun =
+        quarantine_note_crash(n.quarantine, process_of(w), running, now);
+    log_begun(n, begun);
+    tell(n, guards_of(n, service_of(w.service)),
+         quarantine_tell(n.quarantine, running, now));
+    for (const auto f : running) {
+        if (is_quarantined(n.quarantine, f))
+            save_quarantine(n, f);
+    }
+}
+
+void note_survived(node_state& n, const string_request& m)
+{
+    if (n.quarantine.suspects.empty())
+        return;
+    const auto f = fingerprint_of(n, m);
+    const bool held = is_quarantined(n.quarantine, f);
+    if (!quarantine_clear(n.quarantine, f) || !held)
+        return;
+    n.events.write(event_id::quarantine_ended, to_text(f), "cause=answer");
+    drop_quarantine(n, f);
+}
+
+void take_crashes(node_state& n, const node_address& from,
+                  const quarantine_message& m)
+{
+    const auto now = uptime_now();
+    log_begun(n, quarantine_take_reports(n.quarantine, m.reports, now));
+    tell(n, {from}, quarantine_answer(n.quarantine, m, n.rng, now));
+}
+
+void tick_quarantine(node_state& n)
+{
+    auto due = quarantine_tick(n.quarantine, uptime_now());
+    if (!due.push.empty())
+        tell(n, some_nodes(n, n.quarantine.policy.fanout), std::move(due.push));
+    if (due.compare)
+        tell(n, some_nodes(n, 1), {quarantine_compare(n.quarantine)});
+}
+
+} // namespace jasminetray
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -91,6 +91,10 @@
               "A node that stops has less time for a request than its caller "
               "gave it; the gates where it may wait are told.",
               "None; `told=0` means that the exit node could not be reached."},
+    event_row{event_id::refused_quarantined, "refused_quarantined",
+              "The request crashed several backend servers before; it was not "
+              "run.",
+              "See 2012 for its fingerprint and 3016 for the ends."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "Evidence against a backend server passed its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
@@ -125,6 +129,17 @@
               "None; it is the first step. 2001 is the verdict."},
     event_row{event_id::worker_trusted, "worker_trusted",
               "A suspect's outcomes speak for health again.", "None."},
+    event_row{event_id::quarantine_began, "quarantine_began",
+              "A request, named by its fingerprint, is refused by all nodes: "
+              "several processes ended while they ran it, and none has "
+              "answered it since.",
+              "Find it by its fingerprint in 3016 and 1023, and mend what it "
+              "does to the service."},
+    event_row{event_id::quarantine_ended, "quarantine_ended",
+              "A request that was refused is let through again.", "None."},
+    event_row{event_id::quarantine_not_stored, "quarantine_not_stored",
+              "The row of a quarantine could not be written or removed.",
+              "Check the store; the nodes that run know it all the same."},
     event_row{event_id::node_joined, "node_joined",
               "A node was heard of for the first time or came back.", "None."},
     event_row{event_id::node_suspected, "node_suspected",
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -407,6 +407,26 @@
          [](node_settings& s,
             std::string_view v) { return set_int(s.log_lines, v, 0, 1000000); },
          "0 to 1000000", "of one event; the rest is counted"}},
+    settings_row{"quarantine",
+                 {"crashes",
+                  [](node_settings& s, std::string_view v) {
+                      return set_int(s.quarantine.crashes, v, 1, 100);
+                  },
+                  "1 to 100",
+                  "processes that end under a request, with no answer in "
+                  "between, until all nodes refuse it"}},
+    settings_row{"quarantine",
+                 {"memory_s",
+                  [](node_settings& s, std::string_view v) {
+                      return set_seconds(s.quarantine.memory, v, 864000);
+                  },
+                  "seconds", "for which such an end counts"}},
+    settings_row{"quarantine",
+                 {"retry_after_s",
+                  [](node_settings& s, std::string_view v) {
+                      return set_seconds(s.quarantine.retry_after, v, 3600);
+                  },
+                  "seconds", "told to callers whose request is refused so"}},
     settings_row{"experiment",
                  {"off",
                   [](node_settings& s,
--- a/src/wire/gossip.capnp
+++ b/src/wire/gossip.capnp
@@ -63,6 +63,13 @@
   suspect @5 :Bool;
 }
 
+struct Crash {
+  request @0 :UInt64;
+  process @1 :UInt64;
+  ageMs @2 :UInt32;
+  cleared @3 :Bool;
+}
+
 struct Message {
   kind @0 :UInt8;
   sender @1 :Summary;
@@ -88,4 +95,7 @@
   provenVersion @21 :UInt64;
   provenAt @22 :Int64;
   storeTime @23 :Int64;
+  crashes @24 :List(Crash);
+  crashDigest @25 :List(UInt64);
+  crashReply @26 :Bool;
 }
--- a/src/wire/gossip.capnp.h
+++ b/src/wire/gossip.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(cc8c0946a857b9a4);
 CAPNP_DECLARE_SCHEMA(93c6e0364af94aa4);
 CAPNP_DECLARE_SCHEMA(f9d15299fec336f3);
+CAPNP_DECLARE_SCHEMA(fe0243ee04034395);
 CAPNP_DECLARE_SCHEMA(da83027a36bd1151);
 
 }  // namespace schemas
@@ -136,6 +137,21 @@
   };
 };
 
+struct Crash {
+  Crash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe0243ee04034395, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -144,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da83027a36bd1151, 13, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(da83027a36bd1151, 13, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -869,6 +885,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class Crash::Reader {
+public:
+  typedef Crash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest() const;
+
+  inline  ::uint64_t getProcess() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool getCleared() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Crash::Builder {
+public:
+  typedef Crash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool getCleared();
+  inline void setCleared(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Crash::Pipeline {
+public:
+  typedef Crash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
 public:
   typedef Message Reads;
@@ -943,6 +1050,14 @@
 
   inline  ::int64_t getStoreTime() const;
 
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasCrashDigest() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCrashDigest() const;
+
+  inline bool getCrashReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1081,6 +1196,24 @@
   inline  ::int64_t getStoreTime();
   inline void setStoreTime( ::int64_t value);
 
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasCrashDigest();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCrashDigest();
+  inline void setCrashDigest( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCrashDigest(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCrashDigest(unsigned int size);
+  inline void adoptCrashDigest(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCrashDigest();
+
+  inline bool getCrashReply();
+  inline void setCrashReply(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1768,6 +1901,62 @@
       ::capnp::bounded<152>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Crash::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Crash::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Crash::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Crash::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Crash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Crash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Crash::Reader::getCleared() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+}
+
+inline bool Crash::Builder::getCleared() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+}
+inline void Crash::Builder::setCleared(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint8_t Message::Reader::getKind() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2302,6 +2491,92 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Message::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>::Reader Message::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>::Builder Message::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setCrashes( ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>::Builder Message::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void Message::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>> Message::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::jasminetray::wire::Crash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::hasCrashDigest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasCrashDigest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader Message::Reader::getCrashDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Message::Builder::getCrashDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setCrashDigest( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline void Message::Builder::setCrashDigest(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder Message::Builder::initCrashDigest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), size);
+}
+inline void Message::Builder::adoptCrashDigest(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> Message::Builder::disownCrashDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<10>() * ::capnp::POINTERS));
+}
+
+inline bool Message::Reader::getCrashReply() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline bool Message::Builder::getCrashReply() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Message::Builder::setCrashReply(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/wire/wire_func.cpp
+++ b/src/wire/wire_func.cpp
@@ -150,6 +150,42 @@
             r.getSuspect()};
 }
 
+constexpr std::size_t max_reports = 64; // of crashes, in a message
+
+void put_quarantine(wire::Message::Builder b, const quarantine_message& q)
+{
+    auto crashes = b.initCrashes(static_cast<unsigned>(q.reports.size()));
+    for (unsigned k = 0; k < crashes.size(); ++k) {
+        const auto& r = q.reports[k];
+        crashes[k].setRequest(static_cast<std::uint64_t>(r.request));
+        crashes[k].setProcess(static_cast<std::uint64_t>(r.process));
+        crashes[k].setAgeMs(static_cast<std::uint32_t>(
+            std::clamp<span_us>(r.age / us_per_ms, 0, UINT32_MAX)));
+        crashes[k].setCleared(r.cleared);
+    }
+    auto digest = b.initCrashDigest(static_cast<unsigned>(q.digest.size()));
+    for (unsigned k = 0; k < digest.size(); ++k)
+        digest.set(k, q.digest[k]);
+    b.setCrashReply(q.reply);
+}
+
+bool get_quarantine(wire::Message::Reader r, quarantine_message& q)
+{
+    if (r.getCrashes().size() > max_reports ||
+        (r.getCrashDigest().size() != 0 &&
+         r.getCrashDigest().size() != quarantine_buckets))
+        return false;
+    for (const auto x : r.getCrashes())
+        q.reports.push_back({static_cast<fingerprint>(x.getRequest()),
+                             static_cast<process_id>(x.getProcess()),
+                             static_cast<span_us>(x.getAgeMs()) * us_per_ms,
+                             x.getCleared()});
+    for (const auto h : r.getCrashDigest())
+        q.digest.push_back(h);
+    q.reply = r.getCrashReply();
+    return true;
+}
+
 void put_lists(wire::Message::Builder b, const gossip_message& m)
 {
     auto records = b.initRecords(static_cast<unsigned>(m.records.size()));
@@ -209,7 +245,7 @@
     for (const auto x : r.getReports())
         m.usual.reports.push_back({x.getSeen(), x.getFailed(), x.getAbove(),
                                    x.getBurstUs(), x.getSourceShare()});
-    return true;
+    return get_quarantine(r, m.quarantine);
 }
 
 bool get_message(wire::Message::Reader r, gossip_message& m)
@@ -280,6 +316,7 @@
     b.setBack(m.usual.back);
     b.setAbout(static_cast<std::uint32_t>(m.usual.centre));
     put_lists(b, m);
+    put_quarantine(b, m.quarantine);
     kj::VectorOutputStream stream;
     capnp::writePackedMessage(stream, builder);
     const auto body = stream.getArray();
--- a/test/platform_crashes.py
+++ b/test/platform_crashes.py
@@ -1,7 +1,8 @@
 """One request ends every backend server process that runs it, and it comes
 again and again at any node. Its service loses one process after the other, and
 the ordinary work that ran beside it is lost with them. Each time it comes with
-another id, so it is new work to every node.
+another id, so it was new work to every node: nothing was remembered from one
+request to the next, and each node guards one backend server and saw few ends.
 
 Of 72 ends of a run 38 had the one fingerprint running and 34 the other one,
 and no end had neither; the next most frequent fingerprint was running at 2:
@@ -15,6 +16,7 @@
 """
 
 import random
+import signal
 import socket
 import struct
 import sys
@@ -162,6 +164,40 @@
     wait_for(lambda: all(w.alive for w in h.workers.values()), 5)
 
 
+def arrivals(h):
+    return sum(len(w.arrivals) for w in h.workers.values())
+
+
+def restart(h, names):
+    for name in names:
+        h.f.nodes[name].send(signal.SIGKILL)
+    for name in names:
+        h.f.nodes[name].popen.wait(5)
+        h.start_node(name, "billing")
+    expect(wait_for(lambda: all(h.ready(n) for n in names), 20),
+           "%d nodes start anew" % len(names))
+
+
+# A node that starts anew has forgotten what it saw, and so has a fleet whose
+# nodes are all started anew at once: each would let the request through until
+# three processes have ended again.
+def check_restarts(h):
+    for names in (["n0", "n1"], list(h.nodes)):
+        before = arrivals(h)
+        restart(h, names)
+        answers = [h.ask(n, "/read/x", "POST", CRASHING) for n in names
+                   for _ in range(5)]
+        expect(arrivals(h) - before <= MAX_RETRIES,
+               "%d arrivals after %d nodes started anew" %
+               (arrivals(h) - before, len(names)))
+        refused = [a for a in answers if a[0] == 503]
+        expect(len(refused) >= len(answers) - MAX_RETRIES and
+               all(float(a[1]["Retry-After"]) > 0 for a in refused),
+               "it is refused with a time to come back")
+    expect(wait_for(lambda: all(h.ask(n, "/read/x", "POST", b"other")[0] == 200
+                                for n in h.nodes)), "other work is served")
+
+
 def main():
     with fleet.Fleet(cluster="crashes") as f:
         f.start_platform()
@@ -179,6 +215,7 @@
                                     for n in h.nodes)), "every node serves")
         for kind in ("idempotent", "non_idempotent"):
             check_contained(h, kind)
+        check_restarts(h)
     return hosted.summarize("crashes")
 
 
--- a/test/test_attempt.cpp
+++ b/test/test_attempt.cpp
@@ -78,5 +78,24 @@
     EXPECT_EQ(r.state.reason, "deadline-short");
 }
 
+// Guards against a request that crashes what runs it being sent to one backend
+// server after the other: a gate that knows it ends it at once.
+TEST(quarantined_request, is_sent_to_nobody_else)
+{
+    one_request r(true);
+    r.step({attempt_event_kind::quarantined, 1, "quarantined"});
+    EXPECT_EQ(r.only(), attempt_action_kind::refuse);
+    EXPECT_EQ(r.state.outcome, final_outcome::not_run);
+
+    // It ran before, so nobody may say that it did not.
+    one_request again(true);
+    again.state.policy.idempotent = true;
+    again.step({attempt_event_kind::lost, 1, "worker-silent"});
+    EXPECT_EQ(again.only(), attempt_action_kind::send_fresh);
+    again.step({attempt_event_kind::quarantined, 2, "quarantined"});
+    EXPECT_EQ(again.only(), attempt_action_kind::refuse);
+    EXPECT_EQ(again.state.outcome, final_outcome::unknown);
+}
+
 } // namespace
 } // namespace jasminetray
--- /dev/null
+++ b/test/test_quarantine.cpp
@@ -0,0 +1,267 @@
+// Quarantine of requests that crash what runs them: marks, their spread, rows.
+#include "member/member_query.hpp"
+#include "quarantine/quarantine_cmd.hpp"
+#include "quarantine/quarantine_query.hpp"
+#include "quarantine/quarantine_spread.hpp"
+#include "wire/wire_func.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace jasminetray {
+
+namespace {
+
+constexpr mono_us start = 1000 * us_per_s;
+constexpr auto bad = static_cast<fingerprint>(1);
+constexpr auto good = static_cast<fingerprint>(2);
+
+process_id process(std::uint64_t n)
+{
+    return static_cast<process_id>(n);
+}
+
+/// Nodes that reach each other unless a message is lost.
+struct small_fleet
+{
+    explicit small_fleet(std::size_t n) : books(n)
+    {
+    }
+
+    void send(std::size_t to, std::size_t from, const quarantine_message& m,
+              mono_us now)
+    {
+        if (random_unit(rng) < loss)
+            return;
+        quarantine_take_reports(books[to], m.reports, now);
+        for (const auto& reply : quarantine_answer(books[to], m, rng, now))
+            send(from, to, reply, now);
+    }
+
+    void tick(mono_us now)
+    {
+        for (std::size_t k = 0; k < books.size(); ++k) {
+            const auto due = quarantine_tick(books[k], now);
+            const auto other = [&] {
+                return (k + 1 + random_below(rng, books.size() - 1)) %
+                       books.size();
+            };
+            for (const auto& m : due.push) {
+                for (std::size_t f = 0; f < books[k].policy.fanout; ++f)
+                    send(other(), k, m, now);
+            }
+            if (due.compare)
+                send(other(), k, quarantine_compare(books[k]), now);
+        }
+    }
+
+    std::size_t count_holding(fingerprint f) const
+    {
+        std::size_t n = 0;
+        for (const auto& b : books)
+            n += is_quarantined(b, f) ? 1 : 0;
+        return n;
+    }
+
+    std::vector<quarantine_book> books;
+    random_state rng;
+    double loss = 0;
+};
+
+} // namespace
+
+// Guards against a request that ends one process after the other.
+TEST(quarantine, begins_when_several_processes_ended)
+{
+    quarantine_book b;
+    EXPECT_TRUE(quarantine_note_crash(b, process(1), {bad, good}, 1).empty());
+    EXPECT_TRUE(quarantine_note_crash(b, process(2), {bad}, 2).empty());
+    EXPECT_TRUE(is_suspect(b, bad));
+    EXPECT_FALSE(is_quarantined(b, bad));
+    EXPECT_EQ(quarantine_note_crash(b, process(3), {bad}, 3),
+              std::vector<fingerprint>{bad});
+    EXPECT_TRUE(is_quarantined(b, bad));
+    EXPECT_FALSE(is_quarantined(b, good));
+}
+
+// Guards against counting the end of one process more than once.
+TEST(quarantine, one_process_counts_once)
+{
+    quarantine_book b;
+    for (int k = 0; k < 5; ++k)
+        quarantine_note_crash(b, process(1), {bad}, k);
+    EXPECT_EQ(crashes_of(b, bad), 1U);
+    EXPECT_EQ(b.marks, 1U);
+}
+
+// Guards against refusing popular work that runs at the end of many processes.
+TEST(quarantine, an_answer_clears_what_stood_before_it)
+{
+    quarantine_book b;
+    quarantine_note_crash(b, process(1), {good}, 1);
+    quarantine_note_crash(b, process(2), {good}, 2);
+    EXPECT_TRUE(quarantine_clear(b, good));
+    EXPECT_FALSE(quarantine_clear(b, good));
+    quarantine_note_crash(b, process(3), {good}, 3);
+    EXPECT_FALSE(is_quarantined(b, good));
+    // Late reports of the former ends change nothing.
+    quarantine_take_reports(b, {{good, process(1), 0, false}}, 4);
+    EXPECT_EQ(crashes_of(b, good), 1U);
+}
+
+// Guards against a flood of suspects that pushes a quarantine out of memory.
+TEST(quarantine, a_flood_of_suspects_ends_no_quarantine)
+{
+    quarantine_book b;
+    b.policy.max_marks = 100;
+    for (std::uint64_t k = 0; k < 3; ++k)
+        quarantine_note_crash(b, process(k), {bad}, 1);
+    for (std::uint64_t k = 10; k < 1000; ++k)
+        quarantine_note_crash(b, process(k), {static_cast<fingerprint>(k)},
+                              static_cast<mono_us>(k));
+    EXPECT_EQ(b.marks, 100U);
+    EXPECT_TRUE(is_quarantined(b, bad));
+    EXPECT_TRUE(is_suspect(b, static_cast<fingerprint>(999)));
+}
+
+TEST(quarantine, marks_are_forgotten)
+{
+    quarantine_book b;
+    for (std::uint64_t k = 0; k < 3; ++k)
+        quarantine_note_crash(b, process(k), {bad}, start);
+    quarantine_forget(b, start + b.policy.memory - 1);
+    EXPECT_TRUE(is_quarantined(b, bad));
+    quarantine_forget(b, start + b.policy.memory);
+    EXPECT_TRUE(b.suspects.empty());
+    EXPECT_EQ(b.digest, quarantine_digest{});
+    EXPECT_EQ(b.marks, 0U);
+}
+
+// Guards against nodes that disagree for good after they heard the same in
+// another order, twice, or in part only from each other.
+TEST(quarantine, nodes_agree_in_whatever_order_they_hear)
+{
+    const bool held = rc::check([] {
+        const auto steps = *rc::gen::container<std::vector<int>>(
+            rc::gen::inRange(0, 4 * 3 * 2));
+        quarantine_book a;
+        quarantine_book b;
+        mono_us now = start;
+        for (const auto s : steps) {
+            const auto f = static_cast<fingerprint>(s % 3);
+            const auto p = process(static_cast<std::uint64_t>(s / 3 % 4));
+            auto& at = s / 12 == 0 ? a : b;
+            now += us_per_ms;
+            if (s % 5 == 0)
+                quarantine_clear(at, f);
+            else
+                quarantine_note_crash(at, p, {f}, now);
+        }
+        const auto all = [&](const quarantine_book& x) {
+            std::vector<crash_report> reports;
+            for (std::uint64_t f = 0; f < 3; ++f) {
+                for (const auto& r :
+                     reports_of(x, static_cast<fingerprint>(f), now))
+                    reports.push_back(r);
+            }
+            return reports;
+        };
+        const auto of_a = all(a);
+        quarantine_take_reports(a, all(b), now);
+        quarantine_take_reports(b, of_a, now);
+        RC_ASSERT(a.digest == b.digest);
+        RC_ASSERT(a.marks == b.marks);
+        for (std::uint64_t f = 0; f < 3; ++f)
+            RC_ASSERT(is_quarantined(a, static_cast<fingerprint>(f)) ==
+                      is_quarantined(b, static_cast<fingerprint>(f)));
+    });
+    EXPECT_TRUE(held);
+}
+
+// Guards against ends that are seen by three nodes, none of which sees three.
+TEST(quarantine, all_nodes_know_soon_though_messages_are_lost)
+{
+    constexpr span_us stable = 3 * us_per_s;
+    for (const std::size_t size : {8, 100, 300}) {
+        small_fleet f(size);
+        f.loss = 0.3;
+        for (std::size_t k = 0; k < 3; ++k)
+            quarantine_note_crash(f.books[k], process(k), {bad, good}, start);
+        for (mono_us now = start; now < start + stable; now += 20 * us_per_ms)
+            f.tick(now);
+        EXPECT_EQ(f.count_holding(bad), size);
+    }
+}
+
+// Guards against a node that starts anew and lets through what others refuse.
+TEST(quarantine, a_node_that_starts_anew_learns_it_from_any_other)
+{
+    small_fleet f(30);
+    for (std::uint64_t k = 0; k < 3; ++k)
+        quarantine_note_crash(f.books[0], process(k), {bad}, start);
+    mono_us now = start;
+    for (; now < start + 10 * us_per_s; now += 20 * us_per_ms)
+        f.tick(now);
+    f.books[7] = {};
+    const auto began = now;
+    for (; now < began + us_per_s; now += 20 * us_per_ms)
+        f.tick(now);
+    EXPECT_TRUE(is_quarantined(f.books[7], bad));
+}
+
+// Guards against marks that old nodes hand to each other for ever.
+TEST(quarantine, what_is_too_old_is_not_taken_up_again)
+{
+    quarantine_book b;
+    quarantine_take_reports(b, {{bad, process(1), b.policy.memory, false}},
+                            start);
+    EXPECT_TRUE(b.suspects.empty());
+}
+
+TEST(quarantine, fits_a_datagram_and_is_read_back)
+{
+    quarantine_book b;
+    std::vector<fingerprint> running;
+    for (std::uint64_t k = 0; k < b.policy.max_reports; ++k)
+        running.push_back(static_cast<fingerprint>(k * 0x9e3779b97f4a7c15ULL));
+    quarantine_note_crash(b, process(0xfedcba9876543210ULL), running, start);
+    const auto messages = quarantine_tell(b, running, start + us_per_s);
+    ASSERT_EQ(messages.size(), 1U);
+    gossip_message m;
+    m.kind = gossip_kind::quarantine;
+    m.quarantine = messages.front();
+    const auto digest = quarantine_compare(b).digest;
+    m.quarantine.digest = digest;
+    m.quarantine.reply = true;
+    const cluster_keys keys{1, {"key"}};
+    const auto bytes = encode(m, keys);
+    EXPECT_LT(bytes.size(), 1400U); // one packet
+    wire_error last{};
+    const auto read = decode(bytes, keys, last);
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->quarantine.reports.size(), running.size());
+    EXPECT_EQ(read->quarantine.reports.front().age, us_per_s);
+    EXPECT_EQ(read->quarantine.digest, digest);
+    EXPECT_TRUE(read->quarantine.reply);
+}
+
+// Guards against a message of another cluster or too many reports.
+TEST(quarantine, messages_out_of_bounds_are_dropped)
+{
+    gossip_message m;
+    m.kind = gossip_kind::quarantine;
+    m.quarantine.digest.assign(quarantine_buckets - 1, 7);
+    const cluster_keys keys{1, {"key"}};
+    wire_error last{};
+    EXPECT_FALSE(decode(encode(m, keys), keys, last));
+    EXPECT_EQ(last, wire_error::out_of_bounds);
+    m.quarantine.digest.clear();
+    m.quarantine.reports.resize(1000);
+    EXPECT_FALSE(decode(encode(m, keys), keys, last));
+    EXPECT_EQ(last, wire_error::out_of_bounds);
+    m.quarantine.reports.clear();
+    EXPECT_FALSE(decode(encode(m, keys), {2, {"key"}}, last));
+    EXPECT_EQ(last, wire_error::other_cluster);
+}
+
+} // namespace jasminetray
