--- a/test/test_quarantine.cpp
+++ b/test/test_quarantine.cpp
@@ -182,7 +182,7 @@
 TEST(quarantine, all_nodes_know_soon_though_messages_are_lost)
 {
     constexpr span_us stable = 3 * us_per_s;
-    for (const std::size_t size : {8, 100, 300}) {
+    for (const std::size_t size : {8U, 100U, 300U}) {
         small_fleet f(size);
         f.loss = 0.3;
         for (std::size_t k = 0; k < 3; ++k)
