Ask again for a retry that the allowance denied

What callers saw: a read ran for 8 to 10 s on one slow backend server and was answered 504 when its node stopped, with no second try.

Cause: a silent attempt asks for a retry at one moment. When the node's part of the allowance was spent just then, nothing asked again before the deadline, in normal work as at a stop, though the allowance is earned anew with each request.

Now it is asked for again each 0.25 s while another attempt could still end: half of the time after which work counts as silent. It holds because the allowance itself bounds what is sent, as before. Ruled out: that the exit node was not told of the stop (1028 told=1), and that attempts were used up (no 1002). Test red before, green after.

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -199,12 +199,24 @@
     }
 }
 
+/// Whether another attempt could still end before the deadline: usual work
+/// takes about half of the time after which it counts as silent.
+bool is_worth_another(const request_state& r, mono_us now)
+{
+    constexpr span_us silence_per_usual = 2;
+    return may_send_more(r, now) &&
+           now + r.policy.silence / silence_per_usual < r.deadline;
+}
+
 mono_us next_wake(const request_state& r, mono_us now)
 {
     mono_us at = r.deadline;
     for (const auto& t : r.tracks) {
         if (t.phase != attempt_phase::open || t.asked)
             continue;
+        if (r.policy.idempotent && &t == &r.tracks.back() &&
+            is_silent(r, t, now) && is_worth_another(r, now))
+            at = std::min(at, now + r.policy.ask_again);
         const auto silent = t.sent_at + r.policy.silence;
         const auto margin = r.deadline - r.policy.revoke_margin;
         if (silent > now)
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -104,7 +104,10 @@
     span_us silence = 200000;        ///< without an answer, before acting
     span_us revoke_margin = 100000;  ///< kept before the deadline to ask
     span_us least_left = 5000;       ///< no new attempt with less time left
-    bool last_resort = false;        ///< no room: try a suspect before refusing
+    /// Between questions for a retry that the allowance denies. Asked only
+    /// once, a read stayed on a backend server that hangs until its deadline.
+    span_us ask_again = 250000;
+    bool last_resort = false; ///< no room: try a suspect before refusing
 };
 
 /// Test hooks that turn a safeguard off; all on in production.
--- a/test/test_stop.cpp
+++ b/test/test_stop.cpp
@@ -170,6 +170,41 @@
     EXPECT_EQ(r.wake_at, start + usual);
 }
 
+// A read runs for 8 to 10 s on one slow backend server and its caller gets 504
+// when its node stops. At the one moment when it had been silent for too long,
+// and again at the stop, the node's part of the allowance was spent; it was not
+// asked again when more was earned. Log: 1001, 1028 told=1, 1016, 1023
+// caller-left, and no 1002 between them.
+TEST(entry_stop, a_try_that_the_allowance_denies_is_asked_for_again)
+{
+    retry_budget budget;
+    budget.fixed = 0;
+    auto r = sent_request(true, budget);
+    const auto now = start + 3 * us_per_s;
+    attempt_shorten(r, now + grace, usual, now);
+    EXPECT_TRUE(attempt_step(r, {attempt_event_kind::timer, 0, ""}, budget, now)
+                    .empty());
+    EXPECT_LT(r.wake_at, now + us_per_s);
+    budget.fixed = 1;
+    const auto again = r.wake_at;
+    const auto told =
+        attempt_step(r, {attempt_event_kind::timer, 0, ""}, budget, again);
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told[0].kind, attempt_action_kind::send_fresh);
+}
+
+// Guards against a retry that is spent on work which can't end any more.
+TEST(entry_stop, no_try_is_asked_for_when_little_time_is_left)
+{
+    retry_budget budget;
+    budget.fixed = 0;
+    auto r = sent_request(true, budget);
+    const auto now = start + 3 * us_per_s;
+    attempt_shorten(r, now + r.policy.silence / 4, usual, now);
+    attempt_step(r, {attempt_event_kind::timer, 0, ""}, budget, now);
+    EXPECT_EQ(r.wake_at, r.deadline);
+}
+
 // Work that must not run twice is never hurried on.
 TEST(entry_stop, charges_are_not_tried_elsewhere)
 {
