Let operators list and release requests in quarantine

An innocent request that ran at three ends stayed refused until its marks grew too old, and nobody could see what stood against a request before that. `jasminetray-ctl quarantine list` shows it at any node, `quarantine release` clears it at one node for all; the same over the API, with an audit event. The test lets a mended service's requests through again: a release at one of 8 nodes reaches the others within 5 s.

--- a/src/ctl/ctl_config.cpp
+++ b/src/ctl/ctl_config.cpp
@@ -29,7 +29,7 @@
 namespace fs = std::filesystem;
 
 constexpr span_us call_bound = 2 * us_per_s;
-constexpr std::size_t most_history = 20;
+constexpr std::size_t max_history = 20;
 
 std::string read_file(const fs::path& path)
 {
@@ -192,7 +192,7 @@
     if (!head)
         return store_failed(last);
     std::size_t n = 0;
-    for (auto v = head->version; v > 0 && n < most_history; --v, ++n) {
+    for (auto v = head->version; v > 0 && n < max_history; --v, ++n) {
         const auto row = read_history(*p, v, last);
         if (!row)
             return store_failed(last);
--- a/src/ctl/ctl_main.cpp
+++ b/src/ctl/ctl_main.cpp
@@ -22,6 +22,9 @@
     "  whois --node IP:PORT    (the key comes by standard input)\n"
     "  explain request|refusal|ejection|config|member|change [SUBJECT]\n"
     "  drain|undrain|eject|readmit WORKER --reason TEXT [--token T]\n"
+    "  quarantine list --node IP:PORT [--json]\n"
+    "  quarantine release FINGERPRINT --node IP:PORT --reason TEXT\n"
+    "             [--token T]\n"
     "  events | settings\n"
     "exit codes: 0 done, 1 refused or not found, 2 bad words or files,\n"
     "3 not accepted, 4 not settled";
@@ -43,7 +46,8 @@
         return jasminetray::exit_done;
     }
     if (what == "fleet" || what == "node" || what == "service" ||
-        what == "teams" || what == "whois" || what == "explain")
+        what == "quarantine" || what == "teams" || what == "whois" ||
+        what == "explain")
         return jasminetray::run_query(words);
     std::cerr << usage << "\n";
     return jasminetray::exit_usage;
--- a/src/ctl/ctl_node.cpp
+++ b/src/ctl/ctl_node.cpp
@@ -25,13 +25,13 @@
 namespace json = boost::json;
 
 constexpr span_us call_bound = 2 * us_per_s;
-constexpr int most_hops = 3;
+constexpr int max_hops = 3;
 
 /// Asks a node, and whichever it names instead.
 std::optional<json::object> ask(const std::string& request)
 {
     auto at = parse_host_port(FLAGS_node);
-    for (int n = 0; at && n < most_hops; ++n) {
+    for (int n = 0; at && n < max_hops; ++n) {
         const auto ip = boost::asio::ip::make_address_v4(at->ip).to_uint();
         const auto text = call_query(ip, at->port, request, call_bound);
         json::error_code ec;
@@ -131,6 +131,29 @@
         {{"query", "explain"}, {"family", family}, {"subject", subject}});
 }
 
+/// Sends a change and prints its answer.
+int change(const json::object& request)
+{
+    const auto answer = ask(json::serialize(request) + "\n" + FLAGS_token);
+    if (!answer)
+        return exit_refused;
+    std::cout << json::serialize(*answer) << "\n";
+    return answer->contains("error") ? exit_refused : exit_done;
+}
+
+int quarantine(const ctl_words& words)
+{
+    if (words.size() == 2 && words[1] == "list")
+        return show({{"query", "quarantine"}});
+    if (words.size() == 3 && words[1] == "release")
+        return change({{"command", "release"},
+                       {"fingerprint", words[2]},
+                       {"reason", FLAGS_reason}});
+    std::cerr << "usage: quarantine list | quarantine release FINGERPRINT "
+                 "--reason TEXT\n";
+    return exit_usage;
+}
+
 } // namespace
 
 int run_query(const ctl_words& words)
@@ -142,6 +165,8 @@
         return show({{"query", "status"}});
     if (what == "service" && words.size() == 3)
         return show({{"query", "service"}, {"name", words[2]}});
+    if (what == "quarantine")
+        return quarantine(words);
     if (what == "teams" && words.size() == 2 && words[1] == "list")
         return show({{"query", "teams"}});
     if (what == "teams" && words.size() == 3 && words[1] == "show")
@@ -161,16 +186,11 @@
         std::cerr << "usage: " << words[0] << " WORKER --reason TEXT\n";
         return exit_usage;
     }
-    const json::object request{{"command", words[0]},
-                               {"worker", words[1]},
-                               {"reason", FLAGS_reason},
-                               {"seconds", FLAGS_seconds},
-                               {"force", FLAGS_force}};
-    const auto answer = ask(json::serialize(request) + "\n" + FLAGS_token);
-    if (!answer)
-        return exit_refused;
-    std::cout << json::serialize(*answer) << "\n";
-    return answer->contains("error") ? exit_refused : exit_done;
+    return change({{"command", words[0]},
+                   {"worker", words[1]},
+                   {"reason", FLAGS_reason},
+                   {"seconds", FLAGS_seconds},
+                   {"force", FLAGS_force}});
 }
 
 } // namespace jasminetray
--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -80,6 +80,7 @@
     operator_eject = 5002,
     operator_readmit = 5003,
     operator_denied = 5004,
+    operator_release = 5005,
     process_started = 6001,
     process_stopping = 6002,
     log_lines_dropped = 6003,
--- a/src/node/admin_api.hpp
+++ b/src/node/admin_api.hpp
@@ -22,12 +22,13 @@
 };
 
 /// Answers a question. `request` is {"query": NAME, ...}:
-/// status, fleet, service {name}, teams, team {name}, whois {key}, explain
-/// {family, subject, most}.
+/// status, fleet, service {name}, quarantine, teams, team {name}, whois {key},
+/// explain {family, subject, most}.
 api_answer answer_query(const node_state& n, const std::string& request);
 
 /// Carries a command out. `request` is {"command": NAME, "worker": HEX,
-/// "reason": TEXT, ...}: drain, undrain, eject {seconds, force}, readmit.
+/// "reason": TEXT, ...}: drain, undrain, eject {seconds, force}, readmit, and
+/// release {fingerprint}, which names no backend server.
 api_answer carry_out_command(node_state& n, const std::string& request,
                              const api_caller& who);
 
--- a/src/node/admin_cmd.cpp
+++ b/src/node/admin_cmd.cpp
@@ -2,6 +2,7 @@
 // audit event with who asked and why.
 #include "base/text_func.hpp"
 #include "node/admin_api.hpp"
+#include "node/admin_quarantine.hpp"
 #include "node/announce.hpp"
 #include "verdict/floor_type.hpp"
 
@@ -15,13 +16,14 @@
 namespace json = boost::json;
 
 constexpr std::int64_t default_seconds = 600;
-constexpr std::int64_t most_seconds = 86400;
+constexpr std::int64_t max_seconds = 86400;
 
 /// A command after parsing.
 struct command
 {
     std::string name;
-    worker_id worker{};
+    worker_id worker{};    ///< of all commands but release
+    fingerprint request{}; ///< of release
     std::string reason;
     std::int64_t seconds = default_seconds;
     bool force = false;
@@ -49,21 +51,26 @@
     command c;
     c.name = words("command");
     c.reason = words("reason");
-    const auto worker = parse_hex(words("worker"));
+    const bool release = c.name == "release";
+    const auto target = parse_hex(words(release ? "fingerprint" : "worker"));
     const auto* seconds = o.if_contains("seconds");
     if (seconds && seconds->is_int64())
         c.seconds = seconds->as_int64();
     const auto* force = o.if_contains("force");
     c.force = force && force->is_bool() && force->as_bool();
-    if (!worker)
-        why = "worker must be a backend server's id in hex";
+    if (!target)
+        why = release ? "fingerprint must be a request's in hex"
+                      : "worker must be a backend server's id in hex";
     else if (c.reason.empty())
         why = "a reason is needed";
-    else if (c.seconds < 1 || c.seconds > most_seconds)
+    else if (c.seconds < 1 || c.seconds > max_seconds)
         why = "seconds must be 1 to 86400";
     if (!why.empty())
         return std::nullopt;
-    c.worker = static_cast<worker_id>(*worker);
+    if (release)
+        c.request = static_cast<fingerprint>(*target);
+    else
+        c.worker = static_cast<worker_id>(*target);
     return c;
 }
 
@@ -121,6 +128,8 @@
     const auto c = parse_command(request, why);
     if (!c)
         return refuse(400, why);
+    if (c->name == "release")
+        return release_request(n, c->request, who, c->reason);
     const auto it = n.workers.find(c->worker);
     if (it == n.workers.end())
         return point_elsewhere(n, c->worker);
--- a/src/node/admin_query.cpp
+++ b/src/node/admin_query.cpp
@@ -3,6 +3,7 @@
 #include "config/config_query.hpp"
 #include "gate/gate_query.hpp"
 #include "node/admin_api.hpp"
+#include "node/admin_quarantine.hpp"
 #include "node/admin_team.hpp"
 #include "table/event_table.hpp"
 #include "verdict/verdict_query.hpp"
@@ -13,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t most_records = 200;
+constexpr std::size_t max_records = 200;
 
 inline constexpr std::array<std::string_view, event_families> family_names = {
     "routing", "health", "membership", "configuration", "operation", "process"};
@@ -146,7 +147,7 @@
     if (!family)
         return {{"error", "unknown family"}};
     json::array records;
-    for (const auto& r : n.events.find(*family, subject, most_records))
+    for (const auto& r : n.events.find(*family, subject, max_records))
         records.push_back(record_json(r));
     return {{"node", n.settings.name},
             {"records", records},
@@ -163,6 +164,8 @@
         return fleet_json(n);
     if (name == "explain")
         return explain_json(n, q);
+    if (name == "quarantine")
+        return quarantine_json(n);
     if (name == "service") {
         const auto service = text_at(q, "name");
         const auto it = n.view.services.find(service_of(service));
--- a/src/node/admin_team.cpp
+++ b/src/node/admin_team.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t most_teams = 1000; // in one answer
+constexpr std::size_t max_teams = 1000; // in one answer
 
 json::object limits_json(const std::string& name, const team_config& t)
 {
@@ -38,7 +38,7 @@
 {
     json::array teams;
     for (const auto& [name, t] : n.config->teams) {
-        if (teams.size() < most_teams)
+        if (teams.size() < max_teams)
             teams.push_back(limits_json(name, t));
     }
     return {{"node", n.settings.name},
--- a/src/node/quarantine_driver.cpp
+++ b/src/node/quarantine_driver.cpp
@@ -113,14 +113,21 @@
 
 void note_survived(node_state& n, const string_request& m)
 {
-    if (n.quarantine.suspects.empty())
-        return;
-    const auto f = fingerprint_of(n, m);
-    const bool held = is_quarantined(n.quarantine, f);
-    if (!quarantine_clear(n.quarantine, f) || !held)
-        return;
-    n.events.write(event_id::quarantine_ended, to_text(f), "cause=answer");
-    drop_quarantine(n, f);
+    if (!n.quarantine.suspects.empty())
+        end_quarantine(n, fingerprint_of(n, m), "answer");
+}
+
+bool end_quarantine(node_state& n, fingerprint request, const char* cause)
+{
+    const bool held = is_quarantined(n.quarantine, request);
+    if (!quarantine_clear(n.quarantine, request))
+        return false;
+    if (held) {
+        n.events.write(event_id::quarantine_ended, to_text(request),
+                       "cause=" + std::string(cause));
+        drop_quarantine(n, request);
+    }
+    return true;
 }
 
 void take_crashes(node_state& n, const node_address& from,
--- a/src/node/quarantine_driver.hpp
+++ b/src/node/quarantine_driver.hpp
@@ -24,6 +24,11 @@
 /// Takes up that a backend server answered a request and lives.
 void note_survived(node_state& n, const string_request& m);
 
+/// Clears a request, here and at all nodes that hear of it.
+/// @param cause for the log
+/// @return false when nothing stood against it
+bool end_quarantine(node_state& n, fingerprint request, const char* cause);
+
 /// Takes up what another node tells, and answers.
 /// @param from its gossip address
 void take_crashes(node_state& n, const node_address& from,
--- a/test/platform_crashes.py
+++ b/test/platform_crashes.py
@@ -52,11 +52,12 @@
 
     def __init__(self, name, service, control, port, slots=4):
         self.crashes, self.arrivals, self.lock = [], [], threading.Lock()
+        self.mended = False  # it bears the request now
         self.ended = threading.Event()  # the process that runs now has
         super().__init__(name, service, control, port, slots)
 
     def work(self, body):
-        if body != CRASHING:
+        if body != CRASHING or self.mended:
             return super().work(body)
         ended = self.ended
         self.arrivals.append(time.monotonic())
@@ -198,6 +199,28 @@
                                 for n in h.nodes)), "other work is served")
 
 
+# The service was mended, and an operator lets the request through again at one
+# node; all nodes hear of it.
+def check_release(h):
+    def listed(node):
+        return [r for r in h.f.ask(node, {"query": "quarantine"})["requests"]
+                if r["quarantined"]]
+
+    for node in h.nodes:
+        h.f.nodes[node].wait_ready()
+    for w in h.workers.values():
+        w.mended = True
+    held = listed("n0")
+    expect(len(held) == 2, "both requests are listed")
+    for request in held:
+        h.f.ask("n0", {"command": "release", "reason": "mended",
+                       "fingerprint": request["fingerprint"]})
+    expect(wait_for(lambda: not any(listed(n) for n in h.nodes), 5),
+           "a release reaches all nodes")
+    expect(all(h.ask(n, "/read/x", "POST", CRASHING)[0] == 200
+               for n in h.nodes), "and the request is served")
+
+
 def main():
     with fleet.Fleet(cluster="crashes") as f:
         f.start_platform()
@@ -216,6 +239,7 @@
         for kind in ("idempotent", "non_idempotent"):
             check_contained(h, kind)
         check_restarts(h)
+        check_release(h)
     return hosted.summarize("crashes")
 
 
