Borrow retries from other nodes at a stop

What callers saw: reads that ran on a slow backend server when their node was told to stop were answered 504 at the end of its grace, though another backend server was free.

Cause: each node takes a part of the fleet's retry allowance without asking, and the part grows with its own requests. A node that stops gets none any more; when its part is spent, its open reads get no second try (three retries of three spent in the traced case).

Now it asks up to three other nodes for retries, for reads that have run for their usual time, at the stop and once more a second later. The lender counts what it grants as its own, so that the fleet sends no more than before; this is why the mend holds where spending beyond the own part would not. One piece serves all questions to other nodes (kept connection, then a new one), which stood twice before.

--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -38,6 +38,7 @@
     work_waited = 1027,
     request_shortened = 1028,
     refused_quarantined = 1029,
+    retries_borrowed = 1030,
     worker_ejected = 2001,
     worker_returned = 2002,
     ejection_held_by_floor = 2003,
--- a/src/limit/limit_func.cpp
+++ b/src/limit/limit_func.cpp
@@ -55,7 +55,7 @@
     ++slice_at(b, now).requests;
 }
 
-bool may_retry(const retry_budget& b, mono_us now)
+int retries_left(const retry_budget& b, mono_us now)
 {
     const auto newest = slice_number(b, now);
     int requests = 0;
@@ -66,14 +66,25 @@
         requests += s.requests;
         retries += s.retries;
     }
-    return retries + 1 <= b.share * requests + b.fixed;
+    const auto own = static_cast<int>(b.share * requests + b.fixed) - retries;
+    return std::max(0, own) + b.granted;
+}
+
+bool may_retry(const retry_budget& b, mono_us now)
+{
+    return retries_left(b, now) > 0;
 }
 
 bool spend_retry(retry_budget& b, mono_us now)
 {
-    if (!may_retry(b, now))
+    const int left = retries_left(b, now);
+    if (left <= 0)
         return false;
-    ++slice_at(b, now).retries;
+    // A granted one is in its lender's count already.
+    if (left <= b.granted)
+        --b.granted;
+    else
+        ++slice_at(b, now).retries;
     return true;
 }
 
--- a/src/limit/limit_type.hpp
+++ b/src/limit/limit_type.hpp
@@ -35,6 +35,7 @@
     double fixed = 10; ///< beside them, in any window
     span_us window = 10 * us_per_s;
     std::array<budget_slice, budget_slices> slices{};
+    int granted = 0; ///< retries that other nodes left to this one
 };
 
 /// The fleet's allowance: retries in any window are at most a share of its
@@ -57,6 +58,9 @@
 /// A first attempt was sent.
 void count_request(retry_budget& b, mono_us now);
 
+/// Retries left in the window that ends now, granted ones among them.
+int retries_left(const retry_budget& b, mono_us now);
+
 /// Whether a retry is left in the window that ends now.
 bool may_retry(const retry_budget& b, mono_us now);
 
--- a/src/node/entry_stop.cpp
+++ b/src/node/entry_stop.cpp
@@ -3,8 +3,10 @@
 
 #include "attempt/attempt_func.hpp"
 #include "base/text_func.hpp"
+#include "limit/limit_type.hpp"
 #include "node/entry_run.hpp"
 #include "node/http_func.hpp"
+#include "node/peer_ask.hpp"
 
 #include <map>
 
@@ -12,10 +14,16 @@
 
 namespace {
 
-/// For an exit node to take the notice. One that is slower is as good as lost:
-/// the work ends with its entry node's connection then.
+/// For an exit node to take the notice. One that is slower is treated as
+/// unreachable: the work ends with its entry node's connection then.
 constexpr span_us notice_bound = 500 * us_per_ms;
 
+/// For one node to grant retries: three are asked within a second.
+constexpr span_us loan_bound = 300 * us_per_ms;
+constexpr span_us second_loan = us_per_s; // after the first
+constexpr std::size_t max_lenders = 3; ///< asked for one service
+constexpr int max_loan = 8;            ///< retries, of one service
+
 /// Open attempts at one exit node.
 struct exit_share
 {
@@ -24,39 +32,19 @@
     std::vector<std::string> labels; ///< of their requests, in the same order
 };
 
-bool exchange(http_link& link, const shorten_notice& s, const yield& y)
-{
-    http::request<http::empty_body> q(http::verb::get, shorten_path, 11);
-    q.set(hop_name, to_text(s));
-    q.keep_alive(true);
-    link.stream.expires_after(std::chrono::microseconds(notice_bound));
-    beast::error_code ec;
-    http::async_write(link.stream, q, y[ec]);
-    string_response m;
-    if (!ec)
-        http::async_read(link.stream, link.buf, m, y[ec]);
-    return !ec;
-}
-
-/// Tells one exit node. A kept connection may have been forgotten meanwhile, so
-/// a new one follows it.
+/// Tells one exit node.
 bool tell_exit(node_state& n, node_id exit, const exit_share& share,
                const yield& y)
 {
     shorten_notice s;
     s.attempts = share.attempts;
-    const auto deadline = mono_now() + notice_bound;
-    auto link = take_idle(n.exits[exit], mono_now() - keep_exit_idle);
-    s.remaining = n.last_answer_at - mono_now();
-    bool told = link && exchange(*link, s, y);
-    if (!told) {
-        link = connect_exit(n, share.address, deadline, y);
+    const auto text = [&] {
         s.remaining = n.last_answer_at - mono_now();
-        told = link && exchange(*link, s, y);
-    }
-    if (told)
-        give_back(n.exits[exit], std::move(link), max_exit_idle, mono_now());
-    return told;
+        return to_text(s);
+    };
+    return ask_peer(n, exit, share.address, shorten_path, text,
+                    mono_now() + notice_bound, y)
+        .has_value();
 }
 
 void start_telling(node_state& n, node_id exit, exit_share share)
@@ -105,8 +93,129 @@
     }
 }
 
+/// Nodes to borrow retries from, of the own data centre first.
+std::vector<node_id> lenders(node_state& n)
+{
+    std::vector<node_id> near;
+    std::vector<node_id> far;
+    for (const auto& [id, v] : n.view.nodes) {
+        if (id == n.self.id || v.state != liveness::alive || v.record.leaving)
+            continue;
+        (v.record.centre == n.self.centre ? near : far).push_back(id);
+    }
+    std::vector<node_id> chosen;
+    for (auto* from : {&near, &far}) {
+        while (!from->empty() && chosen.size() < max_lenders) {
+            const auto k = random_below(n.rng, from->size());
+            chosen.push_back((*from)[k]);
+            from->erase(from->begin() + static_cast<std::ptrdiff_t>(k));
+        }
+    }
+    return chosen;
+}
+
+/// Lets all open requests see that something has changed for them.
+void wake_requests(node_state& n)
+{
+    for (auto* r : n.open_runs)
+        r->tell({attempt_event_kind::timer, 0, ""});
+}
+
+/// Borrows retries for a service's requests, one node after the other.
+void borrow_retries(node_state& n, const std::string& service, retry_loan loan,
+                    const yield& y)
+{
+    int granted = 0;
+    const auto wanted = loan.count;
+    for (const auto id : lenders(n)) {
+        const auto it = n.view.nodes.find(id);
+        if (granted >= wanted || it == n.view.nodes.end())
+            break;
+        loan.count = wanted - granted;
+        const auto text = ask_peer(
+            n, id, it->second.record.address, retry_path,
+            [&loan] { return to_text(loan); }, mono_now() + loan_bound, y);
+        const auto answer = text ? parse_retry_loan(*text) : std::nullopt;
+        if (answer && answer->service == loan.service)
+            granted += std::min(answer->count, loan.count);
+    }
+    n.events.write(event_id::retries_borrowed, service,
+                   "wanted=" + std::to_string(wanted) +
+                       " granted=" + std::to_string(granted));
+    n.budgets[service].granted += granted;
+    wake_requests(n);
+}
+
+/// Retries that open requests need beyond what this node has left: one for
+/// each that has run for its usual time and can be tried elsewhere.
+std::map<std::string, int> missing_retries(const node_state& n, mono_us now)
+{
+    std::map<std::string, int> missing;
+    for (const auto* r : n.open_runs) {
+        const auto& m = r->machine;
+        if (m.policy.idempotent && m.tracks.size() == 1 && m.hurry_at <= now)
+            ++missing[r->service->name];
+    }
+    for (auto& [service, count] : missing) {
+        const auto it = n.budgets.find(service);
+        const int left =
+            it == n.budgets.end() ? 0 : retries_left(it->second, now);
+        count = std::min(count - left, max_loan);
+    }
+    return missing;
+}
+
+void start_borrowing(node_state& n)
+{
+    for (const auto& [service, count] : missing_retries(n, mono_now())) {
+        if (count <= 0)
+            continue;
+        const retry_loan loan{service_of(service), count};
+        asio::spawn(
+            n.ctx,
+            [&n, name = service, loan](const yield& y) {
+                borrow_retries(n, name, loan, y);
+            },
+            asio::detached);
+    }
+}
+
+/// Borrows once more, for requests that were young when the stop began.
+void borrow_later(node_state& n)
+{
+    auto timer = std::make_shared<asio::steady_timer>(n.ctx);
+    timer->expires_after(std::chrono::microseconds(second_loan));
+    timer->async_wait([&n, timer](beast::error_code ec) {
+        if (!ec)
+            start_borrowing(n);
+    });
+}
+
 } // namespace
 
+bool answer_retry_loan(node_state& n, const string_request& m,
+                       beast::tcp_stream& to, const yield& y)
+{
+    auto loan = parse_retry_loan(field_of(m, hop_name));
+    if (!loan)
+        return false;
+    int granted = 0;
+    const auto place = n.service_places.find(loan->service);
+    if (n.config && place != n.service_places.end() && !n.stopping) {
+        auto& budget = n.budgets[n.config->services[place->second].name];
+        while (granted < std::min(loan->count, max_loan) &&
+               spend_retry(budget, mono_now()))
+            ++granted;
+    }
+    loan->count = granted;
+    string_response r(http::status::no_content, 11);
+    r.set(hop_name, to_text(*loan));
+    r.keep_alive(true);
+    beast::error_code ec;
+    http::async_write(to, r, y[ec]);
+    return !ec;
+}
+
 void shorten_requests(node_state& n)
 {
     const auto now = mono_now();
@@ -116,6 +225,8 @@
         attempt_shorten(r->machine, n.last_answer_at, usual_of(*r), now);
         r->tell({attempt_event_kind::timer, 0, ""});
     }
+    start_borrowing(n);
+    borrow_later(n);
     for (auto& [exit, share] : shares) {
         // In parts that one head can hold.
         while (share.attempts.size() > max_shortened) {
--- a/src/node/entry_team.cpp
+++ b/src/node/entry_team.cpp
@@ -6,6 +6,7 @@
 #include "config/config_query.hpp"
 #include "limit/limit_type.hpp"
 #include "node/http_func.hpp"
+#include "node/peer_ask.hpp"
 
 #include <algorithm>
 
@@ -72,46 +73,20 @@
     r.priority = t.priority.value_or(r.route->priority);
 }
 
-/// One exchange on a connection; nothing when it fails.
-std::optional<allowance_answer> exchange(http_link& link,
-                                         const allowance_ask& a,
-                                         mono_us deadline, const yield& y)
-{
-    http::request<http::empty_body> q(http::verb::get, allowance_path, 11);
-    q.set(hop_name, to_text(a));
-    q.keep_alive(true);
-    link.stream.expires_after(
-        std::chrono::microseconds(std::max<span_us>(1, deadline - mono_now())));
-    beast::error_code ec;
-    http::async_write(link.stream, q, y[ec]);
-    string_response m;
-    if (!ec)
-        http::async_read(link.stream, link.buf, m, y[ec]);
-    if (ec)
-        return std::nullopt;
-    return parse_allowance_answer(field_of(m, hop_name));
-}
-
-/// Asks another node. A kept connection may have been forgotten meanwhile, so
-/// a new one follows it.
+/// Asks another node for a team's leave.
 std::optional<allowance_answer> ask_node(node_state& n, node_id id,
                                          const allowance_ask& a, const yield& y)
 {
     const auto it = n.view.nodes.find(id);
     if (it == n.view.nodes.end())
         return std::nullopt;
-    const auto to = it->second.record.address;
     const auto deadline =
         mono_now() + (a.passed_on ? passed_on_bound : ask_bound);
-    auto link = take_idle(n.exits[id], mono_now() - keep_exit_idle);
-    auto answer = link ? exchange(*link, a, deadline, y) : std::nullopt;
-    if (!answer && mono_now() < deadline) {
-        link = connect_exit(n, to, deadline, y);
-        answer = link ? exchange(*link, a, deadline, y) : std::nullopt;
-    }
-    if (answer)
-        give_back(n.exits[id], std::move(link), max_exit_idle, mono_now());
-    else
+    const auto text = ask_peer(
+        n, id, it->second.record.address, allowance_path,
+        [&a] { return to_text(a); }, deadline, y);
+    const auto answer = text ? parse_allowance_answer(*text) : std::nullopt;
+    if (!answer)
         n.silent_homes[id] = mono_now();
     return answer;
 }
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -7,6 +7,7 @@
 #include "gate/gate_queue.hpp"
 #include "node/announce.hpp"
 #include "node/crash_watch.hpp"
+#include "node/entry_stop.hpp"
 #include "node/entry_team.hpp"
 #include "node/health_driver.hpp"
 #include "node/http_func.hpp"
@@ -413,6 +414,8 @@
             alive = send_pong(n, stream, y);
         else if (message.target() == allowance_path)
             alive = answer_ask(n, message, stream, y);
+        else if (message.target() == retry_path)
+            alive = answer_retry_loan(n, message, stream, y);
         else if (message.target() == shorten_path)
             alive = take_shorten(n, message, stream, y);
         else
--- a/src/node/hop_func.cpp
+++ b/src/node/hop_func.cpp
@@ -16,6 +16,7 @@
 constexpr double load_scale = 100;
 constexpr double limit_scale = 1000;       // rates and bursts in thousandths
 constexpr std::size_t shorten_parts = 2;   // without the attempts
+constexpr std::size_t loan_parts = 3;      // of retries
 constexpr std::size_t ask_parts = 6;       // of a question for leave
 constexpr std::size_t allowance_parts = 2; // of its answer
 constexpr std::uint64_t idempotent_bit = 1;
@@ -126,6 +127,14 @@
     return out;
 }
 
+std::string to_text(const retry_loan& l)
+{
+    std::string out(1, 'r');
+    add(out, static_cast<std::uint64_t>(l.service));
+    add(out, static_cast<std::uint64_t>(std::max(0, l.count)));
+    return out;
+}
+
 std::string to_text(const allowance_ask& a)
 {
     std::string out(1, a.passed_on ? 'p' : 'a');
@@ -164,6 +173,18 @@
     return in.good ? std::make_optional(std::move(s)) : std::nullopt;
 }
 
+std::optional<retry_loan> parse_retry_loan(const std::string& text)
+{
+    const auto parts = split(text, ',');
+    if (parts.size() != loan_parts || parts.front() != "r")
+        return std::nullopt;
+    part_reader in{parts, 1};
+    retry_loan l;
+    l.service = static_cast<service_id>(in.whole());
+    l.count = static_cast<int>(in.whole() & INT32_MAX);
+    return in.good ? std::make_optional(l) : std::nullopt;
+}
+
 std::optional<allowance_ask> parse_allowance_ask(const std::string& text)
 {
     const auto parts = split(text, ',');
--- a/src/node/hop_type.hpp
+++ b/src/node/hop_type.hpp
@@ -6,6 +6,7 @@
 
 #include "base/id_type.hpp"
 #include "base/time_type.hpp"
+#include "member/member_type.hpp"
 #include "team/allowance_type.hpp"
 
 #include <optional>
@@ -83,6 +84,20 @@
     std::vector<attempt_id> attempts; ///< invariant: at most max_shortened
 };
 
+/// A node that stops asks another one for retries that it has left, and is
+/// told how many it may send in its place.
+struct retry_loan
+{
+    service_id service{}; ///< whose backend servers are retried
+    int count = 0;        ///< wanted, or granted
+};
+
+/// Field text.
+std::string to_text(const retry_loan& l);
+
+/// Parses what to_text() gave, or nothing.
+std::optional<retry_loan> parse_retry_loan(const std::string& text);
+
 /// Field text.
 std::string to_text(const shorten_notice& s);
 
--- a/src/node/http_type.hpp
+++ b/src/node/http_type.hpp
@@ -43,6 +43,9 @@
 /// Path at which an exit node hears that an entry node stops.
 inline constexpr char shorten_path[] = "/.jasminetray/shorten";
 
+/// Path at which a node that stops borrows retries.
+inline constexpr char retry_path[] = "/.jasminetray/retry";
+
 /// Path at which a team's home grants leave for requests.
 inline constexpr char allowance_path[] = "/.jasminetray/leave";
 
--- /dev/null
+++ b/src/node/peer_ask.cpp
@@ -0,0 +1,50 @@
+// Questions to other nodes; see peer_ask.hpp.
+#include "node/peer_ask.hpp"
+
+#include "node/entry_run.hpp"
+#include "node/http_func.hpp"
+
+namespace jasminetray {
+
+namespace {
+
+std::optional<std::string> exchange(http_link& link, const char* path,
+                                    const std::string& text, mono_us deadline,
+                                    const yield& y)
+{
+    http::request<http::empty_body> q(http::verb::get, path, 11);
+    q.set(hop_name, text);
+    q.keep_alive(true);
+    link.stream.expires_after(
+        std::chrono::microseconds(std::max<span_us>(1, deadline - mono_now())));
+    beast::error_code ec;
+    http::async_write(link.stream, q, y[ec]);
+    string_response m;
+    if (!ec)
+        http::async_read(link.stream, link.buf, m, y[ec]);
+    if (ec)
+        return std::nullopt;
+    return field_of(m, hop_name);
+}
+
+} // namespace
+
+std::optional<std::string> ask_peer(node_state& n, node_id to,
+                                    const node_address& at, const char* path,
+                                    const std::function<std::string()>& text,
+                                    mono_us deadline, const yield& y)
+{
+    auto link = take_idle(n.exits[to], mono_now() - keep_exit_idle);
+    auto answer =
+        link ? exchange(*link, path, text(), deadline, y) : std::nullopt;
+    if (!answer && mono_now() < deadline) {
+        link = connect_exit(n, at, deadline, y);
+        answer =
+            link ? exchange(*link, path, text(), deadline, y) : std::nullopt;
+    }
+    if (answer)
+        give_back(n.exits[to], std::move(link), max_exit_idle, mono_now());
+    return answer;
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/peer_ask.hpp
@@ -0,0 +1,19 @@
+// Short questions to another node's exit side, over its work connections.
+#pragma once
+
+#include "node/node_state.hpp"
+
+namespace jasminetray {
+
+/// Sends a question and waits for the answer. A kept connection may have been
+/// forgotten meanwhile, so a new one follows it.
+/// @param text gives the question; called for each connection, as times in it
+///        run on
+/// @return the answer's hop field, empty when it has none; nothing without an
+///         answer in time
+std::optional<std::string> ask_peer(node_state& n, node_id to,
+                                    const node_address& at, const char* path,
+                                    const std::function<std::string()>& text,
+                                    mono_us deadline, const yield& y);
+
+} // namespace jasminetray
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -95,6 +95,11 @@
               "The request crashed several backend servers before; it was not "
               "run.",
               "See 2012 for its fingerprint and 3016 for the ends."},
+    event_row{
+        event_id::retries_borrowed, "retries_borrowed",
+        "A node that stops asked others for retries, because its own part "
+        "of the allowance was spent.",
+        "None; with few granted the fleet's allowance is used up."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "Evidence against a backend server passed its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -219,7 +219,7 @@
         self.workers = {}
         self.requests = 0
 
-    def start_node(self, name, service, worker_port=None):
+    def start_node(self, name, service, worker_port=None, extra=()):
         ports = {key: free_port() for key in (
             "control", "ready", "entry", "exit", "gossip", "rpc")}
         ports["worker"] = worker_port or free_port()
@@ -236,7 +236,7 @@
             "node.rpc_port=%d" % ports["rpc"],
             "hosted.revoke_s=5", "hosted.allowance_slack=0",
             "hosted.service=" + service, "limits.drain_ms=300",
-            "limits.stop_ms=2000"], seeded=False)
+            "limits.stop_ms=2000", *extra], seeded=False)
         self.nodes[name] = ports
         return ports
 
@@ -662,6 +662,48 @@
     expect(wait_for(lambda: h.ready("n2"), 20), "the node starts anew")
 
 
+# Reads run on a slow backend server when their node is told to stop, and the
+# node's part of the retry allowance is spent. Each was given up at the end of
+# the stop as unknown (1016 reason=deadline, no 1002), though other nodes had
+# retries left and another backend server was free.
+def check_stop_borrows_retries(h):
+    slow = h.workers["w1b"]
+    h.put_config(document(9050, [route("quick", "/quick/", "billing",
+                                       timeout=8)]))
+    expect(wait_for(lambda: all(h.ask(n, "/quick/")[0] == 200
+                                for n in h.nodes)), "a quick route serves")
+    node = h.f.nodes["n2"]
+    node.send(signal.SIGTERM)
+    node.popen.wait(5)
+    h.start_node("n2", "orders", extra=["hosted.retry_slack=0",
+                                          "hosted.retry_ratio=0"])
+    expect(wait_for(lambda: h.ready("n2"), 20), "a node with no retries left")
+    # With none it sends nothing to a suspect; the others' work clears it.
+    expect(wait_for(lambda: [h.ask(n, "/quick/")[0] for n in ("n1", "n3")] and
+                    h.ask("n2", "/quick/")[2].endswith("by " + slow.name)),
+           "it uses both backend servers")
+    results = []
+    slow.work_s, before = 6, len(slow.seen)
+    threads = []
+    while slow.running < 2 and len(threads) < 40:
+        threads.append(threading.Thread(target=lambda: results.append(
+            h.ask("n2", "/quick/", timeout=9,
+                  headers={"X-Deadline-Ms": "8000"})[0])))
+        threads[-1].start()
+        time.sleep(0.05)
+    expect(len(slow.seen) > before, "reads run on the slow one")
+    time.sleep(0.5)
+    node = h.f.nodes["n2"]
+    node.send(signal.SIGTERM)
+    for t in threads:
+        t.join()
+    expect(set(results) == {200}, "they are answered elsewhere: %s" % results)
+    slow.work_s = 0.02
+    node.popen.wait(5)
+    h.start_node("n2", "orders")
+    expect(wait_for(lambda: h.ready("n2"), 20), "the node starts anew")
+
+
 def team_document(version, keys, rate=0):
     # One team, one route that needs its key and one that is open.
     open_route = route("orders", "/orders/", "orders")
@@ -739,7 +781,8 @@
                       check_raw, check_config, check_frozen_peers,
                       check_storm, check_sick, check_drain, check_same_name,
                       check_restart, check_found_by_answer,
-                      check_stop_tells_gates, check_teams):
+                      check_stop_tells_gates, check_stop_borrows_retries,
+                      check_teams):
             check(h)
     return summarize("hosted")
 
--- a/test/test_hop.cpp
+++ b/test/test_hop.cpp
@@ -89,5 +89,18 @@
         EXPECT_FALSE(name.empty());
 }
 
+TEST(hop, a_retry_loan_comes_out_as_it_went_in)
+{
+    const retry_loan loan{static_cast<service_id>(UINT64_MAX), 3};
+    const auto back = parse_retry_loan(to_text(loan));
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->service, loan.service);
+    EXPECT_EQ(back->count, loan.count);
+    EXPECT_FALSE(parse_retry_loan("r,1"));
+    EXPECT_FALSE(parse_retry_loan("r,1,2,3"));
+    EXPECT_FALSE(parse_retry_loan("s,1,2"));
+    EXPECT_FALSE(parse_retry_loan("r,x,2"));
+}
+
 } // namespace
 } // namespace jasminetray
--- a/test/test_limit.cpp
+++ b/test/test_limit.cpp
@@ -81,5 +81,22 @@
     EXPECT_FALSE(spend_retry(new_process, start));
 }
 
+// Guards against lent retries that are counted twice, or not at all: the lender
+// counts them in its own part.
+TEST(allowance, a_granted_retry_is_spent_once_and_after_the_own_ones)
+{
+    retry_budget b;
+    b.fixed = 1;
+    b.granted = 1;
+    EXPECT_EQ(retries_left(b, start), 2);
+    EXPECT_TRUE(spend_retry(b, start));
+    EXPECT_EQ(b.granted, 1);
+    EXPECT_TRUE(spend_retry(b, start));
+    EXPECT_EQ(b.granted, 0);
+    EXPECT_FALSE(spend_retry(b, start));
+    // The own one comes back with the window, the granted one does not.
+    EXPECT_EQ(retries_left(b, start + 2 * b.window), 1);
+}
+
 } // namespace
 } // namespace jasminetray
