--- a/src/node/entry_stop.cpp
+++ b/src/node/entry_stop.cpp
@@ -21,8 +21,8 @@
 /// For one node to grant retries: three are asked within a second.
 constexpr span_us loan_bound = 300 * us_per_ms;
 constexpr span_us second_loan = us_per_s; // after the first
-constexpr std::size_t max_lenders = 3; ///< asked for one service
-constexpr int max_loan = 8;            ///< retries, of one service
+constexpr std::size_t max_lenders = 3;    ///< asked for one service
+constexpr int max_loan = 8;               ///< retries, of one service
 
 /// Open attempts at one exit node.
 struct exit_share
