Keep only late lost work against a request, and name rows of its own

Found on reading the change again: work that was cancelled long before its process was replaced counted as running at its end, and a burst of cancelled work could push out what ran at the end. A row of the quarantine's table that can't be read was logged as one of the table of nodes; it has an event of its own. The text of rows stands apart from the calls to the store and has tests.

--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -53,6 +53,7 @@
     quarantine_began = 2012,
     quarantine_ended = 2013,
     quarantine_not_stored = 2014,
+    quarantine_malformed = 2015,
     node_joined = 3001,
     node_suspected = 3002,
     node_dead = 3003,
--- a/src/node/crash_watch.cpp
+++ b/src/node/crash_watch.cpp
@@ -32,9 +32,10 @@
 /// Reports the lost work of a process that has ended.
 void report_crash(node_state& n, local_worker& w, const char* evidence)
 {
+    const auto now = mono_now();
+    forget_old(w, now);
     if (w.lost.empty())
         return;
-    const auto now = mono_now();
     // Its connections may be seen to end one after the other.
     if (w.crashes == 0 || now - w.crashed_at > lost_memory) {
         ++w.crashes;
@@ -94,8 +95,10 @@
     auto& w = it->second;
     const auto now = mono_now();
     forget_old(w, now);
-    if (w.lost.size() < max_lost)
-        w.lost.push_back({fingerprint_of(n, m), now});
+    // The newest count: what was cancelled before must not hide them.
+    if (w.lost.size() >= max_lost)
+        w.lost.erase(w.lost.begin());
+    w.lost.push_back({fingerprint_of(n, m), now});
     if (!closed || w.checking)
         return;
     w.checking = true;
--- a/src/node/quarantine_driver.cpp
+++ b/src/node/quarantine_driver.cpp
@@ -32,10 +32,11 @@
     return all;
 }
 
-std::vector<node_address> some_nodes(node_state& n, std::size_t most)
+/// Some at random.
+std::vector<node_address> some_nodes(node_state& n, std::size_t count)
 {
     auto all = alive_nodes(n);
-    while (all.size() > most) {
+    while (all.size() > count) {
         const auto k = random_below(n.rng, all.size());
         all.erase(all.begin() + static_cast<std::ptrdiff_t>(k));
     }
--- a/src/node/quarantine_store.hpp
+++ b/src/node/quarantine_store.hpp
@@ -17,15 +17,4 @@
 /// Removes the row of a request.
 void drop_quarantine(node_state& n, fingerprint request);
 
-/// Text of a row.
-/// @param now by the clock that suspension does not stop
-/// @param wall_ms the same moment in milliseconds since 1970
-std::string quarantine_row(const quarantine_book& b, fingerprint request,
-                           mono_us now, std::uint64_t wall_ms);
-
-/// Marks of a row; nothing when it can't be read.
-std::optional<std::vector<crash_report>>
-parse_quarantine_row(const std::string& key, const std::string& value,
-                     std::uint64_t wall_ms);
-
 } // namespace jasminetray
--- a/test/test_quarantine.cpp
+++ b/test/test_quarantine.cpp
@@ -2,6 +2,7 @@
 #include "member/member_query.hpp"
 #include "quarantine/quarantine_cmd.hpp"
 #include "quarantine/quarantine_query.hpp"
+#include "quarantine/quarantine_row.hpp"
 #include "quarantine/quarantine_spread.hpp"
 #include "wire/wire_func.hpp"
 
@@ -245,6 +246,42 @@
     EXPECT_TRUE(read->quarantine.reply);
 }
 
+// Guards against a fleet that is started anew as a whole and remembers nothing.
+TEST(quarantine, a_row_brings_it_back)
+{
+    constexpr std::uint64_t wall_ms = 1'700'000'000'000;
+    quarantine_book b;
+    for (std::uint64_t k = 1; k <= 4; ++k)
+        quarantine_note_crash(b, process(k), {bad}, start);
+    const auto text = quarantine_row(b, bad, start + us_per_s, wall_ms);
+    const auto reports =
+        parse_quarantine_row(to_text(bad), text, wall_ms + 1000);
+    ASSERT_TRUE(reports);
+    ASSERT_EQ(reports->size(), 4U);
+    EXPECT_EQ(reports->front().age, 2 * us_per_s);
+    quarantine_book anew;
+    quarantine_take_reports(anew, *reports, start);
+    EXPECT_TRUE(is_quarantined(anew, bad));
+}
+
+// Guards against rows that somebody else wrote.
+TEST(quarantine, rows_that_cannot_be_read_name_nobody)
+{
+    EXPECT_FALSE(parse_quarantine_row("not hex", "1 2", 5));
+    EXPECT_FALSE(parse_quarantine_row("1", "", 5));
+    EXPECT_FALSE(parse_quarantine_row("1", "soon 2", 5));
+    EXPECT_FALSE(parse_quarantine_row("1", "-1 2", 5));
+    EXPECT_FALSE(parse_quarantine_row("1", "1 2 x", 5));
+    // A clock that was ahead makes no mark older than new.
+    const auto reports = parse_quarantine_row("1", "99 2", 5);
+    ASSERT_TRUE(reports);
+    EXPECT_EQ(reports->front().age, 0);
+    EXPECT_TRUE(rc::check([] {
+        const auto text = *rc::gen::arbitrary<std::string>();
+        parse_quarantine_row("1", text, 5);
+    }));
+}
+
 // Guards against a message of another cluster or too many reports.
 TEST(quarantine, messages_out_of_bounds_are_dropped)
 {
