--- a/src/balance/place_func.cpp
+++ b/src/balance/place_func.cpp
@@ -36,12 +36,10 @@
                unknown_share * b.doubt.sick_share;
 }
 
-/// Whether a candidate that is trusted has no work, and has had none for so
-/// long that others are better proven. What was proven a moment before always
-/// looks better and draws the next request, though this one is as well: without
-/// work on purpose a third of a quiet service's sound backend servers got none
-/// for seconds, while callers crowded the others.
-bool is_neglected(const candidate& c, const balance_policy& b, mono_us now)
+/// Whether a trusted candidate has had no work for so long that its evidence of
+/// health is old. Placing prefers fresher evidence, so in a low-traffic service
+/// an idle one would get no work for seconds.
+bool is_idle(const candidate& c, const balance_policy& b, mono_us now)
 {
     constexpr double stale_share = 0.3; // of what is usual
     return !c.doubt.suspect && c.load <= 0 && c.in_flight == 0 &&
@@ -57,8 +55,8 @@
     return choice{some[random_below(rng, some.size())], 0, 0};
 }
 
-/// A near candidate that work is sent to on purpose: one that is neglected, or
-/// one to be probed; nothing in most cases.
+/// A near candidate that gets probe traffic: an idle one, or a suspect; nothing
+/// in most cases.
 std::optional<choice>
 place_probe(const std::vector<candidate>& all, const place_policy& p,
             const balance_policy& b, const place_request& r,
@@ -66,14 +64,14 @@
 {
     if (!r.may_fail)
         return std::nullopt;
-    std::vector<std::size_t> neglected;
+    std::vector<std::size_t> idle;
     std::vector<std::size_t> unproven;
     for (std::size_t n = 0; n < all.size(); ++n) {
         const auto& c = all[n];
         if (!c.near || c.weight <= 0 || c.path_bad || was_tried(tried, c.id))
             continue;
-        if (is_neglected(c, b, now))
-            neglected.push_back(n);
+        if (is_idle(c, b, now))
+            idle.push_back(n);
         else if (wants_probe(c, b, now))
             unproven.push_back(n);
     }
@@ -81,7 +79,7 @@
         const double by_count = p.probe_each * static_cast<double>(some.size());
         return std::clamp(by_count, p.probe_share, p.probe_most);
     };
-    if (const auto c = draw_for(neglected, share_of(neglected), rng))
+    if (const auto c = draw_for(idle, share_of(idle), rng))
         return c;
     return draw_for(unproven, share_of(unproven), rng);
 }
--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -60,9 +60,9 @@
     return gate_error::none;
 }
 
-gate_class& class_of(gate_worker& w, std::uint32_t klass, mono_us now)
+gate_class& class_of(gate_worker& w, std::uint32_t route_class, mono_us now)
 {
-    if (w.classes.size() >= max_classes && w.classes.count(klass) == 0) {
+    if (w.classes.size() >= max_classes && w.classes.count(route_class) == 0) {
         // Routes come and go with configurations for as long as the process
         // lives; without a bound their records would fill its memory.
         w.classes.erase(std::min_element(w.classes.begin(), w.classes.end(),
@@ -71,7 +71,7 @@
                                                     b.second.seen_at;
                                          }));
     }
-    auto& c = w.classes[klass];
+    auto& c = w.classes[route_class];
     c.seen_at = now;
     return c;
 }
@@ -115,8 +115,9 @@
     // still time to try another backend server.
     span_us ahead = w.usual;
     for (const auto& x : w.queue)
-        ahead +=
-            comes_before(w, g.limits, x, mine, now) ? took_by(w, x.klass) : 0;
+        ahead += comes_before(w, g.limits, x, mine, now)
+                     ? took_by(w, x.route_class)
+                     : 0;
     return is_servable(w, g.limits, mine, ahead, now)
                ? gate_error::none
                : gate_error::deadline_short;
@@ -137,10 +138,10 @@
 }
 
 void take_slot(gate& g, gate_worker& w, const attempt_id& a, bool idempotent,
-               std::uint32_t klass, mono_us now)
+               std::uint32_t route_class, mono_us now)
 {
     ++w.in_flight;
-    proof_begin(w, g.limits, {a, klass, now});
+    proof_begin(w, g.limits, {a, route_class, now});
     if (!idempotent)
         remember(g, a, gate_state::started, now);
 }
@@ -179,13 +180,14 @@
            w.in_flight + w.foreign <= w.served_level;
 }
 
-void adapt_limit(gate_worker& w, const gate_limits& l, std::uint32_t klass,
-                 work_end end, span_us took, mono_us now)
+void adapt_limit(gate_worker& w, const gate_limits& l,
+                 std::uint32_t route_class, work_end end, span_us took,
+                 mono_us now)
 {
     if (end == work_end::answered) {
         note_served(w, l, now);
         w.usual += (took - w.usual) / usual_weight;
-        auto& own = class_of(w, klass, now).usual;
+        auto& own = class_of(w, route_class, now).usual;
         own = own == 0 ? took : own + (took - own) / usual_weight;
         if (w.in_flight + 1 >= static_cast<int>(w.limit))
             w.limit = std::min(w.slots, w.limit + 1 / w.limit);
@@ -229,9 +231,9 @@
     if (mode == command_mode::apply && w.doubt.suspect)
         doubt_take_probe(w.doubt, g.limits.doubt, now);
     if (mode == command_mode::apply && !is_late(w, waiting_of(r, 0), now))
-        add_pressure(w, g.limits, r.klass, now);
+        add_pressure(w, g.limits, r.route_class, now);
     if (mode == command_mode::apply && start)
-        take_slot(g, w, r.attempt, r.idempotent, r.klass, now);
+        take_slot(g, w, r.attempt, r.idempotent, r.route_class, now);
     if (mode == command_mode::apply && !start) {
         w.queue.push_back(waiting_of(r, ++g.serial));
         if (!r.idempotent)
@@ -263,10 +265,10 @@
                 remember(g, x.attempt, gate_state::revoked, now);
             decisions.push_back({x.attempt, false, gate_error::deadline_short});
         } else if (free) {
-            take_slot(g, w, x.attempt, x.idempotent, x.klass, now);
+            take_slot(g, w, x.attempt, x.idempotent, x.route_class, now);
             decisions.push_back({x.attempt, true, gate_error::none});
         } else {
-            queued += took_by(w, x.klass);
+            queued += took_by(w, x.route_class);
             left.push_back(x);
         }
     }
@@ -279,7 +281,7 @@
 {
     const auto it = g.workers.find(r.worker);
     if (it != g.workers.end()) {
-        adapt_limit(it->second, g.limits, r.klass, end, took, now);
+        adapt_limit(it->second, g.limits, r.route_class, end, took, now);
         it->second.in_flight = std::max(0, it->second.in_flight - 1);
         proof_end(it->second, r.attempt);
     }
--- a/src/gate/gate_proof.cpp
+++ b/src/gate/gate_proof.cpp
@@ -49,7 +49,7 @@
     for (const auto& x : w.young) {
         if (!is_past(x))
             continue;
-        if (is_long(l, took_by(w, x.klass)) && shows_early(w.doubt))
+        if (is_long(l, took_by(w, x.route_class)) && shows_early(w.doubt))
             doubt_seen(w.doubt, l.doubt, false, l.doubt.quick_failure, now);
     }
     w.young.erase(std::remove_if(w.young.begin(), w.young.end(), is_past),
--- a/src/gate/gate_queue.cpp
+++ b/src/gate/gate_queue.cpp
@@ -30,7 +30,7 @@
 bool ends_before_deadline(const gate_worker& w, const gate_waiting& x,
                           mono_us begin)
 {
-    const auto usual = static_cast<double>(took_by(w, x.klass));
+    const auto usual = static_cast<double>(took_by(w, x.route_class));
     const double times = x.leaving ? needed_leaving : needed;
     return begin + static_cast<span_us>(times * usual) < x.deadline;
 }
@@ -62,20 +62,20 @@
 
 gate_waiting waiting_of(const gate_request& r, std::uint64_t serial)
 {
-    return {r.attempt, r.idempotent, r.priority, r.deadline, r.due,
-            r.target,  r.klass,      serial,     r.leaving};
+    return {r.attempt, r.idempotent,  r.priority, r.deadline, r.due,
+            r.target,  r.route_class, serial,     r.leaving};
 }
 
-span_us took_by(const gate_worker& w, std::uint32_t klass)
+span_us took_by(const gate_worker& w, std::uint32_t route_class)
 {
-    const auto it = w.classes.find(klass);
+    const auto it = w.classes.find(route_class);
     return it == w.classes.end() || it->second.usual == 0 ? w.usual
                                                           : it->second.usual;
 }
 
 bool is_late(const gate_worker& w, const gate_waiting& x, mono_us now)
 {
-    return x.due - took_by(w, x.klass) < now;
+    return x.due - took_by(w, x.route_class) < now;
 }
 
 bool comes_before(const gate_worker& w, const gate_limits& l,
@@ -99,12 +99,12 @@
            std::exp(-passed / static_cast<double>(l.pressure_span));
 }
 
-void add_pressure(gate_worker& w, const gate_limits& l, std::uint32_t klass,
-                  mono_us now)
+void add_pressure(gate_worker& w, const gate_limits& l,
+                  std::uint32_t route_class, mono_us now)
 {
     const double whole = w.limit * static_cast<double>(l.pressure_span);
     w.pressure = pressure_now(w, l, now) +
-                 static_cast<double>(took_by(w, klass)) / whole;
+                 static_cast<double>(took_by(w, route_class)) / whole;
     w.pressure_at = now;
 }
 
--- a/src/gate/gate_queue.hpp
+++ b/src/gate/gate_queue.hpp
@@ -22,7 +22,7 @@
 gate_waiting waiting_of(const gate_request& r, std::uint64_t serial);
 
 /// Time that work of a class takes here.
-span_us took_by(const gate_worker& w, std::uint32_t klass);
+span_us took_by(const gate_worker& w, std::uint32_t route_class);
 
 /// Whether work would end after it is due if it began now.
 bool is_late(const gate_worker& w, const gate_waiting& x, mono_us now);
@@ -39,8 +39,8 @@
 double pressure_now(const gate_worker& w, const gate_limits& l, mono_us now);
 
 /// Work that can be in time was let in.
-void add_pressure(gate_worker& w, const gate_limits& l, std::uint32_t klass,
-                  mono_us now);
+void add_pressure(gate_worker& w, const gate_limits& l,
+                  std::uint32_t route_class, mono_us now);
 
 /// Whether work is worth its place in the queue: it starts in time, or the
 /// slots that work in time leaves over can still answer it before its
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -72,19 +72,19 @@
 /// Work that asks to be let in.
 struct gate_request
 {
-    attempt_id attempt;       ///< which try of which request
-    boot_id boot{};           ///< process that the entry node means
-    mono_us stamp = 0;        ///< newest stamp that the entry node had
-    bool idempotent = false;  ///< may run twice; not remembered
-    bool may_probe = false;   ///< a failure would be tried again elsewhere
-    bool last_resort = false; ///< found no room elsewhere
-    bool leaving = false;     ///< its entry node ends at the deadline
-    worker_id worker{};       ///< which backend server
-    int priority = 5;         ///< 0 first, 9 last
-    mono_us deadline = 0;     ///< on this process's clock
-    mono_us due = mono_never; ///< until then an answer is worth all
-    span_us target = 0;       ///< from the caller's first byte to `due`
-    std::uint32_t klass = 0;  ///< of the route
+    attempt_id attempt;            ///< which try of which request
+    boot_id boot{};                ///< process that the entry node means
+    mono_us stamp = 0;             ///< newest stamp that the entry node had
+    bool idempotent = false;       ///< may run twice; not remembered
+    bool may_probe = false;        ///< a failure would be tried again elsewhere
+    bool last_resort = false;      ///< found no room elsewhere
+    bool leaving = false;          ///< its entry node ends at the deadline
+    worker_id worker{};            ///< which backend server
+    int priority = 5;              ///< 0 first, 9 last
+    mono_us deadline = 0;          ///< on this process's clock
+    mono_us due = mono_never;      ///< until then an answer is worth all
+    span_us target = 0;            ///< from the caller's first byte to `due`
+    std::uint32_t route_class = 0; ///< of the route
 };
 
 /// What was decided about work that was let in.
@@ -160,7 +160,7 @@
 struct young_work
 {
     attempt_id attempt;
-    std::uint32_t klass = 0;
+    std::uint32_t route_class = 0;
     mono_us began = 0;
 };
 
@@ -173,7 +173,7 @@
     mono_us deadline = 0;
     mono_us due = mono_never;
     span_us target = 0;
-    std::uint32_t klass = 0;
+    std::uint32_t route_class = 0;
     std::uint64_t serial = 0; ///< order of arrival among equals
     bool leaving = false;     ///< its entry node ends at the deadline
 };
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -128,7 +128,7 @@
     h.last_resort = r.resort;
     h.leaving = r.machine.deadline >= n.last_answer_at;
     h.priority = r.priority;
-    h.klass = r.klass;
+    h.route_class = r.route_class;
     h.centre = static_cast<std::uint32_t>(n.self.centre);
     const auto now = mono_now();
     h.remaining = r.machine.deadline - now;
--- a/src/node/entry_run.hpp
+++ b/src/node/entry_run.hpp
@@ -39,7 +39,7 @@
     const route_config* route = nullptr;        ///< within config
     const service_config* service = nullptr;    ///< within config
     service_id service_key{};
-    std::uint32_t klass = 0;
+    std::uint32_t route_class = 0;
     std::string team;           ///< of the caller; empty for none
     std::uint64_t team_key = 0; ///< hash of its name; 0 for none
     team_limit limit;           ///< of the team; a rate of 0 for none
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -116,7 +116,7 @@
     const auto& name = choose_service(n, *r.route);
     r.service = find_service(*r.config, name);
     r.service_key = service_of(name);
-    r.klass = static_cast<std::uint32_t>(text_hash(r.route->name));
+    r.route_class = static_cast<std::uint32_t>(text_hash(r.route->name));
     if (auto refused = identify_team(n, r))
         return refused;
     // What is begun now could not end before the process does, and its
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -62,7 +62,7 @@
     if (h->target > 0)
         w.request.due = now + h->target - h->elapsed;
     w.source = source_of(n, h->centre);
-    w.request.klass = h->klass;
+    w.request.route_class = h->route_class;
     w.message = std::move(message);
     return w;
 }
--- a/src/node/hop_func.cpp
+++ b/src/node/hop_func.cpp
@@ -87,7 +87,7 @@
         (r.idempotent ? idempotent_bit : 0) | (r.may_probe ? probe_bit : 0) |
             (r.last_resort ? resort_bit : 0) | (r.leaving ? leaving_bit : 0));
     add(out, static_cast<std::uint64_t>(r.priority));
-    add(out, r.klass);
+    add(out, r.route_class);
     add(out, r.centre);
     add_span(out, r.remaining);
     add_span(out, r.elapsed);
@@ -235,7 +235,7 @@
     r.last_resort = (bits & resort_bit) != 0;
     r.leaving = (bits & leaving_bit) != 0;
     r.priority = static_cast<int>(in.whole() & INT32_MAX);
-    r.klass = static_cast<std::uint32_t>(in.whole());
+    r.route_class = static_cast<std::uint32_t>(in.whole());
     r.centre = static_cast<std::uint32_t>(in.whole());
     r.remaining = in.span();
     r.elapsed = in.span();
--- a/src/node/hop_type.hpp
+++ b/src/node/hop_type.hpp
@@ -21,20 +21,20 @@
 /// From the entry node.
 struct hop_request
 {
-    attempt_id attempt;       ///< echoed, as a hash
-    worker_id worker{};       ///< chosen one
-    bool idempotent = false;  ///< may run more than once
-    bool may_probe = false;   ///< a failure would be tried again elsewhere
-    bool last_resort = false; ///< found no room elsewhere
-    bool leaving = false;     ///< the entry node ends at the deadline
-    int priority = 5;         ///< of the route
-    std::uint32_t klass = 0;  ///< of the route
-    std::uint32_t centre = 0; ///< data centre of the entry node, hashed
-    span_us remaining = 0;    ///< until the deadline
-    span_us elapsed = 0;      ///< since the caller's request was read
-    span_us target = 0;       ///< of the route; 0 for none
-    boot_id boot{};           ///< process that is meant; non-idempotent only
-    mono_us stamp = 0;        ///< of its clock; non-idempotent only
+    attempt_id attempt;            ///< echoed, as a hash
+    worker_id worker{};            ///< chosen one
+    bool idempotent = false;       ///< may run more than once
+    bool may_probe = false;        ///< a failure would be tried again elsewhere
+    bool last_resort = false;      ///< found no room elsewhere
+    bool leaving = false;          ///< the entry node ends at the deadline
+    int priority = 5;              ///< of the route
+    std::uint32_t route_class = 0; ///< of the route
+    std::uint32_t centre = 0;      ///< data centre of the entry node, hashed
+    span_us remaining = 0;         ///< until the deadline
+    span_us elapsed = 0;           ///< since the caller's request was read
+    span_us target = 0;            ///< of the route; 0 for none
+    boot_id boot{};    ///< process that is meant; non-idempotent only
+    mono_us stamp = 0; ///< of its clock; non-idempotent only
 };
 
 /// What became of an attempt.
--- a/src/node/worker_work.cpp
+++ b/src/node/worker_work.cpp
@@ -87,7 +87,7 @@
 }
 
 /// What a missing answer says about the backend server.
-outcome_kind judge_silence(const local_worker& w, std::uint32_t klass,
+outcome_kind judge_silence(const local_worker& w, std::uint32_t route_class,
                            span_us target, const beast::error_code& ec,
                            span_us waited)
 {
@@ -96,11 +96,11 @@
     // A deadline that was short from the start says nothing. How short that is
     // the operator's target tells before durations are known.
     const auto& usual = w.health.usual;
-    const bool learned = target == 0 || is_duration_known(usual, klass);
+    const bool learned = target == 0 || is_duration_known(usual, route_class);
     const double expected =
-        learned
-            ? late_factor * std::exp(usual.times[klass % work_classes].log_mean)
-            : static_cast<double>(target);
+        learned ? late_factor *
+                      std::exp(usual.times[route_class % work_classes].log_mean)
+                : static_cast<double>(target);
     return static_cast<double>(waited) > expected ? outcome_kind::failed
                                                   : outcome_kind::neutral;
 }
@@ -275,8 +275,8 @@
     if (a.end == work_end::lost && (left_early || a.closed))
         note_lost_work(n, id, message, a.closed);
     if (it != n.workers.end() && !left_early)
-        a.seen = written ? judge_silence(it->second, a.klass, r.target, ec,
-                                         mono_now() - a.began)
+        a.seen = written ? judge_silence(it->second, a.route_class, r.target,
+                                         ec, mono_now() - a.began)
                          : outcome_kind::failed;
 }
 
@@ -294,10 +294,10 @@
         a.reason = "no-worker";
         return a;
     }
-    a.klass = health_class(it->second.health, r.klass, a.began);
+    a.route_class = health_class(it->second.health, r.route_class, a.began);
     a.key = ++it->second.next_key;
     health_sent(it->second.health,
-                {a.key, a.began, source, a.klass, r.target, false});
+                {a.key, a.began, source, a.route_class, r.target, false});
     a.link = connect_worker(n, it->second, r, y);
     it = n.workers.find(r.worker); // it may have left while we connected
     if (it != n.workers.end() && a.link) {
@@ -322,7 +322,7 @@
         a.seen == outcome_kind::good)
         a.seen = outcome_kind::failed; // cut in the middle
     note_outcome(n, it->second, a.key,
-                 {a.seen, now - a.began, a.source, a.klass}, now);
+                 {a.seen, now - a.began, a.source, a.route_class}, now);
     const bool keep =
         whole && a.parser->keep_alive() && is_clean(*a.link, true);
     if (a.link && (keep || !n.safeguards.close_unclean))
--- a/src/node/worker_work.hpp
+++ b/src/node/worker_work.hpp
@@ -18,7 +18,7 @@
     mono_us began = 0;
     bool parser_sent = false; ///< the answer's head went on already
     std::uint32_t source = 0;
-    std::uint32_t klass = 0; ///< of the route, at its backend server
+    std::uint32_t route_class = 0; ///< of the route, at its backend server
 };
 
 /// Sends work to its backend server and reads the answer, or as much as is
--- a/src/verdict/verdict_cmd.cpp
+++ b/src/verdict/verdict_cmd.cpp
@@ -144,7 +144,7 @@
     double score = 0;
     for (const auto& s : h.total.bank)
         score = std::max(score, s.value);
-    auto& t = h.usual.times[o.klass % work_classes];
+    auto& t = h.usual.times[o.route_class % work_classes];
     const bool well = h.state == standing::trusted && score < p.threshold / 3;
     if (well)
         h.base_rate += base_weight * ((failed ? 1 : 0) - h.base_rate);
@@ -215,12 +215,12 @@
         return;
     const bool failed = o.kind == outcome_kind::failed;
     // Durations count once a few were seen; until then only failures do.
-    const auto& t = h.usual.times[o.klass % work_classes];
+    const auto& t = h.usual.times[o.route_class % work_classes];
     const bool known = t.seen >= first_outcomes;
     const double above =
-        above_usual(h.usual, o.klass, o.took) - cold_allowance(h, now);
-    const weighed x{failed, known ? above : 0, usual_variance(h.usual, o.klass),
-                    now};
+        above_usual(h.usual, o.route_class, o.took) - cold_allowance(h, now);
+    const weighed x{failed, known ? above : 0,
+                    usual_variance(h.usual, o.route_class), now};
     h.last_fail_at = failed ? now : h.last_fail_at;
     add_recent(h, failed, x.above, now);
     if (h.state == standing::ejected &&
@@ -262,8 +262,8 @@
     std::size_t marked = 0;
     for (auto& o : h.open) {
         // Before durations are known the operator's word is the best there is.
-        const auto bound = is_duration_known(h.usual, o.klass)
-                               ? missing_age(h.usual, o.klass)
+        const auto bound = is_duration_known(h.usual, o.route_class)
+                               ? missing_age(h.usual, o.route_class)
                                : o.target;
         if (o.overdue || now - o.started < std::max(least, bound))
             continue;
--- a/src/verdict/verdict_peers.cpp
+++ b/src/verdict/verdict_peers.cpp
@@ -197,7 +197,7 @@
     for (const auto& o : h.open) {
         const bool counts = s.scope == all_sources || s.scope == o.source;
         if (p.watch_silence && counts)
-            score += silence_ratio(u, rate, o.klass, now - o.started);
+            score += silence_ratio(u, rate, o.route_class, now - o.started);
     }
     return score;
 }
--- a/src/verdict/verdict_query.cpp
+++ b/src/verdict/verdict_query.cpp
@@ -43,11 +43,13 @@
         for (const auto& o : h.open) {
             if (!p.watch_silence || !fails)
                 break;
-            if (now - o.started < usual.times[o.klass % work_classes].median)
+            if (now - o.started <
+                usual.times[o.route_class % work_classes].median)
                 continue; // nothing unusual yet
             const double rate = alternative_rate(n, usual.fail_rate);
             if (source == all_sources || o.source == source)
-                score += silence_ratio(usual, rate, o.klass, now - o.started);
+                score +=
+                    silence_ratio(usual, rate, o.route_class, now - o.started);
         }
         if (score > best.score)
             best = {n, score};
@@ -72,8 +74,9 @@
     const auto& member = stream.bank[top.index];
     mono_us since = member.value > 0 ? member.since : now;
     for (const auto& o : h.open) {
-        if (is_duration_known(h.usual, o.klass) &&
-            usual_survival(h.usual, o.klass, now - o.started) < rare_share)
+        if (is_duration_known(h.usual, o.route_class) &&
+            usual_survival(h.usual, o.route_class, now - o.started) <
+                rare_share)
             since = std::min(since, o.started);
     }
     return {scope, top.index, top.score, health_threshold(h, p), since};
--- a/src/verdict/verdict_type.hpp
+++ b/src/verdict/verdict_type.hpp
@@ -47,9 +47,9 @@
 struct observation
 {
     outcome_kind kind = outcome_kind::good;
-    span_us took = 0;         ///< time on the backend server
-    std::uint32_t source = 0; ///< data centre of the entry node; index
-    std::uint32_t klass = 0;  ///< class of route, below work_classes
+    span_us took = 0;              ///< time on the backend server
+    std::uint32_t source = 0;      ///< data centre of the entry node; index
+    std::uint32_t route_class = 0; ///< class of route, below work_classes
 };
 
 constexpr std::size_t fail_alternatives = 4; ///< sick by failing
@@ -139,7 +139,7 @@
     std::uint64_t key = 0; ///< of the caller of this code
     mono_us started = 0;
     std::uint32_t source = 0;
-    std::uint32_t klass = 0;
+    std::uint32_t route_class = 0;
     span_us target = 0;   ///< of its route; 0 for none
     bool overdue = false; ///< its silence was taken as a failure
 };
--- a/test/test_doubt.cpp
+++ b/test/test_doubt.cpp
@@ -505,9 +505,9 @@
 {
     auto g = make_gate(1);
     auto upload = work(1, start, 8 * us_per_s);
-    upload.klass = 3;
+    upload.route_class = 3;
     auto lookup = work(2, start, us_per_s);
-    lookup.klass = 3 + 8;
+    lookup.route_class = 3 + 8;
     gate_error last{};
     for (const auto& [r, span] :
          {std::pair{upload, 4 * us_per_s}, std::pair{lookup, 80 * us_per_ms}}) {
@@ -515,8 +515,8 @@
         gate_finish(g, r, work_end::answered, span, start);
     }
     const auto& w = g.workers[backend];
-    EXPECT_EQ(w.classes.at(upload.klass).usual, 4 * us_per_s);
-    EXPECT_EQ(w.classes.at(lookup.klass).usual, 80 * us_per_ms);
+    EXPECT_EQ(w.classes.at(upload.route_class).usual, 4 * us_per_s);
+    EXPECT_EQ(w.classes.at(lookup.route_class).usual, 80 * us_per_ms);
 }
 
 // Routes come and go with configurations; the process stays.
@@ -527,7 +527,7 @@
     for (std::uint32_t k = 0; k <= max_classes; ++k) {
         const auto now = start + k * us_per_ms;
         auto r = work(k + 1, now, us_per_s);
-        r.klass = k;
+        r.route_class = k;
         EXPECT_TRUE(admit(g, r, now, last));
         gate_finish(g, r, work_end::answered, us_per_ms, now);
     }
--- a/test/test_proof.cpp
+++ b/test/test_proof.cpp
@@ -44,7 +44,7 @@
     r.idempotent = !charge;
     r.may_probe = !charge;
     r.stamp = at;
-    r.klass = charge ? charge_class : lookup_class;
+    r.route_class = charge ? charge_class : lookup_class;
     r.target = charge ? 4 * us_per_s : 1200 * us_per_ms;
     r.due = at + r.target;
     r.deadline = at + 3 * r.target;
@@ -64,7 +64,7 @@
     std::uint64_t seq = 0;
     for (int k = 0; k < 2; ++k) {
         auto r = work(++seq, now, false);
-        r.klass = charge_class; // any long work
+        r.route_class = charge_class; // any long work
         EXPECT_TRUE(gate_admit(command_mode::apply, g, r, now, last));
         now += 60 * us_per_ms;
         gate_survive(g, backend, now);
@@ -82,7 +82,7 @@
     gate_error last{};
     for (std::uint64_t seq = 1; seq < 4; ++seq) {
         auto r = work(seq, now, false);
-        r.klass = charge_class;
+        r.route_class = charge_class;
         gate_admit(command_mode::apply, g, r, now, last);
         now += 60 * us_per_ms;
         gate_survive(g, backend, now);
@@ -102,7 +102,7 @@
     d.sick = 0.3;
     gate_error last{};
     auto r = work(1, start, false);
-    r.klass = charge_class;
+    r.route_class = charge_class;
     gate_admit(command_mode::apply, g, r, start, last);
     gate_survive(g, backend, start + 60 * us_per_ms);
     EXPECT_DOUBLE_EQ(d.sick, 0.3);
@@ -131,7 +131,7 @@
             running.erase(running.begin() + static_cast<std::ptrdiff_t>(k));
         }
         auto r = work(++seq, now, false);
-        r.klass = charge_class;
+        r.route_class = charge_class;
         gate_error last{};
         constexpr double each_step = 0.05; // five pieces a second
         const bool offered = random_unit(rng) < each_step;
--- a/test/test_silence.cpp
+++ b/test/test_silence.cpp
@@ -20,21 +20,22 @@
 }
 
 /// Sends work that has no answer yet.
-void send(worker_health& h, std::uint64_t key, mono_us at, std::uint32_t klass)
+void send(worker_health& h, std::uint64_t key, mono_us at,
+          std::uint32_t route_class)
 {
-    health_sent(h, {key, at, 0, klass, target, false});
+    health_sent(h, {key, at, 0, route_class, target, false});
 }
 
 /// Teaches how long work of a class takes.
-void teach(worker_health& h, std::uint32_t klass, span_us took, int times)
+void teach(worker_health& h, std::uint32_t route_class, span_us took, int times)
 {
     for (int k = 0; k < times; ++k) {
         const auto key = static_cast<std::uint64_t>(1000 + k);
-        send(h, key, start - took, klass);
+        send(h, key, start - took, route_class);
         // Some answers come a little sooner or later than others.
         const auto varied = took + (k % 5 - 2) * took / 8;
-        health_seen(h, policy(), key, {outcome_kind::good, varied, 0, klass},
-                    start);
+        health_seen(h, policy(), key,
+                    {outcome_kind::good, varied, 0, route_class}, start);
     }
 }
 
