Store a quarantine also when its ends come at the same moment

What was seen: after all 8 nodes were started anew, a request in quarantine ran four times more and ended four processes; one run of the regression test in some ten, beside other tests.

Cause: the row was written only by a node that knew of three ends when it noted its own. Three nodes that each note one within a millisecond know of one, and the others' marks, which complete the three, came as reports, after which nothing was written. The log of the run shows it: one of the two requests is begun by the store's row at all eight starts (2012 within 3 ms), the other not.

Now a node that hears of the completing end writes the row if it noted one of the ends itself.

--- a/src/node/quarantine_driver.cpp
+++ b/src/node/quarantine_driver.cpp
@@ -22,6 +22,18 @@
         mix_hash(static_cast<std::uint64_t>(w.id), w.crashes));
 }
 
+/// Whether a backend server of this node ended under a request.
+bool is_noted_here(const node_state& n, fingerprint request)
+{
+    for (const auto& r : reports_of(n.quarantine, request, uptime_now())) {
+        for (const auto& [id, w] : n.workers) {
+            if (w.crashes > 0 && r.process == process_of(w))
+                return true;
+        }
+    }
+    return false;
+}
+
 std::vector<node_address> alive_nodes(const node_state& n)
 {
     std::vector<node_address> all;
@@ -135,7 +147,13 @@
                   const quarantine_message& m)
 {
     const auto now = uptime_now();
-    log_begun(n, quarantine_take_reports(n.quarantine, m.reports, now));
+    const auto begun = quarantine_take_reports(n.quarantine, m.reports, now);
+    log_begun(n, begun);
+    // Ends at the same moment are each noted before any node knows of all.
+    for (const auto f : begun) {
+        if (is_noted_here(n, f))
+            save_quarantine(n, f);
+    }
     tell(n, {from}, quarantine_answer(n.quarantine, m, n.rng, now));
 }
 
