Serve repeated pieces of the quarantine and the retry loan by one

- A request's fingerprint was computed anew at each check (its arrival, each of its events, before and after it waited, at its answer) while anything was suspect; it is computed once at each side now.
- Four answers to other nodes' questions were written out; answer_peer() serves them.
- Choosing some nodes at random stood in three loops; random_some() serves them.
- The estimate of a request's work from its response timeout stood in the attempt machine and in the stop; expected_work() serves both.
- The Retry-After of a quarantine was kept in its book as well as in the settings; the settings alone have it.

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -199,13 +199,10 @@
     }
 }
 
-/// Whether another attempt could still end before the deadline: usual work
-/// takes about half of the time after which it counts as silent.
+/// Whether another attempt could still end before the deadline.
 bool is_worth_another(const request_state& r, mono_us now)
 {
-    constexpr span_us silence_per_usual = 2;
-    return may_send_more(r, now) &&
-           now + r.policy.silence / silence_per_usual < r.deadline;
+    return may_send_more(r, now) && now + expected_work(r.policy) < r.deadline;
 }
 
 mono_us next_wake(const request_state& r, mono_us now)
@@ -269,6 +266,12 @@
 
 } // namespace
 
+span_us expected_work(const attempt_policy& p)
+{
+    constexpr span_us silence_per_work = 2;
+    return p.silence / silence_per_work;
+}
+
 request_state make_request(const attempt_policy& policy, mono_us deadline)
 {
     request_state r;
--- a/src/attempt/attempt_func.hpp
+++ b/src/attempt/attempt_func.hpp
@@ -11,6 +11,9 @@
 /// @param deadline moment of the final answer at the latest
 request_state make_request(const attempt_policy& policy, mono_us deadline);
 
+/// Time that work of a request takes, by how long it may be without an answer.
+span_us expected_work(const attempt_policy& p);
+
 /// The node stops and the request gets less time than it had. Repeatable work
 /// that has lasted for its usual time, or that could not be tried once more
 /// after this, counts as silent from then on: a slow backend server would
--- a/src/base/random_func.hpp
+++ b/src/base/random_func.hpp
@@ -2,7 +2,10 @@
 // passed in, so that the same seed gives the same decisions everywhere.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <utility>
+#include <vector>
 
 namespace jasminetray {
 
@@ -30,4 +33,19 @@
 /// Mixes two 64-bit values into one; used for rendezvous hashing.
 std::uint64_t mix_hash(std::uint64_t a, std::uint64_t b);
 
+/// Some of `from` at random, in random order; all of them when there are no
+/// more than `count`.
+template <typename T>
+std::vector<T> random_some(std::vector<T> from, std::size_t count,
+                           random_state& rng)
+{
+    std::vector<T> chosen;
+    while (!from.empty() && chosen.size() < count) {
+        const auto k = random_below(rng, from.size());
+        chosen.push_back(std::move(from[k]));
+        from.erase(from.begin() + static_cast<std::ptrdiff_t>(k));
+    }
+    return chosen;
+}
+
 } // namespace jasminetray
--- a/src/node/crash_watch.cpp
+++ b/src/node/crash_watch.cpp
@@ -56,7 +56,7 @@
     note_crash(n, w, running);
 }
 
-/// Whether nobody listens at an address.
+/// Whether an address refuses connections.
 bool is_refused(node_state& n, const tcp::endpoint& at, const yield& y)
 {
     http_link link(n.ctx);
--- a/src/node/crash_watch.hpp
+++ b/src/node/crash_watch.hpp
@@ -1,6 +1,6 @@
 // Notices that a backend server's process ended while it ran work, and what it
 // ran. A closed connection alone is no proof: a sick backend server resets
-// connections too, and lives. That nobody listens at its address any more is.
+// connections too, and lives. A refused connection to its address is.
 #pragma once
 
 #include "node/node_state.hpp"
--- a/src/node/entry_refusal.cpp
+++ b/src/node/entry_refusal.cpp
@@ -62,7 +62,7 @@
     refusal x;
     x.event = event_id::refused_quarantined;
     x.reason = quarantined_reason;
-    x.retry_after = n.quarantine.policy.retry_after;
+    x.retry_after = n.settings.quarantine.retry_after;
     return x;
 }
 
--- a/src/node/entry_run.hpp
+++ b/src/node/entry_run.hpp
@@ -45,6 +45,7 @@
     team_limit limit;           ///< of the team; a rate of 0 for none
     int priority = 0;           ///< the team's own, else the route's
     string_request message;
+    std::optional<fingerprint> content; ///< of message, once it was needed
     request_state machine;
     mono_us began = 0;
     std::deque<attempt_event> inbox;
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -229,7 +229,7 @@
 /// else, and costs the service no retry.
 void note_quarantine(entry_run& r, attempt_event& e)
 {
-    if (r.machine.quarantined || !is_quarantined(r.n, r.message))
+    if (r.machine.quarantined || !is_quarantined(r.n, r.message, r.content))
         return;
     r.machine.quarantined = true;
     e.reason = quarantined_reason;
@@ -388,7 +388,7 @@
         make_request(policy_of(n, *r),
                      std::min(n.last_answer_at, r->began + patience_of(n, *r)));
     prepare_message(n, *r);
-    if (is_quarantined(n, r->message))
+    if (is_quarantined(n, r->message, r->content))
         return send_refusal(n, c, r->id, r->label, quarantine_refusal(n), y);
     if (const auto x = take_leave(n, *r, y))
         return send_refusal(n, c, r->id, r->label, *x, y);
--- a/src/node/entry_stop.cpp
+++ b/src/node/entry_stop.cpp
@@ -69,8 +69,7 @@
 /// patience with silence lets expect.
 span_us usual_of(const entry_run& r)
 {
-    constexpr span_us silence_per_usual = 2;
-    const auto expected = r.machine.policy.silence / silence_per_usual;
+    const auto expected = expected_work(r.machine.policy);
     const auto* c = r.tries.empty() ? nullptr
                                     : view_candidate(r.n.view, r.service_key,
                                                      r.tries.back().worker);
@@ -103,14 +102,9 @@
             continue;
         (v.record.centre == n.self.centre ? near : far).push_back(id);
     }
-    std::vector<node_id> chosen;
-    for (auto* from : {&near, &far}) {
-        while (!from->empty() && chosen.size() < max_lenders) {
-            const auto k = random_below(n.rng, from->size());
-            chosen.push_back((*from)[k]);
-            from->erase(from->begin() + static_cast<std::ptrdiff_t>(k));
-        }
-    }
+    auto chosen = random_some(near, max_lenders, n.rng);
+    for (const auto id : random_some(far, max_lenders - chosen.size(), n.rng))
+        chosen.push_back(id);
     return chosen;
 }
 
@@ -208,12 +202,7 @@
             ++granted;
     }
     loan->count = granted;
-    string_response r(http::status::no_content, 11);
-    r.set(hop_name, to_text(*loan));
-    r.keep_alive(true);
-    beast::error_code ec;
-    http::async_write(to, r, y[ec]);
-    return !ec;
+    return answer_peer(to, to_text(*loan), y);
 }
 
 void shorten_requests(node_state& n)
--- a/src/node/entry_team.cpp
+++ b/src/node/entry_team.cpp
@@ -276,12 +276,7 @@
         answer =
             take_allowance(n.allowances, ask->team, ask->limit, ask->patience,
                            allowance_policy_of(n), mono_now());
-    string_response r(http::status::no_content, 11);
-    r.set(hop_name, to_text(*answer));
-    r.keep_alive(true);
-    beast::error_code ec;
-    http::async_write(to, r, y[ec]);
-    return !ec;
+    return answer_peer(to, to_text(*answer), y);
 }
 
 } // namespace jasminetray
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -11,6 +11,7 @@
 #include "node/entry_team.hpp"
 #include "node/health_driver.hpp"
 #include "node/http_func.hpp"
+#include "node/peer_ask.hpp"
 #include "node/quarantine_driver.hpp"
 #include "node/worker_work.hpp"
 #include "verdict/verdict_query.hpp"
@@ -29,6 +30,7 @@
 struct exit_work
 {
     string_request message;
+    std::optional<fingerprint> content; ///< of message, once it was needed
     gate_request request;
     std::uint32_t source = 0; ///< index of the entry node's data centre
 };
@@ -212,7 +214,7 @@
     const auto since = mono_now();
     // A request that ended several processes ends the next one too, with all
     // the work beside it, whatever its id is this time.
-    if (is_quarantined(n, w.message))
+    if (is_quarantined(n, w.message, w.content))
         return refuse_quarantined(n, w);
     const auto a = gate_admit(command_mode::apply, n.door, w.request, since,
                               last, n.safeguards.gate);
@@ -222,7 +224,7 @@
         return gate_error::none;
     last = wait_for_slot(n, w, stream, y);
     note_wait(n, w, since, last);
-    if (last == gate_error::none && is_quarantined(n, w.message))
+    if (last == gate_error::none && is_quarantined(n, w.message, w.content))
         return withdraw_quarantined(n, w);
     return last;
 }
@@ -249,11 +251,7 @@
     }
     for (const auto id : touched)
         advance_gate(n, id);
-    string_response r(http::status::no_content, 11);
-    r.keep_alive(true);
-    beast::error_code ec;
-    http::async_write(to, r, y[ec]);
-    return !ec;
+    return answer_peer(to, "", y);
 }
 
 bool send_answer(node_state& n, const exit_work& w, worker_answer& a,
@@ -314,7 +312,7 @@
         if (a.closed)
             note_lost_work(n, w.request.worker, w.message, true);
         if (whole && a.parser->get().result_int() < first_failure)
-            note_survived(n, w.message);
+            note_survived(n, w.message, w.content);
         end_on_worker(n, w.request, a, whole);
     }
     const auto now = mono_now();
@@ -382,16 +380,11 @@
 
 bool send_pong(node_state& n, beast::tcp_stream& to, const yield& y)
 {
-    string_response r(http::status::no_content, 11);
     hop_answer a;
     a.outcome = hop_outcome::answer;
     a.boot = n.door.boot;
     a.stamp = mono_now();
-    r.set(hop_name, to_text(a));
-    r.keep_alive(true);
-    beast::error_code ec;
-    http::async_write(to, r, y[ec]);
-    return !ec;
+    return answer_peer(to, to_text(a), y);
 }
 
 } // namespace
--- a/src/node/member_actor.cpp
+++ b/src/node/member_actor.cpp
@@ -164,11 +164,8 @@
     auto m = make_message(k.table, gossip_kind::load);
     m.loads = loads;
     const auto bytes = encode(m, k.context->start.keys);
-    auto near = alive_members(k.table, k.table.self.centre);
-    while (near.size() > max_told) {
-        const auto at = random_below(k.rng, near.size());
-        near.erase(near.begin() + static_cast<std::ptrdiff_t>(at));
-    }
+    const auto near = random_some(alive_members(k.table, k.table.self.centre),
+                                  max_told, k.rng);
     for (const auto* to : near) {
         k.context->sinks.send_datagram(bytes, to->record.address.ip,
                                        to->record.address.gossip_port);
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -334,7 +334,6 @@
     n.quarantine.policy.crashes =
         static_cast<std::size_t>(s.quarantine.crashes);
     n.quarantine.policy.memory = s.quarantine.memory;
-    n.quarantine.policy.retry_after = s.quarantine.retry_after;
 }
 
 void turn_off_safeguards(node_state& n)
--- a/src/node/peer_ask.cpp
+++ b/src/node/peer_ask.cpp
@@ -47,4 +47,15 @@
     return answer;
 }
 
+bool answer_peer(beast::tcp_stream& to, const std::string& text, const yield& y)
+{
+    string_response r(http::status::no_content, 11);
+    if (!text.empty())
+        r.set(hop_name, text);
+    r.keep_alive(true);
+    beast::error_code ec;
+    http::async_write(to, r, y[ec]);
+    return !ec;
+}
+
 } // namespace jasminetray
--- a/src/node/peer_ask.hpp
+++ b/src/node/peer_ask.hpp
@@ -16,4 +16,10 @@
                                     const std::function<std::string()>& text,
                                     mono_us deadline, const yield& y);
 
+/// Answers such a question.
+/// @param text for the hop field; empty for none
+/// @return false when the connection is of no more use
+bool answer_peer(beast::tcp_stream& to, const std::string& text,
+                 const yield& y);
+
 } // namespace jasminetray
--- a/src/node/quarantine_driver.cpp
+++ b/src/node/quarantine_driver.cpp
@@ -34,6 +34,14 @@
     return false;
 }
 
+fingerprint hash_once(const node_state& n, const string_request& m,
+                      std::optional<fingerprint>& known)
+{
+    if (!known)
+        known = fingerprint_of(n, m);
+    return *known;
+}
+
 std::vector<node_address> alive_nodes(const node_state& n)
 {
     std::vector<node_address> all;
@@ -44,17 +52,6 @@
     return all;
 }
 
-/// Some at random.
-std::vector<node_address> some_nodes(node_state& n, std::size_t count)
-{
-    auto all = alive_nodes(n);
-    while (all.size() > count) {
-        const auto k = random_below(n.rng, all.size());
-        all.erase(all.begin() + static_cast<std::ptrdiff_t>(k));
-    }
-    return all;
-}
-
 /// Nodes that guard other backend servers of a service.
 std::vector<node_address> guards_of(const node_state& n, service_id service)
 {
@@ -101,12 +98,14 @@
                           n.fingerprints);
 }
 
-bool is_quarantined(const node_state& n, const string_request& m)
+bool is_quarantined(const node_state& n, const string_request& m,
+                    std::optional<fingerprint>& known)
 {
     // Most of the time there is no suspect, and no request is hashed.
-    return !n.quarantine.suspects.empty() &&
-           n.settings.experiment.has(mechanism::quarantine) &&
-           is_quarantined(n.quarantine, fingerprint_of(n, m));
+    if (n.quarantine.suspects.empty() ||
+        !n.settings.experiment.has(mechanism::quarantine))
+        return false;
+    return is_quarantined(n.quarantine, hash_once(n, m, known));
 }
 
 void note_crash(node_state& n, const local_worker& w,
@@ -124,10 +123,11 @@
     }
 }
 
-void note_survived(node_state& n, const string_request& m)
+void note_survived(node_state& n, const string_request& m,
+                   std::optional<fingerprint>& known)
 {
     if (!n.quarantine.suspects.empty())
-        end_quarantine(n, fingerprint_of(n, m), "answer");
+        end_quarantine(n, hash_once(n, m, known), "answer");
 }
 
 bool end_quarantine(node_state& n, fingerprint request, const char* cause)
@@ -161,9 +161,11 @@
 {
     auto due = quarantine_tick(n.quarantine, uptime_now());
     if (!due.push.empty())
-        tell(n, some_nodes(n, n.quarantine.policy.fanout), std::move(due.push));
+        tell(n, random_some(alive_nodes(n), n.quarantine.policy.fanout, n.rng),
+             std::move(due.push));
     if (due.compare)
-        tell(n, some_nodes(n, 1), {quarantine_compare(n.quarantine)});
+        tell(n, random_some(alive_nodes(n), 1, n.rng),
+             {quarantine_compare(n.quarantine)});
 }
 
 } // namespace jasminetray
--- a/src/node/quarantine_driver.hpp
+++ b/src/node/quarantine_driver.hpp
@@ -14,7 +14,9 @@
 fingerprint fingerprint_of(const node_state& n, const string_request& m);
 
 /// Whether a request is to be refused.
-bool is_quarantined(const node_state& n, const string_request& m);
+/// @param known its fingerprint; filled in when it is first needed
+bool is_quarantined(const node_state& n, const string_request& m,
+                    std::optional<fingerprint>& known);
 
 /// Takes up that a backend server's process ended while it ran requests.
 /// Nodes that guard other backend servers of its service are told at once.
@@ -22,7 +24,9 @@
                 const std::vector<fingerprint>& running);
 
 /// Takes up that a backend server answered a request and lives.
-void note_survived(node_state& n, const string_request& m);
+/// @param known as above
+void note_survived(node_state& n, const string_request& m,
+                   std::optional<fingerprint>& known);
 
 /// Clears a request, here and at all nodes that hear of it.
 /// @param cause for the log
--- a/src/node/quarantine_store.hpp
+++ b/src/node/quarantine_store.hpp
@@ -1,7 +1,7 @@
-// Rows of the store about requests in quarantine. Nodes have no disks: when all
-// of them are restarted at once, nobody is left who remembers. The store is
-// only read at a node's start and written when a quarantine begins or ends;
-// without it nodes still tell each other.
+// Rows of the store about requests in quarantine. Nodes have no disks: a
+// restart of all of them at once would lose every mark. The store is only read
+// at a node's start and written when a quarantine begins or ends; without it
+// nodes still tell each other.
 #pragma once
 
 #include "node/node_state.hpp"
--- a/src/quarantine/quarantine_type.hpp
+++ b/src/quarantine/quarantine_type.hpp
@@ -61,9 +61,6 @@
     /// marks of the others it lets through what they refuse.
     span_us young_compare_every = 200 * us_per_ms;
     span_us young = 5 * us_per_s;
-    /// When a refused caller may ask again. Until an operator releases the
-    /// request or its marks grow too old, nothing else changes the answer.
-    span_us retry_after = 60 * us_per_s;
 };
 
 constexpr std::size_t quarantine_buckets = 16; ///< of the comparison
