--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -66,9 +66,9 @@
 
 bool may_send_more(const request_state& r, mono_us now)
 {
-    return reached_count(r) < r.policy.most_attempts &&
-           r.tracks.size() < r.policy.most_tries && !r.out_of_workers &&
-           !r.quarantined && now + r.policy.least_left < r.deadline;
+    return reached_count(r) < r.policy.max_attempts &&
+           r.tracks.size() < r.policy.max_tries && !r.out_of_workers &&
+           !r.quarantined && now + r.policy.min_remaining < r.deadline;
 }
 
 /// Ends a request of which no attempt is open any more.
@@ -90,7 +90,7 @@
 {
     return r.policy.last_resort && !r.resorted && !r.quarantined &&
            reached_count(r) == 0 && all_not_run(r) &&
-           now + r.policy.least_left < r.deadline;
+           now + r.policy.min_remaining < r.deadline;
 }
 
 /// Tries again if that is safe and allowed; else ends the request unless
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -99,11 +99,11 @@
 struct attempt_policy
 {
     bool idempotent = false;
-    std::uint32_t most_attempts = 3; ///< that may reach a backend server
-    std::uint32_t most_tries = 8;    ///< with those that a gate refused
-    span_us silence = 200000;        ///< without an answer, before acting
-    span_us revoke_margin = 100000;  ///< kept before the deadline to ask
-    span_us least_left = 5000;       ///< no new attempt with less time left
+    std::uint32_t max_attempts = 3; ///< that may reach a backend server
+    std::uint32_t max_tries = 8;    ///< with those that a gate refused
+    span_us silence = 200000;       ///< without an answer, before acting
+    span_us revoke_margin = 100000; ///< kept before the deadline to ask
+    span_us min_remaining = 5000;   ///< no new attempt with less time left
     /// Between questions for a retry that the allowance denies. Asked only
     /// once, a read stayed on a backend server that hangs until its deadline.
     span_us ask_again = 250000;
--- a/src/balance/load_news.cpp
+++ b/src/balance/load_news.cpp
@@ -15,7 +15,7 @@
     // Suspicion decides where all work goes; it never waits.
     if (l.suspect != told.suspect)
         return true;
-    if (since < p.least_pause)
+    if (since < p.min_pause)
         return false;
     const bool busy = std::max(l.load, told.load) >= p.busy_from;
     // A little less than a slot: loads are shares, and shares are rounded.
--- a/src/balance/load_news.hpp
+++ b/src/balance/load_news.hpp
@@ -17,7 +17,7 @@
     int doubt_step = 10;       ///< percent
     /// Pause between two words about one backend server. Work takes 100 ms
     /// and more, so a gate does not fill up unseen in between.
-    span_us least_pause = 60 * us_per_ms;
+    span_us min_pause = 60 * us_per_ms;
     span_us again_after = us_per_s / 2; ///< a lost datagram is made good
 };
 
--- a/src/config/config_store.cpp
+++ b/src/config/config_store.cpp
@@ -17,7 +17,7 @@
 constexpr char head_key[] = "config-head";
 constexpr std::uint64_t chunk_share = 64; // one section in 64 starts a chunk
 constexpr std::uint64_t list_share = 64;  // one chunk in 64 starts a list
-constexpr std::size_t most_chunk = 65536; // bytes; cut at a line anyway
+constexpr std::size_t max_chunk = 65536;  // bytes; cut at a line anyway
 
 std::string history_key(std::uint64_t version)
 {
@@ -153,7 +153,7 @@
         const auto line = std::string_view(text).substr(at, end - at);
         const bool section =
             line.front() == '[' && text_hash(line) % chunk_share == 0;
-        if (!chunk.empty() && (section || chunk.size() >= most_chunk)) {
+        if (!chunk.empty() && (section || chunk.size() >= max_chunk)) {
             chunks.push_back(std::move(chunk));
             chunk.clear();
         }
--- a/src/config/config_type.hpp
+++ b/src/config/config_type.hpp
@@ -65,7 +65,7 @@
     span_us drain_us = 2 * us_per_s;     ///< new work after a drain began
     bool echo_required = true;           ///< answers must echo the request id
     std::string health_path = "/health"; ///< answers 200 while it feels well
-    int most_connections = 256; ///< that a backend server accepts in all
+    int max_connections = 256; ///< that a backend server accepts in all
 };
 
 /// How a caller's own retry of keyed work is recognised.
--- a/src/config/mechanism_type.hpp
+++ b/src/config/mechanism_type.hpp
@@ -47,7 +47,7 @@
 enum class tunable : std::uint8_t
 {
     refusal_memory, ///< of suspects' refusals
-    least_wait,     ///< that work may always wait
+    min_wait,       ///< that work may always wait
     probe_share,    ///< of work sent to suspects on purpose
     far_share,      ///< loss of a request that crosses data centres
     probe_every,    ///< of a suspect
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -68,10 +68,10 @@
     span_us drain = 2 * us_per_s; ///< between "leaving" and closing doors
     /// For work in flight at the end, where no platform tells a grace.
     span_us stop_bound = 30 * us_per_s;
-    int hold_bytes = 65536;  ///< answers up to this are held whole
-    int most_body = 1048576; ///< of a caller's request
-    int most_attempts = 3;
-    int most_in_flight = 4096;    ///< requests at the entry side
+    int hold_bytes = 65536; ///< answers up to this are held whole
+    int max_body = 1048576; ///< of a caller's request
+    int max_attempts = 3;
+    int max_in_flight = 4096;     ///< requests at the entry side
     int service_in_flight = 1024; ///< of one service at the entry side
     int log_lines = 20000;        ///< a second, of one event
     std::string safeguards_off;   ///< test hook; names with commas
--- a/src/event/log_writer.cpp
+++ b/src/event/log_writer.cpp
@@ -97,11 +97,11 @@
     }
 }
 
-log_writer::log_writer(int fd, std::size_t most_bytes)
+log_writer::log_writer(int fd, std::size_t max_bytes)
     : state_(std::make_shared<state>())
 {
     state_->fd = fd;
-    state_->most = most_bytes;
+    state_->most = max_bytes;
     std::thread([s = state_] { s->run(); }).detach();
 }
 
--- a/src/event/log_writer.hpp
+++ b/src/event/log_writer.hpp
@@ -17,8 +17,8 @@
 {
 public:
     /// @param fd where lines go; stays open
-    /// @param most_bytes of lines that wait
-    log_writer(int fd, std::size_t most_bytes);
+    /// @param max_bytes of lines that wait
+    log_writer(int fd, std::size_t max_bytes);
 
     log_writer(const log_writer&) = delete;
     log_writer& operator=(const log_writer&) = delete;
--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -62,7 +62,7 @@
 
 gate_class& class_of(gate_worker& w, std::uint32_t klass, mono_us now)
 {
-    if (w.classes.size() >= most_classes && w.classes.count(klass) == 0) {
+    if (w.classes.size() >= max_classes && w.classes.count(klass) == 0) {
         // Routes come and go with configurations for as long as the process
         // lives; without a bound their records would fill its memory.
         w.classes.erase(std::min_element(w.classes.begin(), w.classes.end(),
--- a/src/gate/gate_queue.cpp
+++ b/src/gate/gate_queue.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Least share of the slots that late work is forecast to get.
-constexpr double least_rest = 0.05;
+constexpr double min_rest = 0.05;
 
 span_us wait_for(const gate_worker& w, span_us ahead, double share)
 {
@@ -44,7 +44,7 @@
         return false;
     if (x.due == mono_never)
         return true;
-    return begin <= std::max(x.due, x.due - x.target + l.least_wait);
+    return begin <= std::max(x.due, x.due - x.target + l.min_wait);
 }
 
 /// Whether the slots that are left over answer late work in time for its
@@ -54,7 +54,7 @@
 {
     if (!l.late_forecast)
         return false;
-    const double rest = std::max(least_rest, 1 - pressure_now(w, l, now));
+    const double rest = std::max(min_rest, 1 - pressure_now(w, l, now));
     return ends_before_deadline(w, x, now + wait_for(w, ahead, rest));
 }
 
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -67,7 +67,7 @@
 
 /// Classes of work that a backend server's gate tells apart; beyond them the
 /// one that was seen least lately is forgotten.
-constexpr std::size_t most_classes = 64;
+constexpr std::size_t max_classes = 64;
 
 /// Work that asks to be let in.
 struct gate_request
@@ -134,7 +134,7 @@
     /// that request stands idle elsewhere: with 1 s, lookups that were refused
     /// in the end had filled the slots of the service that made them. 400 ms
     /// instead brought 0.02 of worth on each of two overloaded days at 92 VMs.
-    span_us least_wait = 400 * us_per_ms;
+    span_us min_wait = 400 * us_per_ms;
     /// Whether late work waits for the slots that work in time leaves over.
     bool late_forecast = true;
     bool short_first = true; ///< short targets come first in the queue
@@ -195,7 +195,7 @@
     int foreign = 0;       ///< started through a former process
     bool draining = false; ///< takes no new work
     span_us usual = 20000; ///< moving mean of the time that work takes
-    // Invariant: never more than most_classes.
+    // Invariant: never more than max_classes.
     std::unordered_map<std::uint32_t, gate_class> classes; ///< by class
     mono_us lowered_at = 0; ///< when the limit was last lowered
     int served_level = 0;   ///< most running work beside an answer, lately
--- a/src/hosted/announcement_type.hpp
+++ b/src/hosted/announcement_type.hpp
@@ -8,7 +8,7 @@
 
 namespace jasminetray {
 
-constexpr int most_slots = 10000; ///< that an announcement may tell
+constexpr int max_slots = 10000; ///< that an announcement may tell
 
 /// One announcement, about one a second.
 struct announcement
--- a/src/hosted/incarnation_cmd.cpp
+++ b/src/hosted/incarnation_cmd.cpp
@@ -10,7 +10,7 @@
 
 void make_room(incarnation_table& t)
 {
-    if (t.names.size() < t.policy.most_names)
+    if (t.names.size() < t.policy.max_names)
         return;
     const auto oldest = std::min_element(
         t.names.begin(), t.names.end(), [](const auto& a, const auto& b) {
@@ -69,7 +69,7 @@
     const auto left = started_before_leave(k, a);
     const auto ceiling = in_doubt ? std::max(k.born, k.ceiling) : 0;
     auto past = k.past;
-    if (past.size() >= most_past)
+    if (past.size() >= max_past)
         past.erase(past.begin());
     past.push_back({k.born, k.sequence, k.left});
     if (t.guards.fresh_record) {
--- a/src/hosted/incarnation_type.hpp
+++ b/src/hosted/incarnation_type.hpp
@@ -43,7 +43,7 @@
     bool left = false;          ///< said that it drains or leaves
 };
 
-constexpr std::size_t most_past = 8; ///< of one name; a crash loop makes more
+constexpr std::size_t max_past = 8; ///< of one name; a crash loop makes more
 
 /// What one name is known by. Invariant: all but `rival`, `ceiling` and `past`
 /// belongs to the incarnation `born`; a later one begins with nothing.
@@ -58,7 +58,7 @@
     /// Starts up to this one looked later and belong to the dead: the clock
     /// stepped back since. 0 for none.
     std::uint64_t ceiling = 0;
-    // Invariant: at most most_past, the latest last.
+    // Invariant: at most max_past, the latest last.
     std::vector<incarnation_past> past;
     incarnation_rival rival;
 };
@@ -68,7 +68,7 @@
 {
     /// Names remembered; the one that was silent for longest is forgotten. A
     /// VM has one backend server at a time.
-    std::size_t most_names = 256;
+    std::size_t max_names = 256;
     /// An incarnation whose start looks older is alive after all when it goes
     /// on announcing itself for so long while the newest one is silent. Bytes
     /// that were held up by a cut come at once, not for seconds.
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -15,7 +15,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-constexpr std::uint64_t most_body = 64 << 20;
+constexpr std::uint64_t max_body = 64 << 20;
 
 /// Runs one asynchronous step to its end; the stream's own timer ends it.
 template <typename Start>
@@ -73,7 +73,7 @@
         return std::nullopt;
     beast::flat_buffer buf;
     http::response_parser<http::string_body> parser;
-    parser.body_limit(most_body);
+    parser.body_limit(max_body);
     if (!run_step(ctx, [&](auto done) {
             http::async_read(stream, buf, parser, done);
         }))
--- a/src/load/load_main.cpp
+++ b/src/load/load_main.cpp
@@ -18,7 +18,7 @@
 DEFINE_string(centre, "", "data centre of these callers");
 DEFINE_int32(answer_bytes, 0, "padding that answers must have");
 DEFINE_uint64(seed, 1, "of the random numbers");
-DEFINE_int32(most_open, 2000, "requests at once");
+DEFINE_int32(max_open, 2000, "requests at once");
 DEFINE_string(label, "load", "part of every load id");
 DEFINE_string(records, "", "file for one line per request");
 DEFINE_string(name, "load", "word that begins the last line");
@@ -133,7 +133,7 @@
     plan.centre = FLAGS_centre;
     plan.answer_bytes = FLAGS_answer_bytes;
     plan.seed = FLAGS_seed;
-    plan.most_open = FLAGS_most_open;
+    plan.max_open = FLAGS_max_open;
     plan.label = FLAGS_label;
     if (plan.entries.empty() || plan.paths.empty() || plan.rate <= 0) {
         std::cerr << "--entries, --paths and --rate are needed\n";
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -173,7 +173,7 @@
 
 void start_one(load_run& l)
 {
-    if (l.open >= l.plan.most_open) {
+    if (l.open >= l.plan.max_open) {
         ++l.found.skipped;
         return;
     }
--- a/src/load/load_type.hpp
+++ b/src/load/load_type.hpp
@@ -27,7 +27,7 @@
     int answer_bytes = 0;           ///< padding that answers must have
     std::uint64_t seed = 1;
     double bound_s = 10;        ///< for one request
-    int most_open = 2000;       ///< requests at once; beyond it skipped
+    int max_open = 2000;        ///< requests at once; beyond it skipped
     std::string label = "load"; ///< part of every load id
 };
 
--- a/src/member/member_cmd.cpp
+++ b/src/member/member_cmd.cpp
@@ -37,7 +37,7 @@
         return hear_self(t, summary_of(r), r.boot);
     const auto it = t.members.find(r.id);
     if (it == t.members.end()) {
-        if (t.members.size() >= t.policy.most_members)
+        if (t.members.size() >= t.policy.max_members)
             return;
         t.members[r.id] = member{r, liveness::alive, now};
         toggle_digest(t, summary_of(r));
@@ -157,8 +157,8 @@
     toggle_digest(t, summary_of(t.self));
     auto workers = r.workers;
     auto complaints = r.complaints;
-    workers.resize(std::min(workers.size(), most_workers));
-    complaints.resize(std::min(complaints.size(), most_complaints));
+    workers.resize(std::min(workers.size(), max_workers));
+    complaints.resize(std::min(complaints.size(), max_complaints));
     t.self.workers = std::move(workers);
     t.self.complaints = std::move(complaints);
     t.self.leaving = r.leaving;
--- a/src/member/member_message.cpp
+++ b/src/member/member_message.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::uint64_t relay_purpose = 0x52454c4159ULL;
-constexpr std::size_t most_rumours = 32;
+constexpr std::size_t max_rumours = 32;
 
 // Sizes on the wire, to keep a datagram within its bound. They are upper
 // estimates for the packed encoding; the codec checks the real size.
@@ -91,7 +91,7 @@
     room -= std::min(room, size_of(r));
     m.records.push_back(r);
     if (about != t.self.id && it->second.state != liveness::alive &&
-        m.rumours.size() < most_rumours)
+        m.rumours.size() < max_rumours)
         m.rumours.push_back(
             {about, r.generation, r.sequence, it->second.state});
     return true;
--- a/src/member/member_probe.cpp
+++ b/src/member/member_probe.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr int most_trouble = 3;
-constexpr std::size_t most_relayed = 64;
+constexpr int max_trouble = 3;
+constexpr std::size_t max_relayed = 64;
 
 void shuffle_order(member_table& t, random_state& rng)
 {
@@ -76,7 +76,7 @@
             ask_helpers(t, p, rng, now, out);
             left.push_back(p);
         } else {
-            t.own_trouble = std::min(most_trouble, t.own_trouble + 1);
+            t.own_trouble = std::min(max_trouble, t.own_trouble + 1);
             if (it->second.state == liveness::alive)
                 set_state(t, it->second, liveness::suspected, now);
         }
@@ -105,7 +105,7 @@
 void on_ping_for(member_table& t, const gossip_message& m, const outgoing& back,
                  mono_us now, std::vector<outgoing>& out)
 {
-    if (t.relayed.size() >= most_relayed)
+    if (t.relayed.size() >= max_relayed)
         t.relayed.erase(t.relayed.begin());
     auto ping = make_message(t, gossip_kind::ping);
     ping.probe = ++t.probe_count;
--- a/src/member/member_query.cpp
+++ b/src/member/member_query.cpp
@@ -105,9 +105,9 @@
 span_us reader_pause(span_us last, bool ranked)
 {
     constexpr span_us first = 100 * us_per_ms; // most outages are short
-    constexpr span_us most_ranked = us_per_s;  // news is late by this at most
-    constexpr span_us most_other = 4 * us_per_s;
-    return std::clamp(2 * last, first, ranked ? most_ranked : most_other);
+    constexpr span_us max_ranked = us_per_s;   // news is late by this at most
+    constexpr span_us max_other = 4 * us_per_s;
+    return std::clamp(2 * last, first, ranked ? max_ranked : max_other);
 }
 
 bool should_read_store(const member_table& t, mono_us now)
--- a/src/member/member_spread.cpp
+++ b/src/member/member_spread.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t most_summaries = 48;
+constexpr std::size_t max_summaries = 48;
 
 /// Messages that carry all pending news, each within the datagram bound.
 std::vector<gossip_message> news_messages(const member_table& t,
@@ -97,7 +97,7 @@
     const double per_bucket =
         static_cast<double>(t.members.size() + 1) / digest_buckets;
     auto room = std::max<std::size_t>(
-        1, static_cast<std::size_t>(most_summaries / (per_bucket + 1)));
+        1, static_cast<std::size_t>(max_summaries / (per_bucket + 1)));
     const auto first = random_below(rng, digest_buckets);
     std::uint64_t bits = 0;
     for (std::size_t k = 0; k < digest_buckets && room > 0; ++k) {
@@ -223,14 +223,14 @@
                                ? is_newer(s, summary_of(t.self))
                                : it == t.members.end() ||
                                      is_newer(s, summary_of(it->second.record));
-        if (newer && want.size() < t.policy.most_wanted)
+        if (newer && want.size() < t.policy.max_wanted)
             want.push_back(s.id);
     }
     std::vector<node_id> give;
     for (const auto& s : bucket_summaries(t, m.buckets)) {
         const auto it = theirs.find(s.id);
         if ((it == theirs.end() || is_newer(s, it->second)) &&
-            give.size() < t.policy.most_wanted)
+            give.size() < t.policy.max_wanted)
             give.push_back(s.id);
     }
     t.behind = !want.empty();
--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -63,12 +63,12 @@
     centre_id centre{};
     node_address address;
     bool leaving = false;
-    std::vector<worker_record> workers; ///< invariant: <= most_workers
+    std::vector<worker_record> workers; ///< invariant: <= max_workers
     std::vector<node_id> complaints;    ///< nodes whose path it avoids
 };
 
-constexpr std::size_t most_workers = 48;   ///< in a record
-constexpr std::size_t most_complaints = 8; ///< in a record
+constexpr std::size_t max_workers = 48;   ///< in a record
+constexpr std::size_t max_complaints = 8; ///< in a record
 
 /// Whether a node answers.
 enum class liveness : std::uint8_t
@@ -210,8 +210,8 @@
     std::size_t relays = 1;
     std::size_t helpers = 3;           ///< asked to probe for us
     std::size_t datagram_bytes = 1200; ///< room for records
-    std::size_t most_members = 8192;   ///< more are not taken in
-    std::size_t most_wanted = 24;      ///< records asked for at once
+    std::size_t max_members = 8192;    ///< more are not taken in
+    std::size_t max_wanted = 24;       ///< records asked for at once
     /// Nodes of a data centre that follow the configuration in the store for
     /// the others. One may be frozen or cut off; the other goes on.
     std::size_t readers = 2;
@@ -292,7 +292,7 @@
     node_record self;
     std::vector<contact> contacts; ///< that others may be found by
     // Invariant: holds every other node that was heard of and not forgotten;
-    // never self; at most policy.most_members.
+    // never self; at most policy.max_members.
     std::unordered_map<node_id, member> members;
     // Invariant: the XOR of the hashes of self and all members per bucket.
     std::array<std::uint64_t, digest_buckets> digest{};
--- a/src/node/announce.cpp
+++ b/src/node/announce.cpp
@@ -129,8 +129,8 @@
     a.name = words("name");
     a.service = words("service");
     a.port = static_cast<std::uint16_t>(whole("port", 1, 65535, 0));
-    a.slots = static_cast<int>(whole("slots", 1, most_slots, 1));
-    a.busy = static_cast<int>(whole("busy", 0, most_slots, 0));
+    a.slots = static_cast<int>(whole("slots", 1, max_slots, 1));
+    a.busy = static_cast<int>(whole("busy", 0, max_slots, 0));
     a.draining = whole("draining", 0, 1, 0) == 1;
     a.leaving = whole("leaving", 0, 1, 0) == 1;
     a.boot = static_cast<std::uint64_t>(whole("boot", 0, INT64_MAX, 0));
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -222,7 +222,7 @@
     const bool complete = t.parser && t.parser->is_done() && !t.cancelled;
     if (complete && result.reason != "echo-mismatch" &&
         is_clean(*t.link, t.parser->keep_alive())) {
-        give_back(r.n.exits[t.exit], std::move(t.link), most_exit_idle,
+        give_back(r.n.exits[t.exit], std::move(t.link), max_exit_idle,
                   mono_now());
     } else if (complete || t.cancelled) {
         t.link.reset();
@@ -346,7 +346,7 @@
     const auto it = r.n.budgets.find(r.service->name);
     const bool paid =
         it != r.n.budgets.end() && may_retry(it->second, mono_now());
-    return m.policy.idempotent && reached < m.policy.most_attempts && paid;
+    return m.policy.idempotent && reached < m.policy.max_attempts && paid;
 }
 
 } // namespace
--- a/src/node/entry_run.hpp
+++ b/src/node/entry_run.hpp
@@ -10,7 +10,7 @@
 namespace jasminetray {
 
 constexpr span_us keep_exit_idle = 30 * us_per_s; ///< shorter than exits wait
-constexpr std::size_t most_exit_idle = 32; ///< connections to one exit node
+constexpr std::size_t max_exit_idle = 32; ///< connections to one exit node
 
 /// One attempt's I/O.
 struct entry_try
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -22,14 +22,14 @@
 /// Gates that one request asks. Asking all again after a pause, for a second,
 /// served no more and cost a sixth of the bytes between data centres; a gate
 /// holds work for as long as that is worth it.
-constexpr std::uint32_t most_gates = 4;
+constexpr std::uint32_t max_gates = 4;
 /// Request bodies of more bytes are offered to fewer gates, and not to
 /// suspects: each offer carries the body again. Scans of 60 KB that four gates
 /// refused were two thirds of all bytes between data centres (0.15 GB of a
 /// day at 92 VMs, 0.06 with two gates); 0.31 of them were served with four
 /// gates and 0.27 with two, within the noise of one day.
 constexpr std::size_t large_body = 16384;
-constexpr std::uint32_t most_large_gates = 2;
+constexpr std::uint32_t max_large_gates = 2;
 constexpr double golden_step = 0.6180339887498949; // fills evenly at any length
 
 /// A caller's connection with what is needed to answer on it.
@@ -128,7 +128,7 @@
     }
     // Each service has its own share, so that one whose backend servers
     // hang cannot take the places of the others.
-    if (n.in_flight >= n.settings.most_in_flight ||
+    if (n.in_flight >= n.settings.max_in_flight ||
         n.in_flight_by_service[name] >= n.settings.service_in_flight) {
         x.event = event_id::refused_overload;
         x.reason = "entry-full";
@@ -244,7 +244,7 @@
     if (r->n.balance.doubt.on) {
         share_allowance(budget,
                         {h.retry_ratio, h.retry_slack, h.retry_window,
-                         std::max<std::size_t>(1, r->n.most_nodes)},
+                         std::max<std::size_t>(1, r->n.max_nodes)},
                         now - r->n.started_at);
     } else {
         budget.share = r->service->retry_share;
@@ -293,18 +293,18 @@
     const auto& m = r.message.method_string();
     p.idempotent = is_idempotent(*r.route, {m.data(), m.size()});
     const auto most =
-        r.route->attempts > 0 ? r.route->attempts : n.settings.most_attempts;
-    p.most_attempts = static_cast<std::uint32_t>(most);
+        r.route->attempts > 0 ? r.route->attempts : n.settings.max_attempts;
+    p.max_attempts = static_cast<std::uint32_t>(most);
     if (!n.settings.experiment.has(mechanism::retries))
-        p.most_attempts = 1;
+        p.max_attempts = 1;
     p.silence = silence_of(n, r, p.idempotent);
     p.revoke_margin = std::min(p.revoke_margin, r.route->deadline_us / 4);
     if (n.balance.doubt.on) {
-        p.most_tries = most_gates;
+        p.max_tries = max_gates;
         p.last_resort =
             p.idempotent && n.settings.experiment.has(mechanism::last_resort);
         if (r.message.body().size() > large_body) {
-            p.most_tries = most_large_gates;
+            p.max_tries = max_large_gates;
             p.last_resort = false;
         }
     }
--- a/src/node/entry_stop.cpp
+++ b/src/node/entry_stop.cpp
@@ -55,7 +55,7 @@
         told = link && exchange(*link, s, y);
     }
     if (told)
-        give_back(n.exits[exit], std::move(link), most_exit_idle, mono_now());
+        give_back(n.exits[exit], std::move(link), max_exit_idle, mono_now());
     return told;
 }
 
@@ -118,9 +118,9 @@
     }
     for (auto& [exit, share] : shares) {
         // In parts that one head can hold.
-        while (share.attempts.size() > most_shortened) {
+        while (share.attempts.size() > max_shortened) {
             const auto from = static_cast<std::ptrdiff_t>(
-                share.attempts.size() - most_shortened);
+                share.attempts.size() - max_shortened);
             exit_share part{
                 share.address,
                 {share.attempts.begin() + from, share.attempts.end()},
--- a/src/node/entry_team.cpp
+++ b/src/node/entry_team.cpp
@@ -110,7 +110,7 @@
         answer = link ? exchange(*link, a, deadline, y) : std::nullopt;
     }
     if (answer)
-        give_back(n.exits[id], std::move(link), most_exit_idle, mono_now());
+        give_back(n.exits[id], std::move(link), max_exit_idle, mono_now());
     else
         n.silent_homes[id] = mono_now();
     return answer;
@@ -196,7 +196,7 @@
 {
     return {n.settings.hosted.allowance_overage,
             n.settings.hosted.allowance_slack,
-            std::max<std::size_t>(1, n.most_nodes), n.members_changed_at};
+            std::max<std::size_t>(1, n.max_nodes), n.members_changed_at};
 }
 
 bool may_serve_keys(const node_state& n)
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -401,7 +401,7 @@
     bool alive = true;
     while (alive) {
         http::request_parser<http::string_body> parser;
-        parser.body_limit(static_cast<std::uint64_t>(n.settings.most_body));
+        parser.body_limit(static_cast<std::uint64_t>(n.settings.max_body));
         stream.expires_after(std::chrono::microseconds(idle_bound));
         beast::error_code ec;
         http::async_read(stream, buf, parser, y[ec]);
--- a/src/node/feed_actor.cpp
+++ b/src/node/feed_actor.cpp
@@ -13,14 +13,14 @@
 /// Longest wait on the feed. Connections may go silent without a reset; each
 /// reader waits for another length, so that of the six in three data centres
 /// some one asks anew every 0.5 s and tells the others.
-constexpr span_us least_wait = 2 * us_per_s;
-constexpr span_us most_wait = 4 * us_per_s;
+constexpr span_us min_wait = 2 * us_per_s;
+constexpr span_us max_wait = 4 * us_per_s;
 /// The same where keys that are taken away must stop working within a bound:
 /// each answer proves that nothing was changed before it. By this and the time
 /// that passing on takes, worked out, a proof is 2.7 s old at the worst, of the
 /// 4 s that a bound of 5 s leaves; beyond, callers are refused.
-constexpr span_us least_proof_wait = 800 * us_per_ms;
-constexpr span_us most_proof_wait = 1200 * us_per_ms;
+constexpr span_us min_proof_wait = 800 * us_per_ms;
+constexpr span_us max_proof_wait = 1200 * us_per_ms;
 
 /// State of the actor.
 struct feed_reader
@@ -44,8 +44,8 @@
     if (!k.position)
         return store.list_rows(table, last);
     const bool prove = k.context->start.settings.hosted.revoke_bound > 0;
-    const auto least = prove ? least_proof_wait : least_wait;
-    const auto span = (prove ? most_proof_wait : most_wait) - least;
+    const auto least = prove ? min_proof_wait : min_wait;
+    const auto span = (prove ? max_proof_wait : max_wait) - least;
     const auto wait = least + static_cast<span_us>(random_below(
                                   k.rng, static_cast<std::uint64_t>(span)));
     return store.follow_rows(table, *k.position, wait, last);
--- a/src/node/fleet_news.cpp
+++ b/src/node/fleet_news.cpp
@@ -76,7 +76,7 @@
         log_workers(n, x.record);
         view_update(n.view, x.record, x.state, now);
     }
-    n.most_nodes = std::max(n.most_nodes, n.view.nodes.size());
+    n.max_nodes = std::max(n.max_nodes, n.view.nodes.size());
     if (take_doubted(n))
         return apply_all_claims(n);
     std::vector<service_id> services;
--- a/src/node/health_driver.cpp
+++ b/src/node/health_driver.cpp
@@ -17,10 +17,10 @@
 
 namespace {
 
-constexpr std::size_t most_asked = 8;         // peers per question
+constexpr std::size_t max_asked = 8;          // peers per question
 constexpr span_us ask_bound = 30 * us_per_ms; // for their answers
 constexpr double assumed_rate = 18;           // requests/s at a worker
-constexpr span_us least_overdue = us_per_s;   // work of 0.1 s has a tail
+constexpr span_us min_overdue = us_per_s;     // work of 0.1 s has a tail
 constexpr int publish_step = 50;              // severity, in the record
 
 double floor_of(const node_state& n, const local_worker& w)
@@ -121,7 +121,7 @@
     }
     std::sort(nodes.begin(), nodes.end());
     nodes.erase(std::unique(nodes.begin(), nodes.end()), nodes.end());
-    while (!nodes.empty() && peers.size() < most_asked) {
+    while (!nodes.empty() && peers.size() < max_asked) {
         const auto k = random_below(n.rng, nodes.size());
         const auto node = n.view.nodes.find(nodes[k]);
         if (node != n.view.nodes.end() && node->second.state == liveness::alive)
@@ -277,7 +277,7 @@
         check(n, w, now);
         // A backend server that hangs gives no outcome at all; without this
         // it would keep work until the first timeout, 8 to 10 s later.
-        const auto overdue = health_overdue(w.health, least_overdue, now);
+        const auto overdue = health_overdue(w.health, min_overdue, now);
         for (std::size_t k = 0; k < overdue; ++k)
             note_silence(n, id, now);
     }
--- a/src/node/hop_func.cpp
+++ b/src/node/hop_func.cpp
@@ -150,7 +150,7 @@
 {
     const auto parts = split(text, ',');
     if (parts.size() < shorten_parts || parts.front() != "s" ||
-        parts.size() > shorten_parts + most_shortened)
+        parts.size() > shorten_parts + max_shortened)
         return std::nullopt;
     part_reader in{parts, 1};
     shorten_notice s;
--- a/src/node/hop_type.hpp
+++ b/src/node/hop_type.hpp
@@ -73,14 +73,14 @@
 
 /// Attempts that one shorten_notice names at most; more go into the next, so
 /// that a head stays within the 8 KB that the HTTP library reads.
-inline constexpr std::size_t most_shortened = 64;
+inline constexpr std::size_t max_shortened = 64;
 
 /// From an entry node that stops: work that an exit node has of it is of use
 /// only so long.
 struct shorten_notice
 {
     span_us remaining = 0; ///< until the entry node gives its last answers
-    std::vector<attempt_id> attempts; ///< invariant: at most most_shortened
+    std::vector<attempt_id> attempts; ///< invariant: at most max_shortened
 };
 
 /// Field text.
--- a/src/node/hosted_worker.cpp
+++ b/src/node/hosted_worker.cpp
@@ -14,7 +14,7 @@
 constexpr span_us probe_bound = us_per_s;     // a probe waits for a slot, 25 ms
 constexpr span_us probe_pause = us_per_s / 2; // at most two probes a second
 constexpr span_us silence_bound = 5 * us_per_s; // three check-ins missed
-constexpr int most_missed = 2;                  // probes, until it is forgotten
+constexpr int max_missed = 2;                   // probes, until it is forgotten
 /// Announcements as ready after which an unhealthy answer is overruled: a
 /// health path may lie, and a single announcement may be older than a drain.
 constexpr int ready_twice = 2;
@@ -107,7 +107,7 @@
         if (may_admit(n, a, p))
             admit(n, a, p);
     }
-    if (w != nullptr && h.missed >= most_missed &&
+    if (w != nullptr && h.missed >= max_missed &&
         mono_now() - w->announced_at > silence_bound)
         forget_worker(n, w->id, "silent");
 }
--- a/src/node/http_func.hpp
+++ b/src/node/http_func.hpp
@@ -26,13 +26,13 @@
 template <typename Answer>
 void serve_simple(beast::tcp_stream& stream, const yield& y, Answer answer)
 {
-    constexpr std::uint64_t most_request = 65536;
+    constexpr std::uint64_t max_request = 65536;
     constexpr std::chrono::seconds idle_bound(60);
     beast::flat_buffer buf;
     bool keep = true;
     while (keep) {
         http::request_parser<http::string_body> parser;
-        parser.body_limit(most_request);
+        parser.body_limit(max_request);
         stream.expires_after(idle_bound);
         beast::error_code ec;
         http::async_read(stream, buf, parser, y[ec]);
--- a/src/node/key_claim.cpp
+++ b/src/node/key_claim.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr char key_table[] = "jasminetray-keys";
-constexpr int most_claims = 256; // waiting for the table service
+constexpr int max_claims = 256; // waiting for the table service
 
 /// Writes the claim on an idempotency key, off the request thread.
 /// @return none when this request owns the key
@@ -22,7 +22,7 @@
         store_error error = store_error::unclear;
         std::string first;
     };
-    if (n.slow_calls == nullptr || n.claims_open >= most_claims)
+    if (n.slow_calls == nullptr || n.claims_open >= max_claims)
         return store_error::unreachable;
     ++n.claims_open;
     auto state = std::make_shared<claim_state>();
--- a/src/node/member_actor.cpp
+++ b/src/node/member_actor.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds tick_every(50);
-constexpr int peers_every = 10;       // ticks
-constexpr std::size_t most_told = 32; // nodes, of a change of load
+constexpr int peers_every = 10;      // ticks
+constexpr std::size_t max_told = 32; // nodes, of a change of load
 
 /// State of the actor.
 struct member_keeper
@@ -165,7 +165,7 @@
     m.loads = loads;
     const auto bytes = encode(m, k.context->start.keys);
     auto near = alive_members(k.table, k.table.self.centre);
-    while (near.size() > most_told) {
+    while (near.size() > max_told) {
         const auto at = random_below(k.rng, near.size());
         near.erase(near.begin() + static_cast<std::ptrdiff_t>(at));
     }
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -52,15 +52,15 @@
 constexpr span_us answer_margin = 300 * us_per_ms; // to hand out answers
 constexpr span_us rpc_wait = 500 * us_per_ms;      // for the request thread
 constexpr std::size_t slow_threads = 8;            // revokes and claims
-constexpr std::size_t most_log = 1 << 20;          // bytes not yet written
+constexpr std::size_t max_log = 1 << 20;           // bytes not yet written
 constexpr int log_flush_ms = 200;                  // for them at the end
-constexpr int most_revokes = 256;                  // waiting for a thread
+constexpr int max_revokes = 256;                   // waiting for a thread
 
 /// All parts of a running node, in the order of their construction.
 struct node_parts
 {
     explicit node_parts(const node_settings& s)
-        : settings(s), log(STDOUT_FILENO, most_log),
+        : settings(s), log(STDOUT_FILENO, max_log),
           events({4096, 1024, static_cast<std::size_t>(s.log_lines)}, &log),
           metrics(make_node_metrics()), entry(ctx), exit(ctx), admin(ctx),
           hosted_control(ctx), hosted_ready(ctx), gossip(ctx), ticker(ctx),
@@ -89,14 +89,14 @@
     node_state state;
     std::unique_ptr<peer_server> rpc;
     std::unique_ptr<control> slow_state;
-    std::array<char, most_datagram> datagram{};
+    std::array<char, max_datagram> datagram{};
     udp::endpoint datagram_from;
     watched_file settings_file; ///< as it was when last looked at
     mono_us slow_tick_at = 0;
     mono_us claims_at = 0;
     mono_us close_at = mono_never; ///< when the doors close
     mono_us stop_at = mono_never;  ///< when work in flight is given up
-    int revokes_open = 0;          ///< invariant: <= most_revokes
+    int revokes_open = 0;          ///< invariant: <= max_revokes
 };
 
 bool listen(tcp::acceptor& a, const std::string& ip, int port, std::string& why)
@@ -231,7 +231,7 @@
     };
     h.revoke = [&p](const node_address& to, const attempt_id& a, boot_id boot,
                     span_us bound, auto done) {
-        if (p.revokes_open >= most_revokes)
+        if (p.revokes_open >= max_revokes)
             return asio::post(p.ctx, [done] { done(std::nullopt); });
         ++p.revokes_open;
         asio::post(p.slow, [&p, to, a, boot, bound, done] {
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -151,7 +151,7 @@
     node_safeguards safeguards;
     store_api store;
     asio::thread_pool* slow_calls = nullptr; ///< for blocking claims
-    int claims_open = 0;                     ///< invariant: <= most_claims
+    int claims_open = 0;                     ///< invariant: <= max_claims
     node_record self;                        ///< as last published
     random_state rng;
     std::uint64_t next_request = 1;
@@ -187,8 +187,8 @@
     std::map<std::uint32_t, std::uint32_t> source_index; ///< centre to index
 
     fleet_view view;
-    std::size_t most_nodes = 1; ///< that were ever known at once; a node that
-                                ///< is cut off must not take the others' part
+    std::size_t max_nodes = 1; ///< that were ever known at once; a node that
+                               ///< is cut off must not take the others' part
     path_table paths;
     path_policy path_settings;
     balance_policy balance;
--- a/src/node/presence_actor.cpp
+++ b/src/node/presence_actor.cpp
@@ -14,7 +14,7 @@
 
 constexpr char node_table[] = "jasminetray-nodes";
 constexpr span_us first_pause = 100 * us_per_ms; // after a failed call
-constexpr span_us most_pause = us_per_s;
+constexpr span_us max_pause = us_per_s;
 
 /// State of the actor.
 struct presence_keeper
@@ -139,7 +139,7 @@
                                std::chrono::microseconds(
                                    k->pause / 2 + static_cast<span_us>(jitter)),
                                tick_atom::value);
-            k->pause = std::min(most_pause, 2 * k->pause);
+            k->pause = std::min(max_pause, 2 * k->pause);
         },
         [=](leave_atom) {
             k->leaving = true;
--- a/src/node/settings_reload.cpp
+++ b/src/node/settings_reload.cpp
@@ -35,9 +35,9 @@
     settings.quiet = s->quiet;
     settings.drain = s->drain;
     settings.stop_bound = s->stop_bound;
-    settings.most_in_flight = s->most_in_flight;
+    settings.max_in_flight = s->max_in_flight;
     settings.service_in_flight = s->service_in_flight;
-    settings.most_attempts = s->most_attempts;
+    settings.max_attempts = s->max_attempts;
     settings.hosted.service = s->hosted.service;
     settings.hosted.worker = s->hosted.worker;
     settings.hosted.grace = s->hosted.grace;
--- a/src/node/worker_work.cpp
+++ b/src/node/worker_work.cpp
@@ -17,8 +17,8 @@
 
 constexpr span_us connect_bound = 250 * us_per_ms;
 constexpr span_us keep_idle = 30 * us_per_s;
-constexpr std::size_t most_idle = 16; // connections per backend server
-constexpr double late_factor = 4;     // of the usual time, to be evidence
+constexpr std::size_t max_idle = 16; // connections per backend server
+constexpr double late_factor = 4;    // of the usual time, to be evidence
 /// The backend server answers at its deadline; that answer is on its way.
 constexpr span_us answer_margin = 30 * us_per_ms;
 
@@ -216,9 +216,9 @@
 beast::error_code read_answer(node_state& n, const answer_facts& f,
                               worker_answer& a, bool head_only, const yield& y)
 {
-    constexpr int most_strays = 4;
+    constexpr int max_strays = 4;
     beast::error_code ec;
-    for (int k = 0; k < most_strays; ++k) {
+    for (int k = 0; k < max_strays; ++k) {
         a.parser = std::make_unique<response_parser>();
         a.parser->body_limit(boost::none);
         a.parser->skip(head_only);
@@ -326,7 +326,7 @@
     const bool keep =
         whole && a.parser->keep_alive() && is_clean(*a.link, true);
     if (a.link && (keep || !n.safeguards.close_unclean))
-        give_back(it->second.idle, std::move(a.link), most_idle, now);
+        give_back(it->second.idle, std::move(a.link), max_idle, now);
 }
 
 } // namespace jasminetray
--- a/src/table/config_table.hpp
+++ b/src/table/config_table.hpp
@@ -190,7 +190,7 @@
                             [](service_config& c, std::string_view s) {
                                 std::int64_t n = 0;
                                 const bool good = set_whole(n, s, 1, 65535);
-                                c.most_connections = static_cast<int>(n);
+                                c.max_connections = static_cast<int>(n);
                                 return good;
                             },
                             "1 to 65535",
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -107,7 +107,7 @@
 /// Reads constants to scale, as "name:factor".
 inline bool set_scaled(experiment_settings& e, std::string_view s)
 {
-    constexpr double most_factor = 100;
+    constexpr double max_factor = 100;
     e.scaled.clear();
     for (const auto& part : split(s, ',')) {
         const auto both = split(part, ':');
@@ -115,7 +115,7 @@
             return false;
         const auto what = value_of<tunable>(tunable_names, both[0]);
         const auto factor = parse_real(both[1]);
-        if (!what || !factor || *factor <= 0 || *factor > most_factor)
+        if (!what || !factor || *factor <= 0 || *factor > max_factor)
             return false;
         e.scaled.push_back({*what, *factor});
     }
@@ -276,20 +276,20 @@
                  {"most_body",
                   [](node_settings& s,
                      std::string_view
-                         v) { return set_int(s.most_body, v, 1024, 64 << 20); },
+                         v) { return set_int(s.max_body, v, 1024, 64 << 20); },
                   "1024 to 67108864", "bytes of a caller's request"}},
     settings_row{
         "limits",
         {"most_attempts",
          [](node_settings& s,
-            std::string_view v) { return set_int(s.most_attempts, v, 1, 8); },
+            std::string_view v) { return set_int(s.max_attempts, v, 1, 8); },
          "1 to 8", "attempts of one request"}},
     settings_row{
         "limits",
         {"most_in_flight",
          [](node_settings& s,
             std::string_view
-                v) { return set_int(s.most_in_flight, v, 1, 1000000); },
+                v) { return set_int(s.max_in_flight, v, 1, 1000000); },
          "1 to 1000000", "requests in flight at the entry side"}},
     settings_row{"limits",
                  {"service_in_flight",
--- a/src/team/allowance_cmd.cpp
+++ b/src/team/allowance_cmd.cpp
@@ -20,7 +20,7 @@
     return static_cast<double>(t) / us_per_s;
 }
 
-double most_tokens(const team_limit& l, const allowance_policy& p)
+double max_tokens(const team_limit& l, const allowance_policy& p)
 {
     return std::max(1.0, l.burst + clump_share * p.slack);
 }
@@ -30,7 +30,7 @@
 double first_tokens(const team_limit& l, const allowance_policy& p, mono_us now)
 {
     const auto since = seconds(std::max<span_us>(0, now - p.changed_at));
-    return std::min(most_tokens(l, p), clump_share * p.slack + l.rate * since);
+    return std::min(max_tokens(l, p), clump_share * p.slack + l.rate * since);
 }
 
 /// The limit that is counted by, with what it may be passed by.
@@ -106,7 +106,7 @@
         return {false, us_per_s};
     if (limit.version > c->limit.version)
         c->limit = wide;
-    return take_token(*c, most_tokens(c->limit, p), patience, now);
+    return take_token(*c, max_tokens(c->limit, p), patience, now);
 }
 
 allowance_answer take_own_part(allowance_book& b, std::uint64_t team,
@@ -131,7 +131,7 @@
 {
     for (auto it = b.teams.begin(); it != b.teams.end();) {
         auto& c = it->second;
-        const auto most = most_tokens(c.limit, p);
+        const auto most = max_tokens(c.limit, p);
         fill(c, most, now);
         it = c.tokens >= most ? b.teams.erase(it) : std::next(it);
     }
--- a/src/team/key_table.cpp
+++ b/src/team/key_table.cpp
@@ -32,7 +32,7 @@
 {
     constexpr char first_visible = '!';
     constexpr char last_visible = '~';
-    return !key.empty() && key.size() <= most_key_bytes &&
+    return !key.empty() && key.size() <= max_key_bytes &&
            std::all_of(key.begin(), key.end(), [](char c) {
                return c >= first_visible && c <= last_visible;
            });
--- a/src/team/key_table.hpp
+++ b/src/team/key_table.hpp
@@ -13,7 +13,7 @@
 
 namespace jasminetray {
 
-constexpr std::size_t most_key_bytes = 256; ///< no team needs a longer one
+constexpr std::size_t max_key_bytes = 256; ///< no team needs a longer one
 
 /// A key as it was given, with its team's place.
 struct given_key
--- a/src/verdict/doubt_func.cpp
+++ b/src/verdict/doubt_func.cpp
@@ -8,13 +8,13 @@
 
 namespace {
 
-constexpr double least_sick = 0.005; // never certain: it must be able to turn
-constexpr double most_sick = 0.995;
+constexpr double min_sick = 0.005; // never certain: it must be able to turn
+constexpr double max_sick = 0.995;
 constexpr double quick_weight = 4; // failures in the moving mean
 
 void set_sick(worker_doubt& d, const doubt_policy& p, double sick, mono_us now)
 {
-    d.sick = std::clamp(sick, least_sick, most_sick);
+    d.sick = std::clamp(sick, min_sick, max_sick);
     d.at = now;
     const bool was = d.suspect;
     d.suspect = was ? d.sick > p.trust_at : d.sick >= p.suspect_at;
--- a/src/verdict/verdict_cmd.cpp
+++ b/src/verdict/verdict_cmd.cpp
@@ -17,13 +17,13 @@
 /// shared trouble left so much that 150 s of health did not undo it, and the
 /// next shared trouble was weighed over all that time, in which backend
 /// servers had had unlike shares of the work: several were ejected.
-constexpr double most_evidence = 50;
+constexpr double max_evidence = 50;
 constexpr double first_outcomes = 30; // before durations are judged
 constexpr double climb_low = 0.6;     // of the threshold: the climb is over
-constexpr std::uint32_t most_burst_flaps = 2;    // more is sickness
-constexpr span_us flap_memory = 45 * us_per_s;   // since the last return
-constexpr span_us most_burst = 3 * us_per_s / 2; // longer is sickness
-constexpr std::uint32_t most_flaps = 6;
+constexpr std::uint32_t max_burst_flaps = 2;    // more is sickness
+constexpr span_us flap_memory = 45 * us_per_s;  // since the last return
+constexpr span_us max_burst = 3 * us_per_s / 2; // longer is sickness
+constexpr std::uint32_t max_flaps = 6;
 
 void clear(evidence& e, mono_us now)
 {
@@ -51,7 +51,7 @@
 
 void add(bank_score& s, double ratio, const weighed& o)
 {
-    s.value = std::min(most_evidence, s.value + ratio);
+    s.value = std::min(max_evidence, s.value + ratio);
     s.rose_at = ratio > 0 ? o.now : s.rose_at;
     s.seen += 1;
     s.failed += o.failed ? 1 : 0;
@@ -151,14 +151,14 @@
     if (!failed && (well || t.seen < first_outcomes))
         learn_time(t,
                    std::log(static_cast<double>(std::max<span_us>(1, o.took))));
-    h.usual.fail_rate = std::clamp(h.base_rate, least_rate, most_rate);
+    h.usual.fail_rate = std::clamp(h.base_rate, min_rate, max_rate);
 }
 
 /// A burst of failures that ended by itself. A backend server that flaps is
 /// not excused by it.
 void remember_burst(worker_health& h, span_us span, mono_us now)
 {
-    if (h.flaps > most_burst_flaps || span > most_burst)
+    if (h.flaps > max_burst_flaps || span > max_burst)
         return;
     h.burst_span = std::max(h.burst_span, span);
     h.burst_at = now;
@@ -317,10 +317,10 @@
     h.scope = s.scope;
     h.ejected_at = now;
     h.return_score = 0;
-    h.flaps = std::min(h.flaps + 1, most_flaps);
+    h.flaps = std::min(h.flaps + 1, max_flaps);
     h.flap_at = now;
-    const auto out = p.least_out << (h.flaps - 1);
-    h.may_return_at = now + std::min(out, p.most_out);
+    const auto out = p.min_out << (h.flaps - 1);
+    h.may_return_at = now + std::min(out, p.max_out);
     clear_all(h, now);
 }
 
--- a/src/verdict/verdict_math.cpp
+++ b/src/verdict/verdict_math.cpp
@@ -8,7 +8,7 @@
 
 double alternative_rate(std::size_t n, double usual)
 {
-    const double odds = least_odds_ratio * usual / (1 - usual);
+    const double odds = min_odds_ratio * usual / (1 - usual);
     const double least = odds / (1 + odds);
     return std::min(0.99, std::max(bank_rates[n], least));
 }
@@ -26,7 +26,7 @@
 
 double usual_variance(const service_usual& u, std::uint32_t klass)
 {
-    return std::max(least_variance, u.times[klass % work_classes].log_var);
+    return std::max(min_variance, u.times[klass % work_classes].log_var);
 }
 
 double cold_allowance(const worker_health& h, mono_us now)
--- a/src/verdict/verdict_math.hpp
+++ b/src/verdict/verdict_math.hpp
@@ -5,12 +5,12 @@
 
 namespace jasminetray {
 
-constexpr double least_rate = 0.002;    ///< of the usual failure rate
-constexpr double most_rate = 0.9;       ///< of the usual failure rate
-constexpr double least_odds_ratio = 4;  ///< between usual and alternative
-constexpr double slow_clip_high = 2.5;  ///< nats that one slow answer adds
-constexpr double slow_clip_low = -3;    ///< nats that one fast answer takes
-constexpr double least_variance = 0.02; ///< of ln(took)
+constexpr double min_rate = 0.002;     ///< of the usual failure rate
+constexpr double max_rate = 0.9;       ///< of the usual failure rate
+constexpr double min_odds_ratio = 4;   ///< between usual and alternative
+constexpr double slow_clip_high = 2.5; ///< nats that one slow answer adds
+constexpr double slow_clip_low = -3;   ///< nats that one fast answer takes
+constexpr double min_variance = 0.02;  ///< of ln(took)
 
 /// Outcomes after which a class's duration is known well enough for silence to
 /// speak. A process that has just started knows none: judged by what it
--- a/src/verdict/verdict_peers.cpp
+++ b/src/verdict/verdict_peers.cpp
@@ -19,8 +19,8 @@
 constexpr double rounding = 1e-6;        // of sums against scores
 constexpr double clear_better = 6;       // log likelihood; picked by luck too
 constexpr double clear_errors = 2.5;     // standard errors
-constexpr span_us least_wait = 50 * us_per_ms; // between two questions
-constexpr span_us most_wait = 2 * us_per_s;
+constexpr span_us min_wait = 50 * us_per_ms; // between two questions
+constexpr span_us max_wait = 2 * us_per_s;
 constexpr span_us remembered_span =
     static_cast<span_us>(recent_buckets) * recent_width;
 constexpr double alike_limit = 2; // standard deviations
@@ -89,7 +89,7 @@
 {
     if (rate <= 0 || better.seen <= 0)
         return true;
-    const double own = std::clamp(better.sum / better.seen, least_rate, rate);
+    const double own = std::clamp(better.sum / better.seen, min_rate, rate);
     const double ratio =
         (better.seen - better.sum) * std::log((1 - own) / (1 - rate)) +
         better.sum * std::log(own / rate);
@@ -153,7 +153,7 @@
     const auto times =
         usual_of(samples_of(reports, peer_aspect::durations), variance, false);
     u.fail_rate =
-        std::clamp(rate_by_peers(u.fail_rate, fails), least_rate, most_rate);
+        std::clamp(rate_by_peers(u.fail_rate, fails), min_rate, max_rate);
     u.shift += shift_by_peers(times, variance);
     return u;
 }
@@ -249,7 +249,7 @@
         return verdict_step::eject;
     // Shared trouble can last: the peers are asked again, at longer and
     // longer intervals, and over the time that has passed by then.
-    h.ask_wait = std::min(most_wait, 2 * std::max(h.ask_wait, least_wait));
+    h.ask_wait = std::min(max_wait, 2 * std::max(h.ask_wait, min_wait));
     return verdict_step::hold;
 }
 
--- a/src/verdict/verdict_query.cpp
+++ b/src/verdict/verdict_query.cpp
@@ -11,13 +11,13 @@
 namespace {
 
 constexpr double flap_discount = 1;  // nats per ejection after the first
-constexpr double least_share = 0.75; // of the threshold, after flaps
+constexpr double min_share = 0.75;   // of the threshold, after flaps
 constexpr double later_share = 0.5;  // of the threshold; two quick failures
 constexpr double rare_share = 0.05;  // of usual work lasts this long
 constexpr double burst_margin = 1.3; // over the longest healed burst
-constexpr span_us most_patience = 3 * us_per_s / 2;
-constexpr double most_against = 2; // nats against the streams that are well
-constexpr double least_well = 3;   // nats that these streams are well
+constexpr span_us max_patience = 3 * us_per_s / 2;
+constexpr double max_against = 2; // nats against the streams that are well
+constexpr double min_well = 3;    // nats that these streams are well
 constexpr double well_nats_slow = 0.75; // of one answer in usual time
 constexpr span_us burst_memory = 3600 * us_per_s;
 
@@ -99,7 +99,7 @@
     const double each = worst.index < fail_alternatives
                             ? -fail_ratio(false, rate, h.usual.fail_rate)
                             : well_nats_slow;
-    return evidence_against < most_against && well * each >= least_well;
+    return evidence_against < max_against && well * each >= min_well;
 }
 
 } // namespace
@@ -121,7 +121,7 @@
 {
     const double again = h.flaps > 1 ? h.flaps - 1 : 0;
     const double flapped = p.threshold - flap_discount * again;
-    return std::max(flapped, least_share * p.threshold);
+    return std::max(flapped, min_share * p.threshold);
 }
 
 span_us health_patience(const worker_health& h, const verdict_policy& p,
@@ -130,7 +130,7 @@
     if (!p.learn_bursts || now - h.burst_at > burst_memory)
         return 0;
     return std::min(
-        most_patience,
+        max_patience,
         static_cast<span_us>(burst_margin * static_cast<double>(h.burst_span)));
 }
 
@@ -197,13 +197,13 @@
                     mono_us now)
 {
     constexpr double at_threshold = 100;
-    constexpr int least_ejected = 110;
+    constexpr int min_ejected = 110;
     constexpr int most = 250; // above it speak operators
     if (h.state == standing::ejected) {
         if (is_recovering(h, p, now))
             return static_cast<int>(at_threshold);
         return std::clamp(static_cast<int>(at_threshold * h.peak / p.threshold),
-                          least_ejected, most);
+                          min_ejected, most);
     }
     const double share = health_score(h, p, now) / health_threshold(h, p);
     return static_cast<int>(std::min(at_threshold - 1, at_threshold * share));
--- a/src/verdict/verdict_type.hpp
+++ b/src/verdict/verdict_type.hpp
@@ -116,10 +116,10 @@
 /// Settings of a service's verdicts.
 struct verdict_policy
 {
-    double threshold = 15;            ///< evidence at which ejection comes
-    span_us least_out = us_per_s;     ///< shortest ejection
-    span_us most_out = 60 * us_per_s; ///< longest one that flapping causes
-    double return_evidence = 4.6;     ///< ln(100) in favour of "as usual"
+    double threshold = 15;           ///< evidence at which ejection comes
+    span_us min_out = us_per_s;      ///< shortest ejection
+    span_us max_out = 60 * us_per_s; ///< longest one that flapping causes
+    double return_evidence = 4.6;    ///< ln(100) in favour of "as usual"
     bool learn_bursts = true;  ///< wait out bursts that used to heal alone
     bool ask_peers = true;     ///< compare with peers before ejecting
     bool watch_silence = true; ///< outstanding work counts before it ends
--- a/src/wire/wire_func.cpp
+++ b/src/wire/wire_func.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t cluster_at = sizeof(frame_version);
 constexpr std::size_t mac_at = cluster_at + sizeof(std::uint64_t);
 constexpr std::size_t body_at = mac_at + mac_bytes;
-constexpr std::uint64_t most_words = 16384; // traversal limit when reading
+constexpr std::uint64_t max_words = 16384; // traversal limit when reading
 
 using mac = std::array<unsigned char, mac_bytes>;
 
@@ -102,8 +102,8 @@
 
 bool get_node(wire::Node::Reader r, node_record& n)
 {
-    if (r.getWorkers().size() > most_workers ||
-        r.getComplaints().size() > most_complaints)
+    if (r.getWorkers().size() > max_workers ||
+        r.getComplaints().size() > max_complaints)
         return false;
     const auto s = get_summary(r.getSummary());
     n.id = s.id;
@@ -127,14 +127,14 @@
 }
 
 constexpr double load_scale = 100;
-constexpr double most_load = 65535;
+constexpr double max_load = 65535;
 
 void put_load(wire::Load::Builder b, const load_report& l)
 {
     b.setWorker(static_cast<std::uint64_t>(l.worker));
     b.setService(static_cast<std::uint64_t>(l.service));
     b.setHundredths(static_cast<std::uint16_t>(
-        std::clamp(load_scale * l.load, 0.0, most_load)));
+        std::clamp(load_scale * l.load, 0.0, max_load)));
     b.setWorkMs(static_cast<std::uint32_t>(l.work / us_per_ms));
     b.setDoubt(static_cast<std::uint8_t>(l.doubt));
     b.setSuspect(l.suspect);
@@ -275,7 +275,7 @@
 {
     std::uint32_t version = 0;
     std::uint64_t cluster = 0;
-    if (bytes.size() < body_at || bytes.size() > most_datagram)
+    if (bytes.size() < body_at || bytes.size() > max_datagram)
         return wire_error::too_short;
     std::memcpy(&version, bytes.data(), sizeof(version));
     std::memcpy(&cluster, bytes.data() + cluster_at, sizeof(cluster));
@@ -342,7 +342,7 @@
         kj::ArrayInputStream stream(kj::arrayPtr(
             bytes_of(bytes.data() + body_at), bytes.size() - body_at));
         capnp::ReaderOptions options;
-        options.traversalLimitInWords = most_words;
+        options.traversalLimitInWords = max_words;
         capnp::PackedMessageReader reader(stream, options);
         within = get_message(reader.getRoot<wire::Message>(), m);
     });
--- a/src/wire/wire_func.hpp
+++ b/src/wire/wire_func.hpp
@@ -38,7 +38,7 @@
     "none",    "too-short", "other-version", "other-cluster",
     "bad-mac", "malformed", "out-of-bounds"};
 
-constexpr std::size_t most_datagram = 8192; ///< bytes, both ways
+constexpr std::size_t max_datagram = 8192; ///< bytes, both ways
 
 /// Bytes of a message.
 std::string encode(const gossip_message& m, const cluster_keys& keys);
--- a/tools/bench_path.py
+++ b/tools/bench_path.py
@@ -41,7 +41,7 @@
 def measure(f, rate, direct):
     """Runs load directly at the backend servers or through the nodes."""
     run_args = dict(rate=rate, seconds=SECONDS, paths="/work/x",
-                    non_idempotent=0.3, most_open=5000)
+                    non_idempotent=0.3, max_open=5000)
     pids = [f.nodes[n].popen.pid for n in ("entry", "exit")]
     before = [fleet.cpu_seconds(p) for p in pids]
     if direct:
