Send a refused or failed hedge again, and pay one retry per arrival

Callers of a stopping node got 504 for reads that ran on one slow backend server although their hedge had never reached another one.

Cause: a hedge marked the attempt that it was for as handled. When the gate refused the hedge, or its connection failed, nothing was sent any more until the deadline.

Besides, each offer that a gate refused took another retry out of the budget, though nothing arrived at a backend server.

Now a request wants a hedge while all its open attempts are overdue, whatever became of earlier hedges, and a retry that was taken for an attempt that never reached a backend server is used for the next one. Arrivals beyond the first are still paid one by one, so the fleet's allowance bounds them as before.

Ruled out: that the read had used up its attempts (three are allowed, one had reached a backend server); that the exit node was not told (told=1).

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -50,14 +50,38 @@
 }
 
 /// Sends the next attempt.
-void send(request_state& r, attempt_action_kind kind, mono_us now, actions& out)
+/// @param paid whether a retry was taken for it
+void send(request_state& r, attempt_action_kind kind, bool paid, mono_us now,
+          actions& out)
 {
     attempt_state t;
     t.sent_at = now;
+    t.paid = paid;
     r.attempt_states.push_back(t);
     out.push_back({kind, static_cast<std::uint32_t>(r.attempt_states.size())});
 }
 
+/// Takes a retry for the next attempt, first an unused one of this request.
+bool take_request_retry(request_state& r, retry_budget& budget, mono_us now)
+{
+    if (r.unused_retries > 0) {
+        --r.unused_retries;
+        return true;
+    }
+    return take_retry(budget, now);
+}
+
+/// Records that an attempt did not run.
+void mark_not_run(request_state& r, attempt_state& t, bool reached)
+{
+    t.phase = attempt_phase::not_run;
+    t.reached = reached;
+    if (t.paid && !reached) {
+        t.paid = false;
+        ++r.unused_retries;
+    }
+}
+
 std::uint32_t reached_count(const request_state& r)
 {
     return static_cast<std::uint32_t>(
@@ -93,25 +117,55 @@
            now + r.policy.min_remaining < r.deadline;
 }
 
+/// Returns when an open attempt is overdue.
+mono_us overdue_time(const request_state& r, const attempt_state& t)
+{
+    const auto timeout = t.sent_at + r.policy.response_timeout;
+    return t.sent_at < r.overdue_at ? std::min(timeout, r.overdue_at) : timeout;
+}
+
+/// Returns when all open attempts are overdue; `mono_never` without any.
+mono_us all_overdue_time(const request_state& r)
+{
+    mono_us at = any_open(r) ? 0 : mono_never;
+    for (const auto& t : r.attempt_states)
+        at = is_open(t) ? std::max(at, overdue_time(r, t)) : at;
+    return at;
+}
+
+/// Sends a hedge if the request needs one and has a retry for it.
+void hedge_if_overdue(request_state& r, retry_budget& budget, mono_us now,
+                      actions& out)
+{
+    if (!attempt_wants_hedge(r, now) || !take_request_retry(r, budget, now))
+        return;
+    // A middlebox may have dropped the connection's state, so that only new
+    // connections work.
+    ++r.retries;
+    send(r, attempt_action_kind::send_fresh, true, now, out);
+}
+
 /// Retries the request if that is safe and allowed. Otherwise ends it, unless
 /// another attempt is still open.
 void retry_or_settle(request_state& r, retry_budget& budget, mono_us now,
                      actions& out, const attempt_safeguards& on)
 {
+    // A hedge that failed or was refused leaves an overdue attempt alone.
     if (any_open(r))
-        return;
+        return hedge_if_overdue(r, budget, now, out);
     // Non-idempotent work could run twice unless every former attempt is proven
     // not to have run.
     const bool safe =
         r.policy.idempotent || all_not_run(r) || !on.retry_only_proven;
     const bool free = reached_count(r) == 0;
-    if (safe && may_send_more(r, now) && (free || take_retry(budget, now))) {
+    if (safe && may_send_more(r, now) &&
+        (free || take_request_retry(r, budget, now))) {
         ++r.retries;
-        return send(r, attempt_action_kind::send_fresh, now, out);
+        return send(r, attempt_action_kind::send_fresh, !free, now, out);
     }
     if (may_use_fallback(r, now)) {
         r.fallback_tried = true;
-        return send(r, attempt_action_kind::send_fallback, now, out);
+        return send(r, attempt_action_kind::send_fallback, false, now, out);
     }
     settle(r, out, on);
 }
@@ -153,8 +207,7 @@
     if (t.phase != attempt_phase::revoking)
         return;
     if (e.kind == attempt_event_kind::revoke_not_run) {
-        t.phase = attempt_phase::not_run;
-        t.reached = false;
+        mark_not_run(r, t, false);
         if (t.connected)
             out.push_back({attempt_action_kind::cancel, e.count});
         return retry_or_settle(r, budget, now, out, on);
@@ -166,12 +219,6 @@
         settle(r, out, on);
 }
 
-bool is_overdue(const request_state& r, const attempt_state& t, mono_us now)
-{
-    return now - t.sent_at >= r.policy.response_timeout ||
-           (t.sent_at < r.overdue_at && now >= r.overdue_at);
-}
-
 void on_timer(request_state& r, retry_budget& budget, mono_us now, actions& out,
               const attempt_safeguards& on)
 {
@@ -180,53 +227,41 @@
             r.reason = "deadline";
         return settle(r, out, on);
     }
+    if (r.policy.idempotent)
+        return hedge_if_overdue(r, budget, now, out);
     const bool margin = now >= r.deadline - r.policy.revoke_margin;
     for (std::uint32_t n = 1; n <= r.attempt_states.size(); ++n) {
-        auto& t = r.attempt_states[n - 1];
-        const bool overdue = is_overdue(r, t, now);
-        if (t.phase != attempt_phase::open || t.timeout_handled ||
-            !(overdue || margin))
-            continue;
-        if (!r.policy.idempotent) {
+        const auto& t = r.attempt_states[n - 1];
+        if (t.phase == attempt_phase::open && !t.timeout_handled &&
+            (margin || now >= overdue_time(r, t)))
             send_revoke(r, n, out);
-        } else if (overdue && n == r.attempt_states.size() &&
-                   may_send_more(r, now) && take_retry(budget, now)) {
-            // A middlebox may have dropped the connection's state, so that
-            // only new connections work.
-            t.timeout_handled = true;
-            ++r.retries;
-            return send(r, attempt_action_kind::send_fresh, now, out);
-        }
     }
 }
 
-bool is_hedge_worthwhile(const request_state& r, mono_us now)
-{
-    return may_send_more(r, now) &&
-           now + expected_duration(r.policy) < r.deadline;
-}
-
-mono_us next_timer(const request_state& r, mono_us now)
+/// Returns when the next revocation of non-idempotent work is due.
+mono_us next_revoke(const request_state& r, mono_us now)
 {
-    mono_us at = r.deadline;
+    mono_us at = mono_never;
     for (const auto& t : r.attempt_states) {
         if (t.phase != attempt_phase::open || t.timeout_handled)
             continue;
-        if (r.policy.idempotent && &t == &r.attempt_states.back() &&
-            is_overdue(r, t, now) && is_hedge_worthwhile(r, now))
-            at = std::min(at, now + r.policy.hedge_recheck_interval);
-        const auto overdue = t.sent_at + r.policy.response_timeout;
-        const auto margin = r.deadline - r.policy.revoke_margin;
-        if (overdue > now)
-            at = std::min(at, overdue);
-        if (r.overdue_at > now)
-            at = std::min(at, r.overdue_at);
-        if (!r.policy.idempotent && margin > now)
-            at = std::min(at, margin);
+        for (const auto due :
+             {overdue_time(r, t), r.deadline - r.policy.revoke_margin})
+            at = due > now ? std::min(at, due) : at;
     }
     return at;
 }
 
+mono_us next_timer(const request_state& r, mono_us now)
+{
+    if (!r.policy.idempotent)
+        return std::min(r.deadline, next_revoke(r, now));
+    if (attempt_wants_hedge(r, now))
+        return std::min(r.deadline, now + r.policy.hedge_recheck_interval);
+    const auto overdue = all_overdue_time(r);
+    return overdue > now ? std::min(r.deadline, overdue) : r.deadline;
+}
+
 void on_attempt(request_state& r, const attempt_event& e, retry_budget& budget,
                 mono_us now, actions& out, const attempt_safeguards& on)
 {
@@ -242,8 +277,7 @@
         return retry_or_settle(r, budget, now, out, on);
     case attempt_event_kind::not_run:
     case attempt_event_kind::unsent:
-        t.phase = attempt_phase::not_run;
-        t.reached = e.reached;
+        mark_not_run(r, t, e.reached);
         return retry_or_settle(r, budget, now, out, on);
     case attempt_event_kind::unknown:
         t.phase = attempt_phase::unknown;
@@ -251,13 +285,11 @@
     case attempt_event_kind::lost:
         return on_lost(r, e.count, budget, now, out, on);
     case attempt_event_kind::quarantined:
-        t.phase = attempt_phase::not_run;
-        t.reached = false;
+        mark_not_run(r, t, false);
         r.quarantined = true;
         return retry_or_settle(r, budget, now, out, on);
     case attempt_event_kind::no_worker:
-        t.phase = attempt_phase::not_run;
-        t.reached = false;
+        mark_not_run(r, t, false);
         r.out_of_workers = true;
         return retry_or_settle(r, budget, now, out, on);
     default:
@@ -281,6 +313,13 @@
     return r;
 }
 
+bool attempt_wants_hedge(const request_state& r, mono_us now)
+{
+    return r.outcome == final_outcome::open && r.policy.idempotent &&
+           now >= all_overdue_time(r) && may_send_more(r, now) &&
+           now + expected_duration(r.policy) < r.deadline;
+}
+
 void attempt_shorten_deadline(request_state& r, mono_us deadline,
                               span_us expected, mono_us now)
 {
@@ -308,7 +347,7 @@
     if (!e.reason.empty())
         r.reason = e.reason;
     if (e.kind == attempt_event_kind::begin) {
-        send(r, attempt_action_kind::send, now, out);
+        send(r, attempt_action_kind::send, false, now, out);
     } else if (e.kind == attempt_event_kind::timer) {
         on_timer(r, budget, now, out, on);
     } else if (e.kind == attempt_event_kind::caller_disconnected) {
--- a/src/attempt/attempt_func.hpp
+++ b/src/attempt/attempt_func.hpp
@@ -13,6 +13,10 @@
 /// timeout.
 span_us expected_duration(const attempt_policy& p);
 
+/// Returns whether all open attempts of an idempotent request are overdue and a
+/// further one could still finish.
+bool attempt_wants_hedge(const request_state& r, mono_us now);
+
 /// Shortens the deadline of a request because the node is stopping. Idempotent
 /// work becomes overdue once it has run for its expected duration, or once a
 /// hedge could barely finish in time, so that a slow backend server doesn't
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -83,11 +83,12 @@
 {
     attempt_phase phase = attempt_phase::open;
     bool connected = true;          ///< a response can still arrive
-    bool timeout_handled = false;   ///< a revocation or a hedge was sent
+    bool timeout_handled = false;   ///< a revocation was sent
     bool has_failed_answer = false; ///< delivered if nothing better arrives
     /// May have reached a backend server. Attempts that a gate refused don't
     /// count as retries.
     bool reached = true;
+    bool paid = false; ///< took a retry out of the budget
     mono_us sent_at = 0;
 };
 
@@ -133,6 +134,9 @@
     bool quarantined = false;    ///< must not be sent again
     bool fallback_tried = false;
     std::uint32_t retries = 0; ///< attempts after the first
+    /// Retries taken out of the budget for attempts that never reached a
+    /// backend server. The next attempts use them.
+    std::uint32_t unused_retries = 0;
 };
 
 } // namespace jasminetray
--- a/test/test_attempt.cpp
+++ b/test/test_attempt.cpp
@@ -56,6 +56,26 @@
     EXPECT_EQ(without.only(), attempt_action_kind::refuse);
 }
 
+// Guards against gates that use up the retry budget by refusing retries.
+TEST(attempt, retry_refused_by_gates_takes_one_from_the_budget)
+{
+    attempt_policy p;
+    p.idempotent = true;
+    retry_budget budget;
+    budget.fixed = 1;
+    auto r = make_request(p, begin_at + us_per_s);
+    attempt_step(r, {attempt_event_kind::begin, 0, ""}, budget, begin_at);
+    const auto step = [&](attempt_event_kind kind, std::uint32_t count) {
+        return attempt_step(r, {kind, count, "refused"}, budget, begin_at);
+    };
+    EXPECT_EQ(step(attempt_event_kind::unknown, 1).size(), 1U);
+    EXPECT_EQ(step(attempt_event_kind::not_run, 2).size(), 1U);
+    EXPECT_EQ(step(attempt_event_kind::unsent, 3).size(), 1U);
+    EXPECT_EQ(r.outcome, final_outcome::open);
+    step(attempt_event_kind::unknown, 4);
+    EXPECT_EQ(r.outcome, final_outcome::unknown);
+}
+
 // Guards against a second run of a request that may have run already.
 TEST(fallback, not_used_after_unknown_result)
 {
--- a/test/test_stop.cpp
+++ b/test/test_stop.cpp
@@ -196,6 +196,50 @@
     EXPECT_EQ(r.wake_at, r.deadline);
 }
 
+/// A request on a slow backend server whose hedge took the last retry.
+request_state hedged_request(retry_budget& budget)
+{
+    budget.fixed = 1;
+    auto r = sent_request(true, budget);
+    const auto now = start + 3 * us_per_s;
+    attempt_shorten_deadline(r, now + grace, expected_time, now);
+    attempt_step(r, {attempt_event_kind::timer, 0, ""}, budget, now);
+    EXPECT_EQ(r.attempt_states.size(), 2U);
+    EXPECT_EQ(retries_left(budget, now), 0);
+    return r;
+}
+
+// Guards against a read that stays on a slow backend server because the gate
+// that its hedge was sent to refused it.
+TEST(entry_stop, refused_hedge_is_sent_to_another_gate)
+{
+    retry_budget budget;
+    auto r = hedged_request(budget);
+    const auto now = start + 3 * us_per_s + 1;
+    const auto decisions = attempt_step(
+        r, {attempt_event_kind::not_run, 2, "deadline-short"}, budget, now);
+    ASSERT_EQ(decisions.size(), 1U);
+    EXPECT_EQ(decisions[0].kind, attempt_action_kind::send_fresh);
+}
+
+// Guards against spending more than one retry on one arrival, and against
+// arrivals without a retry.
+TEST(entry_stop, hedge_that_reached_a_backend_server_is_spent)
+{
+    retry_budget budget;
+    auto r = hedged_request(budget);
+    const auto now = start + 3 * us_per_s + 1;
+    EXPECT_TRUE(attempt_step(r, {attempt_event_kind::unknown, 2, "exit-lost"},
+                             budget, now)
+                    .empty());
+    EXPECT_TRUE(attempt_wants_hedge(r, now));
+    budget.fixed = 2;
+    EXPECT_EQ(
+        attempt_step(r, {attempt_event_kind::timer, 0, ""}, budget, now).size(),
+        1U);
+    EXPECT_EQ(retries_left(budget, now), 0);
+}
+
 // Guards against a second run of non-idempotent work.
 TEST(entry_stop, non_idempotent_work_is_not_hedged)
 {
