Reserve a block of ports for each test process

With five test processes at once a node did not start: "cannot listen: gossip port: Address already in use". A port was checked, closed again and given to a node 50 ms later; in between another test process chose the same one.

Now a process keeps the first port of a block of 200 open, so that no other one takes ports from that block. Checks and bounds are unchanged.

--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -25,23 +25,7 @@
 IDLE_S = 5
 
 
-ALLOCATED_PORTS = set()
-
-
-def free_port():
-    """Returns a free port below the ephemeral range, where a connection of
-    another test could occupy it before the node starts."""
-    while True:
-        port = random.randrange(10000, first_ephemeral_port())
-        if port in ALLOCATED_PORTS:
-            continue
-        with socket.socket() as s:
-            try:
-                s.bind(("127.0.0.1", port))
-            except OSError:
-                continue  # in use
-        ALLOCATED_PORTS.add(port)
-        return port
+PORTS_PER_BLOCK = 200
 
 
 def first_ephemeral_port():
@@ -49,6 +33,50 @@
         return int(f.read().split()[0])
 
 
+def try_bind(port):
+    """Returns a socket bound to the port, or None if the port is in use."""
+    s = socket.socket()
+    try:
+        s.bind(("127.0.0.1", port))
+        return s
+    except OSError:
+        s.close()
+        return None
+
+
+def reserve_port_block():
+    """Returns a socket on the first port of a block. While it is open, no other
+    test process uses the block."""
+    # Below the ephemeral range, where a connection of another test could
+    # occupy a port before the node starts.
+    blocks = range(10000, first_ephemeral_port() - PORTS_PER_BLOCK,
+                   PORTS_PER_BLOCK)
+    while True:
+        s = try_bind(random.choice(blocks))
+        if s:
+            return s
+
+
+def generate_free_ports():
+    reserved = []  # kept open
+    while True:
+        reserved.append(reserve_port_block())
+        first = reserved[-1].getsockname()[1]
+        for port in range(first + 1, first + PORTS_PER_BLOCK):
+            s = try_bind(port)
+            if s:
+                s.close()
+                yield port
+
+
+FREE_PORTS = generate_free_ports()
+
+
+def free_port():
+    """Returns a port that no other node or test process uses."""
+    return next(FREE_PORTS)
+
+
 class Worker:
     """A backend server of the platform with injectable failures."""
 
