Borrow retries for all reads that need one, until the node has stopped

Callers got 504 for reads on slow backend servers when their node stopped, although other nodes had retries left.

Cause: retries were borrowed at the stop and once more a second later, for reads that were overdue at these two moments and had one attempt. A read that became overdue later, or that had been hedged on a second slow backend server before the stop, was never counted; where the three nodes that were asked had nothing left, nobody else was asked.

Now missing retries are counted from the state machine (attempt_wants_hedge) every 250 ms until the last answer, each time at other nodes, with one request per service under way.

The second check can still meet suspects, which is a fault of its own.

--- a/src/node/entry_stop.cpp
+++ b/src/node/entry_stop.cpp
@@ -9,6 +9,7 @@
 #include "node/peer_request.hpp"
 
 #include <map>
+#include <set>
 
 namespace jasminetray {
 
@@ -19,9 +20,9 @@
 constexpr span_us notice_timeout = 500 * us_per_ms;
 
 constexpr span_us loan_timeout = 300 * us_per_ms; ///< per node asked
-constexpr span_us second_loan_delay = us_per_s;   ///< after the first
-constexpr std::size_t max_lenders = 3;            ///< nodes asked per service
-constexpr int max_loan = 8;                       ///< retries per service
+constexpr span_us loan_interval = 250 * us_per_ms;
+constexpr std::size_t max_lenders = 3; ///< nodes asked per service
+constexpr int max_loan = 8;            ///< retries per service
 
 /// Open attempts at one exit node.
 struct exit_attempts
@@ -114,6 +115,17 @@
         r->queue_event({attempt_event_kind::timer, 0, ""});
 }
 
+/// Borrowing of a stopping node.
+struct loan_schedule
+{
+    loan_schedule(asio::io_context& c) : timer(c)
+    {
+    }
+
+    asio::steady_timer timer;
+    std::set<std::string> pending; ///< services with an unanswered request
+};
+
 /// Borrows retries for a service's requests, from one node at a time.
 void borrow_retries(node_state& n, const std::string& service, retry_loan loan,
                     const yield& y)
@@ -145,9 +157,7 @@
 {
     std::map<std::string, int> missing;
     for (const auto* r : n.open_requests) {
-        const auto& m = r->machine;
-        if (m.policy.idempotent && m.attempt_states.size() == 1 &&
-            m.overdue_at <= now)
+        if (attempt_wants_hedge(r->machine, now))
             ++missing[r->service->name];
     }
     for (auto& [service, count] : missing) {
@@ -159,29 +169,32 @@
     return missing;
 }
 
-void start_borrowing(node_state& n)
+void start_borrowing(node_state& n, const std::shared_ptr<loan_schedule>& loans)
 {
     for (const auto& [service, count] : missing_retries(n, mono_now())) {
-        if (count <= 0)
+        if (count <= 0 || !loans->pending.insert(service).second)
             continue;
         const retry_loan loan{service_of(service), count};
         asio::spawn(
             n.ctx,
-            [&n, name = service, loan](const yield& y) {
+            [&n, loans, name = service, loan](const yield& y) {
                 borrow_retries(n, name, loan, y);
+                loans->pending.erase(name);
             },
             asio::detached);
     }
 }
 
-/// Borrows again later, for requests that were not overdue at first.
-void schedule_second_loan(node_state& n)
+/// Borrows until the node has stopped: requests become overdue at any time,
+/// and the nodes that were asked may have had no retries left.
+void borrow_repeatedly(node_state& n,
+                       const std::shared_ptr<loan_schedule>& loans)
 {
-    auto timer = std::make_shared<asio::steady_timer>(n.ctx);
-    timer->expires_after(std::chrono::microseconds(second_loan_delay));
-    timer->async_wait([&n, timer](beast::error_code ec) {
-        if (!ec)
-            start_borrowing(n);
+    start_borrowing(n, loans);
+    loans->timer.expires_after(std::chrono::microseconds(loan_interval));
+    loans->timer.async_wait([&n, loans](beast::error_code ec) {
+        if (!ec && mono_now() < n.last_answer_at)
+            borrow_repeatedly(n, loans);
     });
 }
 
@@ -215,8 +228,7 @@
                                  expected_request_time(*r), now);
         r->queue_event({attempt_event_kind::timer, 0, ""});
     }
-    start_borrowing(n);
-    schedule_second_loan(n);
+    borrow_repeatedly(n, std::make_shared<loan_schedule>(n.ctx));
     for (auto& [exit, group] : by_exit) {
         // Splits the notice so that each fits into one header.
         while (group.attempts.size() > max_shortened_attempts) {
