Lend retries only from this node's part of the fleet's allowance

Cause: the budget of a service that a node had never sent a request to held its default values, ten retries in each window. Such a node lent up to eight of them, whatever the fleet's allowance was.

Now a budget is adjusted to the allowance before it lends, by the same function as for a request.

--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -5,6 +5,7 @@
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
 #include "node/caller_read.hpp"
+#include "node/entry_budget.hpp"
 #include "node/entry_refusal.hpp"
 #include "node/entry_team.hpp"
 #include "node/http_func.hpp"
@@ -236,18 +237,8 @@
 std::uint32_t run_state_machine(const std::shared_ptr<entry_request>& r,
                                 const yield& y)
 {
-    auto& budget = r->n.retry_budgets[r->service->name];
-    const auto& h = r->n.settings.hosted;
-    const auto now = mono_now();
-    if (r->n.balance.estimate.on) {
-        apply_fleet_allowance(budget,
-                              {h.retry_ratio, h.retry_slack, h.retry_window,
-                               std::max<std::size_t>(1, r->n.max_nodes)},
-                              now - r->n.started_at);
-    } else {
-        budget.share = r->service->retry_share;
-    }
-    count_request(budget, now);
+    auto& budget = current_retry_budget(r->n, *r->service);
+    count_request(budget, mono_now());
     const auto& safeguards = r->n.safeguards.attempt;
     auto delivered = execute_actions(
         r, attempt_step(r->machine, {attempt_event_kind::begin, 0, ""}, budget,
--- a/src/node/entry_stop.cpp
+++ b/src/node/entry_stop.cpp
@@ -4,6 +4,7 @@
 #include "attempt/attempt_func.hpp"
 #include "base/text_func.hpp"
 #include "limit/limit_type.hpp"
+#include "node/entry_budget.hpp"
 #include "node/entry_request.hpp"
 #include "node/http_func.hpp"
 #include "node/peer_request.hpp"
@@ -209,7 +210,9 @@
     int granted = 0;
     const auto place = n.service_positions.find(loan->service);
     if (n.config && place != n.service_positions.end() && !n.stopping) {
-        auto& budget = n.retry_budgets[n.config->services[place->second].name];
+        // A budget that was never used holds default values.
+        auto& budget =
+            current_retry_budget(n, n.config->services[place->second]);
         while (granted < std::min(loan->count, max_loan) &&
                take_retry(budget, mono_now()))
             ++granted;
--- a/test/platform_stop.py
+++ b/test/platform_stop.py
@@ -130,11 +130,28 @@
            "reads with two slow attempts are answered: %s" % results)
 
 
+# Guards against nodes that lend retries which the fleet's allowance doesn't
+# contain.
+def check_nothing_to_lend(h):
+    start_entry(h, *NO_RETRIES)
+    before = arrivals(h)
+    set_duration(h, SLOW_S)
+    reads = Reads(h, 2)
+    time.sleep(1.7)  # they become overdue
+    set_duration(h, FAST_S)
+    stop_entry(h)
+    reads.wait()
+    expect(arrivals(h) == before + 2, "a fleet without retries sends none: %d" %
+           (arrivals(h) - before - 2))
+
+
 def main():
     with fleet.Fleet(cluster="stop") as f:
         h = start_fleet(f)
         check_late_overdue(h)
         check_two_slow_attempts(h)
+    with fleet.Fleet(cluster="stop") as f:
+        check_nothing_to_lend(start_fleet(f, NO_RETRIES))
     return hosted.summarize("stop")
 
 
