Hedge reads that arrive while their node stops

Callers got 504 for reads that were sent to a node in the first second after its SIGTERM and ran on a slow backend server.

Cause: the time of the hedge was only set for requests that were open when the signal came. Later ones had the node's deadline, but were overdue only after the usual response timeout, when a hedge could not finish any more.

Test: platform_stop, reads that arrive after the stop: [504, 504] on the code before, now [200, 200].

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -139,9 +139,9 @@
 {
     if (!attempt_wants_hedge(r, now) || !take_request_retry(r, budget, now))
         return;
+    ++r.retries;
     // A middlebox may have dropped the connection's state, so that only new
     // connections work.
-    ++r.retries;
     send(r, attempt_action_kind::send_fresh, true, now, out);
 }
 
@@ -320,22 +320,28 @@
            now + expected_duration(r.policy) < r.deadline;
 }
 
-void attempt_shorten_deadline(request_state& r, mono_us deadline,
-                              span_us expected, mono_us now)
+void attempt_hedge_before_deadline(request_state& r, span_us expected,
+                                   mono_us now)
 {
-    if (deadline >= r.deadline)
-        return;
-    r.deadline = deadline;
     if (!r.policy.idempotent || r.attempt_states.empty())
         return;
     // A hedge needs twice the expected duration, since half of all work takes
     // longer than expected.
     constexpr span_us durations_per_hedge = 2;
-    const auto latest_hedge = deadline - durations_per_hedge * expected;
+    const auto latest_hedge = r.deadline - durations_per_hedge * expected;
     const auto overdue = r.attempt_states.back().sent_at + expected;
     r.overdue_at = std::max(now, std::min(latest_hedge, overdue));
 }
 
+void attempt_shorten_deadline(request_state& r, mono_us deadline,
+                              span_us expected, mono_us now)
+{
+    if (deadline >= r.deadline)
+        return;
+    r.deadline = deadline;
+    attempt_hedge_before_deadline(r, expected, now);
+}
+
 std::vector<attempt_action> attempt_step(request_state& r,
                                          const attempt_event& e,
                                          retry_budget& budget, mono_us now,
--- a/src/attempt/attempt_func.hpp
+++ b/src/attempt/attempt_func.hpp
@@ -17,10 +17,16 @@
 /// further one could still finish.
 bool attempt_wants_hedge(const request_state& r, mono_us now);
 
-/// Shortens the deadline of a request because the node is stopping. Idempotent
-/// work becomes overdue once it has run for its expected duration, or once a
-/// hedge could barely finish in time, so that a slow backend server doesn't
-/// hold it until it is cut. The caller feeds a timer event afterwards.
+/// Schedules the hedge of an idempotent request whose node is stopping. Work
+/// becomes overdue once it has run for its expected duration, or once a hedge
+/// could barely finish in time, so that a slow backend server doesn't hold it
+/// until it is cut. The caller feeds a timer event afterwards.
+/// @param expected duration of such work
+void attempt_hedge_before_deadline(request_state& r, span_us expected,
+                                   mono_us now);
+
+/// Shortens the deadline of a request because the node is stopping, and
+/// schedules its hedge. The caller feeds a timer event afterwards.
 /// @param expected duration of such work
 void attempt_shorten_deadline(request_state& r, mono_us deadline,
                               span_us expected, mono_us now);
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -7,6 +7,7 @@
 #include "node/caller_read.hpp"
 #include "node/entry_budget.hpp"
 #include "node/entry_refusal.hpp"
+#include "node/entry_stop.hpp"
 #include "node/entry_team.hpp"
 #include "node/http_func.hpp"
 #include "node/idempotency_key.hpp"
@@ -243,6 +244,8 @@
     auto delivered = execute_actions(
         r, attempt_step(r->machine, {attempt_event_kind::begin, 0, ""}, budget,
                         mono_now(), safeguards));
+    if (r->n.stopping)
+        schedule_stop_hedge(*r);
     while (r->machine.outcome == final_outcome::open) {
         if (r->event_queue.empty()) {
             const auto wait = r->machine.wake_at - mono_now();
--- a/src/node/entry_stop.cpp
+++ b/src/node/entry_stop.cpp
@@ -5,7 +5,6 @@
 #include "base/text_func.hpp"
 #include "limit/limit_type.hpp"
 #include "node/entry_budget.hpp"
-#include "node/entry_request.hpp"
 #include "node/http_func.hpp"
 #include "node/peer_request.hpp"
 
@@ -221,6 +220,13 @@
     return send_peer_reply(to, to_text(*loan), y);
 }
 
+void schedule_stop_hedge(entry_request& r)
+{
+    attempt_hedge_before_deadline(r.machine, expected_request_time(r),
+                                  mono_now());
+    r.queue_event({attempt_event_kind::timer, 0, ""});
+}
+
 void shorten_deadlines(node_state& n)
 {
     const auto now = mono_now();
--- a/src/node/entry_stop.hpp
+++ b/src/node/entry_stop.hpp
@@ -1,7 +1,7 @@
 // Graceful shutdown of the entry side: deadlines and retries of open requests.
 #pragma once
 
-#include "node/node_state.hpp"
+#include "node/entry_request.hpp"
 
 namespace jasminetray {
 
@@ -14,4 +14,8 @@
 /// exit nodes that run their attempts, and borrows retries from other nodes.
 void shorten_deadlines(node_state& n);
 
+/// Schedules the hedge of a request that arrived while the node stops, after
+/// its first attempt was sent.
+void schedule_stop_hedge(entry_request& r);
+
 } // namespace jasminetray
--- a/test/platform_stop.py
+++ b/test/platform_stop.py
@@ -112,6 +112,19 @@
            results)
 
 
+# Guards against reads that arrive while the node stops and are never hedged.
+def check_arriving_while_stopping(h):
+    start_entry(h, *NO_RETRIES)
+    set_duration(h, SLOW_S)
+    stop_entry(h)
+    time.sleep(0.1)
+    reads = Reads(h, 2)
+    set_duration(h, FAST_S)
+    results = reads.wait()
+    expect(results == [200] * 2,
+           "reads that arrive after the stop are answered: %s" % results)
+
+
 # Guards against reads with two attempts on slow backend servers that get no
 # third one because the node has no retries left.
 def check_two_slow_attempts(h):
@@ -149,6 +162,7 @@
     with fleet.Fleet(cluster="stop") as f:
         h = start_fleet(f)
         check_late_overdue(h)
+        check_arriving_while_stopping(h)
         check_two_slow_attempts(h)
     with fleet.Fleet(cluster="stop") as f:
         check_nothing_to_lend(start_fleet(f, NO_RETRIES))
