Let gates admit hedges of a stopping node that may still finish

Cause: a gate refuses work of a stopping node unless 1.5 mean durations are left, so that its caller can be told "not run" and come back. For a hedge there is no such answer: the first attempt may have run. A gate that had run only long work expected the same of the hedge.

Now a hedge is admitted like other work, with half a mean duration left.

Test: platform_stop, reads are hedged at gates with slow work: [504, 504] on the code before, now [200, 200].

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -313,6 +313,16 @@
     return r;
 }
 
+bool attempt_is_proven_not_run(const request_state& r, std::uint32_t except)
+{
+    for (std::uint32_t n = 1; n <= r.attempt_states.size(); ++n) {
+        if (n != except &&
+            r.attempt_states[n - 1].phase != attempt_phase::not_run)
+            return false;
+    }
+    return true;
+}
+
 bool attempt_wants_hedge(const request_state& r, mono_us now)
 {
     return r.outcome == final_outcome::open && r.policy.idempotent &&
--- a/src/attempt/attempt_func.hpp
+++ b/src/attempt/attempt_func.hpp
@@ -17,6 +17,10 @@
 /// further one could still finish.
 bool attempt_wants_hedge(const request_state& r, mono_us now);
 
+/// Returns whether all attempts but one are proven not to have run.
+/// @param except number of that attempt
+bool attempt_is_proven_not_run(const request_state& r, std::uint32_t except);
+
 /// Schedules the hedge of an idempotent request whose node is stopping. Work
 /// becomes overdue once it has run for its expected duration, or once a hedge
 /// could barely finish in time, so that a slow backend server doesn't hold it
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -1,4 +1,5 @@
 // Network I/O of attempts: connections, pings, messages and answers.
+#include "attempt/attempt_func.hpp"
 #include "base/text_func.hpp"
 #include "node/entry_request.hpp"
 #include "node/http_func.hpp"
@@ -135,7 +136,11 @@
     h.idempotent = r.machine.policy.idempotent;
     h.may_probe = r.may_probe;
     h.is_fallback = r.is_fallback;
-    h.entry_stopping = r.machine.deadline >= n.last_answer_at;
+    // A gate refuses work of a stopping node that it may not finish, so that
+    // the caller can retry it. After an attempt that may have run, the caller
+    // can't, and a late answer is better than none.
+    h.entry_stopping = r.machine.deadline >= n.last_answer_at &&
+                       attempt_is_proven_not_run(r.machine, count);
     h.priority = r.priority;
     h.route_class = r.route_class;
     h.centre = static_cast<std::uint32_t>(n.self.centre);
--- a/test/platform_stop.py
+++ b/test/platform_stop.py
@@ -18,9 +18,11 @@
 ENTRY = "entry"
 TARGET_S = 4  # of a read; it is hedged after 0.8 of it
 SLOW_S = 9  # longer than the grace period
+LONG_S = 3.8  # of other work
 FAST_S = 0.02
 SLOTS = 16  # of a backend server
 STOP_MS = 6000
+SHORT_STOP_MS = 3000
 NO_RETRIES = ("hosted.retry_slack=0", "hosted.retry_ratio=0")
 
 
@@ -158,12 +160,36 @@
            (arrivals(h) - before - 2))
 
 
+# Guards against hedges that gates refuse because other work there took long,
+# although the caller then gets no answer at all.
+def check_hedge_at_slow_gates(h):
+    start_entry(h, *NO_RETRIES, "limits.stop_ms=%d" % SHORT_STOP_MS)
+    set_duration(h, LONG_S)
+    for _ in range(2):
+        threads = [threading.Thread(target=lambda: h.ask("n0", "/long/"))
+                   for _ in range(NODES * SLOTS)]
+        for t in threads:
+            t.start()
+        for t in threads:
+            t.join()
+    set_duration(h, SLOW_S)
+    reads = Reads(h, 2)
+    set_duration(h, FAST_S)
+    stop_entry(h)
+    results = reads.wait()
+    expect(results == [200] * 2,
+           "reads are hedged at gates with slow work: %s" % results)
+
+
 def main():
     with fleet.Fleet(cluster="stop") as f:
         h = start_fleet(f)
         check_late_overdue(h)
         check_arriving_while_stopping(h)
         check_two_slow_attempts(h)
+    with fleet.Fleet(cluster="stop") as f:
+        h = start_fleet(f)
+        check_hedge_at_slow_gates(h)
     with fleet.Fleet(cluster="stop") as f:
         check_nothing_to_lend(start_fleet(f, NO_RETRIES))
     return hosted.summarize("stop")
