Send the hedge of a stopping node to a suspect when no other gate takes it

Cause: a read that had run out of offers, or whose other backend servers were all suspects, got no further attempt, though idempotent work that no other gate takes is admitted by a suspect as a fallback. The fallback was only used for work that had reached no backend server. Seen once in platform_stop, beside a build: the third and fourth attempts of a read were refused with "suspected" (doubt 50 and 78), 504 3.9 s later.

Now the hedge of a stopping node falls back too, once. A fallback may go to a backend server whose gate refused the request before, since that gate admits it now. Whether an attempt is a probe or a fallback is kept with the attempt: a later attempt overwrote it while the connection was being made.

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -133,6 +133,15 @@
     return at;
 }
 
+/// Returns whether a suspect may run the hedge because no other backend server
+/// did. Only at a stop: until then, the overdue attempt may still succeed.
+bool may_hedge_at_suspect(const request_state& r)
+{
+    return r.overdue_at != mono_never && r.policy.use_fallback &&
+           !r.fallback_tried && !r.quarantined &&
+           reached_count(r) < r.policy.max_attempts;
+}
+
 /// Sends a hedge if the request needs one and has a retry for it.
 void hedge_if_overdue(request_state& r, retry_budget& budget, mono_us now,
                       actions& out)
@@ -142,7 +151,10 @@
     ++r.retries;
     // A middlebox may have dropped the connection's state, so that only new
     // connections work.
-    send(r, attempt_action_kind::send_fresh, true, now, out);
+    if (may_send_more(r, now))
+        return send(r, attempt_action_kind::send_fresh, true, now, out);
+    r.fallback_tried = true;
+    send(r, attempt_action_kind::send_fallback, true, now, out);
 }
 
 /// Retries the request if that is safe and allowed. Otherwise ends it, unless
@@ -326,7 +338,8 @@
 bool attempt_wants_hedge(const request_state& r, mono_us now)
 {
     return r.outcome == final_outcome::open && r.policy.idempotent &&
-           now >= all_overdue_time(r) && may_send_more(r, now) &&
+           now >= all_overdue_time(r) &&
+           (may_send_more(r, now) || may_hedge_at_suspect(r)) &&
            now + expected_duration(r.policy) < r.deadline;
 }
 
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -134,8 +134,8 @@
     h.attempt = {r.id, count};
     h.worker = t.worker;
     h.idempotent = r.machine.policy.idempotent;
-    h.may_probe = r.may_probe;
-    h.is_fallback = r.is_fallback;
+    h.may_probe = t.may_probe;
+    h.is_fallback = t.is_fallback;
     // A gate refuses work of a stopping node that it may not finish, so that
     // the caller can retry it. After an attempt that may have run, the caller
     // can't, and a late answer is better than none.
@@ -247,18 +247,31 @@
     }
 }
 
-std::optional<choice> choose_candidate(entry_request& r)
+/// Returns the backend servers where attempts run or may have run.
+std::vector<worker_id> possibly_run_workers(const entry_request& r)
+{
+    std::vector<worker_id> workers;
+    const auto& states = r.machine.attempt_states;
+    for (std::size_t k = 0; k < r.attempts.size() && k < states.size(); ++k) {
+        if (states[k].phase != attempt_phase::not_run)
+            workers.push_back(r.attempts[k].worker);
+    }
+    return workers;
+}
+
+std::optional<choice> choose_candidate(entry_request& r, const entry_attempt& t)
 {
     const auto it = r.n.view.services.find(r.service_key);
     if (it == r.n.view.services.end())
         return std::nullopt;
     const auto& candidates = it->second.candidates;
-    if (r.is_fallback)
-        return choose_fallback(candidates, r.n.balance, r.tried_workers,
+    // A gate that refused the request as a suspect's admits it as a fallback.
+    if (t.is_fallback)
+        return choose_fallback(candidates, r.n.balance, possibly_run_workers(r),
                                mono_now());
     if (!r.pinned_worker && r.n.placing.on)
         return choose_by_expected_loss(candidates, r.n.placing, r.n.balance,
-                                       {r.may_probe, r.route->target_us},
+                                       {t.may_probe, r.route->target_us},
                                        r.tried_workers, r.n.rng, mono_now());
     if (!r.pinned_worker)
         return choose_worker(candidates, r.n.balance,
@@ -276,7 +289,7 @@
 /// @return false when no candidate is left
 bool select_target(entry_request& r, entry_attempt& t, std::uint32_t count)
 {
-    const auto c = choose_candidate(r);
+    const auto c = choose_candidate(r, t);
     if (!c)
         return false;
     auto& x = r.n.view.services[r.service_key].candidates[c->index];
@@ -381,13 +394,13 @@
                    attempt_action_kind kind)
 {
     const bool new_connection = kind != attempt_action_kind::send;
-    r->is_fallback = kind == attempt_action_kind::send_fallback;
-    r->may_probe = can_retry_elsewhere(*r);
     r->attempts.emplace_back();
     auto& t = r->attempts.back();
+    t.is_fallback = kind == attempt_action_kind::send_fallback;
+    t.may_probe = can_retry_elsewhere(*r);
     if (!select_target(*r, t, count))
         return r->queue_event({attempt_event_kind::no_worker, count,
-                               r->is_fallback ? "" : "no-worker"});
+                               t.is_fallback ? "" : "no-worker"});
     asio::spawn(
         r->n.ctx,
         [r, &t, count, new_connection](const yield& y) {
--- a/src/node/entry_request.hpp
+++ b/src/node/entry_request.hpp
@@ -24,6 +24,8 @@
     std::unique_ptr<response_parser> parser;
     span_us retry_after = 0; ///< from the exit node's refusal
     bool cancelled = false;
+    bool may_probe = false;   ///< may go to a suspect backend server
+    bool is_fallback = false; ///< goes to a suspect, which admits it
 };
 
 /// One request of a caller.
@@ -54,8 +56,6 @@
     std::deque<entry_attempt> attempts; ///< by number - 1; addresses are stable
     std::vector<worker_id> tried_workers;
     std::optional<worker_id> pinned_worker; ///< only server allowed, by key
-    bool may_probe = false;   ///< the new attempt may go to a suspect server
-    bool is_fallback = false; ///< the new attempt is the fallback
     bool watching_caller = false; ///< the caller's socket is polled for closing
 
     /// Queues an event and wakes the caller's coroutine.
--- a/test/platform_stop.py
+++ b/test/platform_stop.py
@@ -181,6 +181,31 @@
            "reads are hedged at gates with slow work: %s" % results)
 
 
+# Guards against hedges that all gates refuse because they suspect their
+# backend servers, although the caller then gets no answer at all.
+def check_hedge_at_suspects(h):
+    start_entry(h, *NO_RETRIES)
+    set_duration(h, SLOW_S)
+    reads = Reads(h, 2)
+    set_duration(h, FAST_S)
+    expect(wait_for(lambda: fail_everywhere(h)), "all are suspected")
+    stop_entry(h)
+    results = reads.wait()
+    expect(results == [200] * 2, "reads are hedged at suspects: %s" % results)
+
+
+def fail_everywhere(h):
+    """Returns whether each backend server has failed a read of another node."""
+    seen = {w: len(w.seen) for w in h.workers.values()}
+    for w in seen:
+        w.mode = "fail"
+    for _ in range(8):
+        h.ask("n0", "/warm/")
+    for w in seen:
+        w.mode = "healthy"
+    return all(len(w.seen) > count for w, count in seen.items())
+
+
 def main():
     with fleet.Fleet(cluster="stop") as f:
         h = start_fleet(f)
@@ -190,6 +215,7 @@
     with fleet.Fleet(cluster="stop") as f:
         h = start_fleet(f)
         check_hedge_at_slow_gates(h)
+        check_hedge_at_suspects(h)
     with fleet.Fleet(cluster="stop") as f:
         check_nothing_to_lend(start_fleet(f, NO_RETRIES))
     return hosted.summarize("stop")
--- a/test/test_stop.cpp
+++ b/test/test_stop.cpp
@@ -222,6 +222,25 @@
     EXPECT_EQ(decisions[0].kind, attempt_action_kind::send_fresh);
 }
 
+// Guards against a read that stays on a slow backend server because only
+// suspects are left for its hedge.
+TEST(entry_stop, refused_hedge_goes_to_a_suspect_at_last)
+{
+    retry_budget budget;
+    auto r = hedged_request(budget);
+    r.policy.use_fallback = true;
+    const auto now = start + 3 * us_per_s + 1;
+    attempt_step(r, {attempt_event_kind::not_run, 2, "suspected"}, budget, now);
+    const auto decisions = attempt_step(
+        r, {attempt_event_kind::no_worker, 3, "no-worker"}, budget, now);
+    ASSERT_EQ(decisions.size(), 1U);
+    EXPECT_EQ(decisions[0].kind, attempt_action_kind::send_fallback);
+    EXPECT_TRUE(attempt_step(r, {attempt_event_kind::no_worker, 4, "no-worker"},
+                             budget, now)
+                    .empty());
+    EXPECT_EQ(r.wake_at, r.deadline);
+}
+
 // Guards against spending more than one retry on one arrival, and against
 // arrivals without a retry.
 TEST(entry_stop, hedge_that_reached_a_backend_server_is_spent)
