--- a/test/platform_stop.py
+++ b/test/platform_stop.py
@@ -181,6 +181,18 @@
            "reads are hedged at gates with slow work: %s" % results)
 
 
+def fail_everywhere(h):
+    """Returns whether each backend server has failed a read of another node."""
+    seen = {w: len(w.seen) for w in h.workers.values()}
+    for w in seen:
+        w.mode = "fail"
+    for _ in range(8):
+        h.ask("n0", "/warm/")
+    for w in seen:
+        w.mode = "healthy"
+    return all(len(w.seen) > count for w, count in seen.items())
+
+
 # Guards against hedges that all gates refuse because they suspect their
 # backend servers, although the caller then gets no answer at all.
 def check_hedge_at_suspects(h):
@@ -194,18 +206,6 @@
     expect(results == [200] * 2, "reads are hedged at suspects: %s" % results)
 
 
-def fail_everywhere(h):
-    """Returns whether each backend server has failed a read of another node."""
-    seen = {w: len(w.seen) for w in h.workers.values()}
-    for w in seen:
-        w.mode = "fail"
-    for _ in range(8):
-        h.ask("n0", "/warm/")
-    for w in seen:
-        w.mode = "healthy"
-    return all(len(w.seen) > count for w, count in seen.items())
-
-
 def main():
     with fleet.Fleet(cluster="stop") as f:
         h = start_fleet(f)
