--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -22,9 +22,7 @@
 
 bool all_not_run(const request_state& r)
 {
-    return std::all_of(
-        r.attempt_states.begin(), r.attempt_states.end(),
-        [](const auto& t) { return t.phase == attempt_phase::not_run; });
+    return attempt_is_proven_not_run(r, 0);
 }
 
 void cancel_open(request_state& r, std::uint32_t except, actions& out)
