Log and count what backend servers say of their limits and of leaving

Answers that name a limit of requests a second, or that the backend server is leaving, left no trace: neither log lines nor metrics told whether and when one was named, or how many requests began in a window. The gate now counts starts over 4 s and logs when a limit is named, changed or ended (3017, 3018), when leaving is said (3019) and values that can't be read (3020); three gauges and the status query show the same. No decision changes.

Each form of the number has one meaning: empty, negative, not a number and infinite are ignored; 0 is a limit; what exceeds 1e6 is 1e6; of several the lowest counts. An answer without a limit ends one only if its request was sent after the limit was last named.

--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -144,6 +144,7 @@
                std::uint32_t route_class, mono_us now)
 {
     ++w.in_flight;
+    start_limit_count(w.starts, now);
     early_success_begin(w, g.limits, {a, route_class, now});
     if (!idempotent)
         store_record(g, a, gate_state::started, now);
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -5,6 +5,7 @@
 #include "base/id_type.hpp"
 #include "base/names_type.hpp"
 #include "base/time_type.hpp"
+#include "gate/start_limit.hpp"
 #include "outlier/estimate_type.hpp"
 
 #include <cstdint>
@@ -189,6 +190,7 @@
     double on_time_load = 0;         ///< share of its time used by on-time work
     mono_us on_time_load_at = 0;     ///< last update of on_time_load
     std::vector<gate_waiting> queue; ///< invariant: size <= gate_limits::queue
+    start_limit starts;              ///< its limit of starts per second
 };
 
 /// Admission control of one process. Not thread-safe.
--- /dev/null
+++ b/src/gate/start_limit.hpp
@@ -0,0 +1,72 @@
+// Start limits. A backend server may name in its answers how many requests a
+// second it accepts from the whole fleet. All of its requests pass one gate,
+// which counts their starts over a sliding window.
+#pragma once
+
+#include "base/names_type.hpp"
+#include "base/time_type.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace jasminetray {
+
+/// Length of the sliding window over which starts are counted.
+constexpr span_us start_window = 4 * us_per_s;
+/// Starts are counted per slice, so that the state has a fixed size.
+constexpr span_us start_slice = 200 * us_per_ms;
+/// One slice more than the window holds, since the newest one is incomplete.
+constexpr std::size_t start_slices =
+    static_cast<std::size_t>(start_window / start_slice) + 1;
+
+/// Who named the limit in force.
+enum class limit_source : std::uint8_t
+{
+    none,         ///< no limit is in force
+    answer,       ///< an answer that passed this gate
+    health_probe, ///< the answer to a health probe
+    entry_node,   ///< an entry node, from before this process started
+};
+
+inline constexpr std::array<std::string_view, 4> limit_source_names = {
+    "none", "answer", "health-probe", "entry-node"};
+
+/// Starts of one backend server and the limit that it named.
+struct start_limit
+{
+    limit_source source = limit_source::none;
+    double rate = 0;      ///< starts per second; invariant: finite, >= 0
+    mono_us named_at = 0; ///< when an answer last named it
+    mono_us begun_at = 0; ///< when the limit came into force
+    /// When an answer of the process last said whether it has a limit; 0 for
+    /// never.
+    mono_us heard_at = 0;
+    mono_us last_start_at = 0; ///< 0 for never
+    std::uint64_t refused = 0; ///< requests refused because of the limit
+    std::array<std::uint32_t, start_slices> slices{}; ///< starts per slice
+    std::int64_t newest_slice = 0; ///< number of the newest slice
+};
+
+/// Returns whether a limit is in force.
+bool is_limited(const start_limit& s);
+
+/// Counts a request that is sent to the backend server.
+void start_limit_count(start_limit& s, mono_us now);
+
+/// Returns the starts in the window that ends now, rounded up to whole slices.
+std::uint32_t starts_in_window(const start_limit& s, mono_us now);
+
+/// Applies a limit that the backend server named.
+/// @return whether the limit in force changed
+bool start_limit_name(start_limit& s, double rate, limit_source source,
+                      mono_us now);
+
+/// Applies an answer that names no limit. It ends the limit only if its request
+/// was sent after the limit was last named: answers of concurrent requests may
+/// arrive in another order than they were made.
+/// @param sent_at when the request was sent to the backend server
+/// @return whether a limit ended
+bool start_limit_not_named(start_limit& s, mono_us sent_at, mono_us now);
+
+} // namespace jasminetray
--- a/src/node/admin_query.cpp
+++ b/src/node/admin_query.cpp
@@ -59,6 +59,23 @@
             {"workers", workers}};
 }
 
+json::object start_limit_json(const node_state& n, worker_id id, mono_us now)
+{
+    const auto it = n.local_gate.workers.find(id);
+    if (it == n.local_gate.workers.end())
+        return {};
+    const auto& s = it->second.starts;
+    json::object o{{"source", name_of(limit_source_names, s.source)},
+                   {"window_starts", starts_in_window(s, now)},
+                   {"refused", s.refused}};
+    if (is_limited(s)) {
+        o["starts_per_s"] = s.rate;
+        o["named_ms_ago"] = (now - s.named_at) / us_per_ms;
+        o["in_force_ms"] = (now - s.begun_at) / us_per_ms;
+    }
+    return o;
+}
+
 json::object status_json(const node_state& n)
 {
     json::array workers;
@@ -70,6 +87,8 @@
             {"service", w.service},
             {"slots", w.slots},
             {"draining", w.draining || w.drained_by_operator},
+            {"said_leaving", w.said_leaving},
+            {"start_limit", start_limit_json(n, id, now)},
             {"standing", name_of(ejection_state_names, w.health.state)},
             {"evidence", health_score(w.health, w.policy, now)},
             {"threshold", health_threshold(w.health, w.policy)},
--- a/src/node/admin_server.cpp
+++ b/src/node/admin_server.cpp
@@ -24,6 +24,23 @@
     return make_response(static_cast<http::status>(a.status), a.json + "\n");
 }
 
+void set_start_metrics(node_state& n, mono_us now)
+{
+    double limited = 0;
+    double rate = 0;
+    double most = 0;
+    for (const auto& [id, w] : n.local_gate.workers) {
+        most = std::max<double>(most, starts_in_window(w.starts, now));
+        if (!is_limited(w.starts))
+            continue;
+        rate = limited == 0 ? w.starts.rate : std::min(rate, w.starts.rate);
+        ++limited;
+    }
+    n.metrics.limited_workers->Set(limited);
+    n.metrics.start_rate->Set(rate);
+    n.metrics.window_starts->Set(most);
+}
+
 string_response render_metrics(node_state& n)
 {
     auto& m = n.metrics;
@@ -33,6 +50,7 @@
     m.members->Set(static_cast<double>(alive));
     m.in_flight->Set(n.in_flight);
     m.gate_records->Set(static_cast<double>(n.local_gate.records.size()));
+    set_start_metrics(n, mono_now());
     m.store_up->Set(n.store_reachable ? 1 : 0);
     m.dropped_lines->Set(static_cast<double>(n.events.dropped_lines()));
     if (n.config) {
--- a/src/node/dialect_type.hpp
+++ b/src/node/dialect_type.hpp
@@ -16,6 +16,10 @@
     std::string_view deadline = "x-deadline-ms"; ///< remaining milliseconds
     std::string_view not_run = "x-shed"; ///< marks answers without execution
     std::string_view load;               ///< "running,waiting,slots"
+    /// Requests a second that a backend server accepts from the whole fleet.
+    std::string_view worker_limit = "x-worker-limit";
+    /// "1" on the answers of a backend server that accepts no new requests.
+    std::string_view worker_leaving = "x-worker-leaving";
     std::string_view worker;             ///< process that answered
     std::string_view expected_worker;    ///< process that must run the work
     std::string_view caller_service;     ///< service hosted on the caller's VM
--- a/src/node/hosted_worker.cpp
+++ b/src/node/hosted_worker.cpp
@@ -41,6 +41,7 @@
     n.hosted.candidate.reset();
     const auto id = handle_announcement(n, a);
     n.workers[id].answered_ms = wall_ms_now();
+    apply_worker_notice(n, id, p.notice, limit_source::health_probe, p.sent_at);
 }
 
 /// Sets the start time of a process that was first found by a probe. It keeps
@@ -94,6 +95,8 @@
     auto* w = current_worker(n);
     if (w != nullptr && p.name == w->name && !has_newer_candidate(h, p)) {
         w->announced_at = mono_now();
+        apply_worker_notice(n, w->id, p.notice, limit_source::health_probe,
+                            p.sent_at);
         return;
     }
     if (h.candidate && may_admit(n, *h.candidate, p))
@@ -203,6 +206,7 @@
                           const std::string& path, const yield& y)
 {
     probe_result p;
+    p.sent_at = mono_now();
     http_connection link(n.ctx);
     link.stream.expires_after(std::chrono::microseconds(probe_timeout));
     beast::error_code ec;
@@ -220,6 +224,7 @@
     p.reached = true;
     p.healthy = r.result() == http::status::ok;
     p.name = header_value(r, n.dialect.worker);
+    p.notice = read_worker_notice(n.dialect, r);
     if (const auto load = parse_worker_load(header_value(r, n.dialect.load))) {
         p.running = (*load)[0];
         p.slots = (*load)[2];
--- a/src/node/hosted_worker.hpp
+++ b/src/node/hosted_worker.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "node/announce.hpp"
+#include "node/worker_notice.hpp"
 
 namespace jasminetray {
 
@@ -22,6 +23,8 @@
     std::string name;     ///< process that answered; empty when not reported
     int running = 0;      ///< requests that it runs
     int slots = 0;        ///< 0 when not reported
+    worker_notice notice; ///< of the process that answered
+    mono_us sent_at = 0;
 };
 
 /// Requests a backend server's health path on a new connection.
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -74,6 +74,15 @@
              .Add({});
     m->store_up = gauge(r, "jasminetray_store_reachable",
                         "1 when the platform's store answered last.");
+    m->limited_workers =
+        gauge(r, "jasminetray_limited_workers",
+              "Backend servers of this VM that named a limit of starts.");
+    m->start_rate =
+        gauge(r, "jasminetray_start_limit",
+              "Lowest limit named, in starts a second; 0 for none.");
+    m->window_starts =
+        gauge(r, "jasminetray_window_starts",
+              "Most starts at a backend server of this VM within 4 s.");
     m->gate_records = gauge(r, "jasminetray_gate_records",
                             "Attempts that the gate remembers.");
     m->dropped_lines = gauge(r, "jasminetray_log_lines_dropped",
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -32,6 +32,9 @@
         config_unclear; ///< parts applied in their safest meaning
     prometheus::Gauge* store_up;
     prometheus::Gauge* gate_records;
+    prometheus::Gauge* limited_workers; ///< that named a limit of starts
+    prometheus::Gauge* start_rate;      ///< lowest limit; 0 without one
+    prometheus::Gauge* window_starts;   ///< most starts at one backend server
     prometheus::Gauge* dropped_lines;
 };
 
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -46,6 +46,7 @@
     int slots = 1;
     bool draining = false;
     bool drained_by_operator = false;
+    bool said_leaving = false; ///< in one of its answers; final for a process
     mono_us announced_at = 0;
     worker_health health;
     outlier_policy policy;
--- /dev/null
+++ b/src/node/worker_notice.cpp
@@ -0,0 +1,53 @@
+// Application of notices; see worker_notice.hpp.
+#include "node/worker_notice.hpp"
+
+#include <sstream>
+
+namespace jasminetray {
+
+namespace {
+
+std::string describe_limit(const start_limit& s, mono_us now)
+{
+    std::ostringstream out;
+    out << "rate=" << s.rate
+        << " source=" << name_of(limit_source_names, s.source)
+        << " window_starts=" << starts_in_window(s, now)
+        << " refused=" << s.refused;
+    return out.str();
+}
+
+} // namespace
+
+void apply_worker_notice(node_state& n, worker_id id, const worker_notice& x,
+                         limit_source source, mono_us sent_at)
+{
+    const auto w = n.workers.find(id);
+    const auto g = n.local_gate.workers.find(id);
+    if (w == n.workers.end() || g == n.local_gate.workers.end())
+        return;
+    const auto now = mono_now();
+    const auto& name = w->second.name;
+    auto& s = g->second.starts;
+    if (!x.malformed.empty())
+        n.events.write(event_id::worker_notice_malformed, name, x.malformed);
+    if (x.rate && start_limit_name(s, *x.rate, source, now))
+        n.events.write(event_id::worker_limit_named, name,
+                       describe_limit(s, now));
+    // An unreadable limit neither sets nor ends one. A health probe may be
+    // answered without the fields of other answers.
+    const bool says_none =
+        !x.rate && x.malformed.empty() && source != limit_source::health_probe;
+    if (says_none && start_limit_not_named(s, sent_at, now))
+        n.events.write(event_id::worker_limit_ended, name,
+                       describe_limit(s, now) + " limited_ms=" +
+                           std::to_string((now - s.begun_at) / us_per_ms));
+    if (x.leaving && !w->second.said_leaving) {
+        w->second.said_leaving = true;
+        n.events.write(event_id::worker_leaving_said, name,
+                       "source=" +
+                           std::string(name_of(limit_source_names, source)));
+    }
+}
+
+} // namespace jasminetray
--- /dev/null
+++ b/src/node/worker_notice.hpp
@@ -0,0 +1,15 @@
+// Applies what backend servers of this VM say about themselves in answers.
+#pragma once
+
+#include "node/node_state.hpp"
+#include "node/worker_notice_type.hpp"
+
+namespace jasminetray {
+
+/// Applies the notice of an answer of a backend server of this VM.
+/// @param source answer or health_probe
+/// @param sent_at when the request of the answer was sent
+void apply_worker_notice(node_state& n, worker_id id, const worker_notice& x,
+                         limit_source source, mono_us sent_at);
+
+} // namespace jasminetray
--- a/src/node/worker_request.cpp
+++ b/src/node/worker_request.cpp
@@ -6,6 +6,7 @@
 #include "node/crash_watch.hpp"
 #include "node/health_driver.hpp"
 #include "node/http_func.hpp"
+#include "node/worker_notice.hpp"
 #include "outlier/outlier_cmd.hpp"
 #include "outlier/outlier_math.hpp"
 
@@ -139,6 +140,9 @@
     return echo.empty() ? !f.echo_required : echo == f.echo;
 }
 
+/// Status of a process that another one's request has reached.
+constexpr unsigned misdirected = 421;
+
 /// Returns whether the backend server reports that it did not run the work. A
 /// refusal may lack the request id, but must not carry another one.
 bool reports_not_run(const node_state& n, const expected_answer& f,
@@ -150,7 +154,6 @@
     const auto status = head.result_int();
     constexpr unsigned too_many = 429;
     constexpr unsigned unavailable = 503;
-    constexpr unsigned misdirected = 421;
     if (!n.dialect.expected_worker.empty() && status == misdirected)
         return true;
     const auto not_run_value =
@@ -188,6 +191,10 @@
 {
     const auto& head = a.parser->get();
     const auto status = head.result_int();
+    // An answer with 421 is another process's.
+    if (status != misdirected && echo_matches(n, f, *a.parser))
+        apply_worker_notice(n, r.worker, read_worker_notice(n.dialect, head),
+                            limit_source::answer, a.started_at);
     if (reports_not_run(n, f, head)) {
         a.result = work_result::shed;
         a.reason = "shed";
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -210,6 +210,22 @@
               "`running` has their fingerprints.",
               "A fingerprint that repeats across crashes identifies a request "
               "that crashes backend servers."},
+    event_row{
+        event_id::worker_limit_named, "worker_limit_named",
+        "A backend server named how many requests a second it accepts from "
+        "the whole fleet, or changed the number.",
+        "Add capacity if it stays; `status` shows the limit, its source and "
+        "the starts in the window."},
+    event_row{event_id::worker_limit_ended, "worker_limit_ended",
+              "A backend server that had named a limit answered without one.",
+              "None."},
+    event_row{event_id::worker_leaving_said, "worker_leaving_said",
+              "A backend server said in an answer that it is leaving.",
+              "None."},
+    event_row{event_id::worker_notice_malformed, "worker_notice_malformed",
+              "A limit or a notice of leaving in an answer can't be read; it "
+              "was ignored.",
+              "Fix the backend server; the line has the values."},
     event_row{event_id::config_in_force, "config_in_force",
               "A configuration version came into force on this node.", "None."},
     event_row{
