--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -87,6 +87,8 @@
         self.seq, self.acked = 0, None
         self.seen, self.running, self.work_s = [], 0, 0.02
         self.alive, self.muted = True, False
+        self.notices = {}  # header fields of its answers
+        self.notices_in_health = True
         self.connections = set()
         self.born = int(time.time() * 1000)
         worker = self
@@ -118,6 +120,9 @@
                 self.send_response_only(status)
                 for key, value in headers.items():
                     self.send_header(key, value)
+                if worker.notices_in_health or self.path != "/up":
+                    for key, value in worker.notices.items():
+                        self.send_header(key, value)
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
                 self.wfile.write(body)
--- /dev/null
+++ b/test/platform_limit.py
@@ -0,0 +1,116 @@
+"""Tests backend servers that name in their answers how many requests a second
+they accept from the whole fleet.
+
+In no window of 4 s may one get more than one and a half times that, and 5.
+"""
+
+import sys
+import threading
+import time
+
+import platform_hosted as hosted
+from platform_hosted import expect, wait_for
+
+import fleet
+
+NODES = 3  # with a backend server of the service each
+LIMIT = "Server-Limit"
+WINDOW_S = 4
+STABILITY_S = 3  # from the first answer that names a limit
+CALLERS_PER_NODE = 4
+
+
+def start_fleet(f, nodes=NODES, kind="idempotent"):
+    f.start_platform()
+    h = hosted.Hosted(f)
+    for k in range(nodes):
+        h.start_node("n%d" % k, "billing")
+    h.put_config(hosted.document(3, [
+        hosted.route("read", "/read/", "billing", kind)]))
+    for k in range(nodes):
+        h.start_worker("w%d" % k, "n%d" % k)
+    expect(wait_for(lambda: all(h.ready(n) for n in h.nodes)),
+           "the fleet is ready")
+    expect(wait_for(lambda: all(h.ask(n, "/read/")[0] == 200
+                                for n in h.nodes)), "every node serves")
+    return h
+
+
+class Callers:
+    """Callers at all nodes, with a pause after each answer."""
+
+    def __init__(self, h, pause_s=0.1, per_node=CALLERS_PER_NODE, nodes=None):
+        self.results, self.running = [], True
+        self.threads = [
+            threading.Thread(target=self.call, args=(h, node, pause_s))
+            for node in nodes or list(h.nodes) for _ in range(per_node)]
+        for t in self.threads:
+            t.start()
+
+    def call(self, h, node, pause_s):
+        while self.running:
+            began = time.monotonic()
+            try:
+                status, headers, _ = h.ask(node, "/read/")
+            except OSError:
+                status, headers = "closed", {}
+            self.results.append((began, time.monotonic() - began, status,
+                                 headers))
+            time.sleep(pause_s)
+
+    def stop(self):
+        self.running = False
+        for t in self.threads:
+            t.join()
+        return self.results
+
+
+def arrivals(worker, since):
+    return sorted(x[1] for x in worker.seen if x[1] >= since)
+
+
+def most_in_window(times):
+    return max((sum(1 for t in times if at <= t < at + WINDOW_S)
+                for at in times), default=0)
+
+
+def allowed(limit):
+    return 1.5 * limit * WINDOW_S + 5
+
+
+def expect_limit(worker, limit, since, what):
+    most = most_in_window(arrivals(worker, since))
+    expect(most <= allowed(limit), "%s: at most %g requests in %d s: %d" %
+           (what, allowed(limit), WINDOW_S, most))
+
+
+def share_answered(results, since):
+    statuses = [status for began, _, status, _ in results if began >= since]
+    return statuses.count(200) / max(1, len(statuses))
+
+
+# Guards against a backend server that gets all the work its slots can take
+# although it has named a limit of requests a second.
+def check_limit_is_kept(h):
+    limited = h.workers["w0"]
+    callers = Callers(h)
+    time.sleep(1)
+    limited.notices = {LIMIT: "2"}
+    named = time.monotonic()
+    time.sleep(STABILITY_S + WINDOW_S + 1)
+    results = callers.stop()
+    expect_limit(limited, 2, named + STABILITY_S, "a limit of 2 a second")
+    expect(len(arrivals(limited, named + STABILITY_S)) >= 4,
+           "it still gets what it accepts")
+    share = share_answered(results, named)
+    expect(share >= 0.95, "the others serve the rest: %.3f" % share)
+
+
+def main():
+    with fleet.Fleet(cluster="limit") as f:
+        check_limit_is_kept(start_fleet(f))
+    return hosted.summarize("limit")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
