Make tests fail when a RapidCheck property fails

rc::check only returns and prints its verdict: five properties of the unit tests could fail without failing their test.

--- a/test/test_hop.cpp
+++ b/test/test_hop.cpp
@@ -10,7 +10,7 @@
 
 TEST(hop, request_round_trip)
 {
-    rc::check("round trip", [] {
+    EXPECT_TRUE(rc::check("round trip", [] {
         hop_request r;
         r.attempt = {
             {static_cast<node_id>(*rc::gen::arbitrary<std::uint64_t>()),
@@ -43,7 +43,7 @@
             RC_ASSERT(back->boot == r.boot);
             RC_ASSERT(back->stamp == r.stamp);
         }
-    });
+    }));
 }
 
 TEST(hop, answer_round_trip)
--- a/test/test_pages.cpp
+++ b/test/test_pages.cpp
@@ -114,11 +114,12 @@
 
 TEST(identifiers, round_trip_through_text)
 {
-    rc::check([](std::uint64_t entry, std::uint64_t seq, std::uint32_t count) {
-        const attempt_id a{{static_cast<node_id>(entry), seq},
-                           count == 0 ? 1 : count};
-        RC_ASSERT(parse_attempt_id(to_text(a)) == a);
-    });
+    EXPECT_TRUE(rc::check(
+        [](std::uint64_t entry, std::uint64_t seq, std::uint32_t count) {
+            const attempt_id a{{static_cast<node_id>(entry), seq},
+                               count == 0 ? 1 : count};
+            RC_ASSERT(parse_attempt_id(to_text(a)) == a);
+        }));
     EXPECT_FALSE(parse_attempt_id("nonsense"));
     EXPECT_FALSE(parse_request_id(""));
 }
@@ -163,7 +164,7 @@
 TEST(wire, damaged_datagrams_are_dropped)
 {
     const cluster_keys keys{1, {"first key of the test"}};
-    rc::check([&] {
+    EXPECT_TRUE(rc::check([&] {
         auto bytes = encode_message(sample(), keys);
         const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
         const auto cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
@@ -173,7 +174,7 @@
         RC_ASSERT(!decode_message(std::string_view(bytes).substr(0, cut), keys,
                                   error));
         RC_ASSERT(error != wire_error::none);
-    });
+    }));
 }
 
 // A correctly signed datagram with invalid content is rejected as malformed.
--- a/test/test_platform_check_in.cpp
+++ b/test/test_platform_check_in.cpp
@@ -66,7 +66,7 @@
 
 TEST(check_in, corrupted_bytes_are_parsed_or_rejected)
 {
-    rc::check("no byte does harm", [] {
+    EXPECT_TRUE(rc::check("no byte does harm", [] {
         auto text = check_in(R"("born":5,)");
         const auto n = *rc::gen::inRange<std::size_t>(1, 6);
         for (std::size_t k = 0; k < n; ++k) {
@@ -78,7 +78,7 @@
         RC_ASSERT(a.has_value() == error.empty());
         if (a)
             RC_ASSERT(a->slots >= 1 && !a->service.empty());
-    });
+    }));
 }
 
 TEST(check_in, deregistration_has_optional_start_time)
--- a/test/test_platform_config.cpp
+++ b/test/test_platform_config.cpp
@@ -181,10 +181,10 @@
 TEST(operator_config, truncated_document_is_rejected)
 {
     const std::string text = valid_document;
-    rc::check("a prefix is refused", [&] {
+    EXPECT_TRUE(rc::check("a prefix is refused", [&] {
         const auto n = *rc::gen::inRange<std::size_t>(0, text.size() - 1);
         RC_ASSERT(!parse_failure(text.substr(0, n)).empty());
-    });
+    }));
 }
 
 } // namespace
