Keep the limit of starts that a backend server names, at its gate

Callers and backend servers: one that named a limit of requests a second got as much work as before, 118 requests in 4 s where 17 are allowed (platform_limit), which is what brings a server in need down.

Cause: nothing read the limit. Load was known as slots in use, so a gate bounded how much ran at once and never how much began; short lookups begin at any rate. Ruled out with the new log lines and counts: work on its way when the word comes (the excess lasts for as long as the limit, and only 12 callers were open), and requests beside the gate (its counts equal the backend server's).

The gate now keeps a token bucket at the rate named, and a window of 4 s that also counts starts from before a limit begins or falls. Work that can't start in time is refused at once as not run; callers are told when a start is free, one after the other, at most 4 s away. One start in 1.8 s goes through whatever the number, since the end of a limit is only learnt from answers. The wait for a start counts as load, so that placement sends work elsewhere; a refusal by the limit is no evidence of sickness and takes no retry.

--- a/src/config/mechanism_type.hpp
+++ b/src/config/mechanism_type.hpp
@@ -32,13 +32,14 @@
     early_success,       ///< count outlasting a fast failure as a success
     allowance_owners,    ///< count each team's allowance at one owner node
     quarantine,          ///< refuse requests that crash backend servers
+    start_limits,        ///< keep the limits that backend servers name
 };
 
-inline constexpr std::array<std::string_view, 15> mechanism_names = {
+inline constexpr std::array<std::string_view, 16> mechanism_names = {
     "doubt",       "quick-probe",     "last-resort", "late-forecast",
     "short-first", "placing",         "probe-work",  "refusal-memory",
     "load-news",   "retries",         "path-guard",  "verdicts",
-    "survival",    "allowance-homes", "quarantine"};
+    "survival",    "allowance-homes", "quarantine",  "start-limits"};
 
 using mechanism_set = std::bitset<mechanism_names.size()>;
 
--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -18,6 +18,12 @@
     return w.in_flight + w.inherited < static_cast<int>(w.limit);
 }
 
+/// Returns whether work can be sent to the backend server now.
+bool can_start(const gate_worker& w, const gate_limits& l, mono_us now)
+{
+    return has_free_slot(w) && next_start(w.starts, l.starts, 0, now) <= now;
+}
+
 void store_record(gate& g, const attempt_id& a, gate_state state, mono_us now)
 {
     const mono_us expires_at = now + g.limits.record_ttl();
@@ -105,9 +111,9 @@
     if (is_held_back(g, w, r, now))
         return gate_error::suspected;
     const auto mine = make_waiting(r, UINT64_MAX); // behind its equals
-    if (has_free_slot(w) && w.queue.empty()) {
+    if (can_start(w, g.limits, now) && w.queue.empty()) {
         const bool fits = r.entry_stopping
-                              ? is_servable(w, g.limits, mine, 0, now)
+                              ? is_servable(w, g.limits, mine, {}, now)
                               : r.deadline > now;
         return fits ? gate_error::none : gate_error::deadline_short;
     }
@@ -115,14 +121,20 @@
         return gate_error::queue_full;
     // Work that would time out in the queue is refused while there is still
     // time to try another backend server.
-    span_us ahead = w.mean_duration;
-    for (const auto& x : w.queue)
-        ahead += comes_before(w, g.limits, x, mine, now)
-                     ? mean_duration_of(w, x.route_class)
-                     : 0;
-    return is_servable(w, g.limits, mine, ahead, now)
+    queue_wait wait;
+    const bool only_start = has_free_slot(w) && is_limited(w.starts);
+    wait.ahead = only_start ? 0 : w.mean_duration;
+    std::size_t ahead = 0;
+    for (const auto& x : w.queue) {
+        if (!comes_before(w, g.limits, x, mine, now))
+            continue;
+        wait.ahead += mean_duration_of(w, x.route_class);
+        ++ahead;
+    }
+    wait.start = next_start(w.starts, g.limits.starts, ahead, now) - now;
+    return is_servable(w, g.limits, mine, wait, now)
                ? gate_error::none
-               : gate_error::deadline_short;
+               : unservable_reason(w, g.limits, mine, wait, now);
 }
 
 /// Records a refusal, so that a repeated copy of an attempt that was reported
@@ -131,11 +143,11 @@
 void record_refusal(gate& g, const attempt_id& a, gate_error reason,
                     mono_us now, const gate_safeguards& on)
 {
-    const bool may_repeat = reason == gate_error::draining ||
-                            reason == gate_error::deadline_short ||
-                            reason == gate_error::queue_full ||
-                            reason == gate_error::no_worker ||
-                            reason == gate_error::suspected;
+    const bool may_repeat =
+        reason == gate_error::draining ||
+        reason == gate_error::deadline_short ||
+        reason == gate_error::queue_full || reason == gate_error::no_worker ||
+        reason == gate_error::suspected || reason == gate_error::rate_limited;
     if (may_repeat && on.remember_refused)
         store_record(g, a, gate_state::revoked, now);
 }
@@ -144,7 +156,7 @@
                std::uint32_t route_class, mono_us now)
 {
     ++w.in_flight;
-    start_limit_count(w.starts, now);
+    start_limit_count(w.starts, g.limits.starts, now);
     early_success_begin(w, g.limits, {a, route_class, now});
     if (!idempotent)
         store_record(g, a, gate_state::started, now);
@@ -231,7 +243,7 @@
         return std::nullopt;
     }
     auto& w = it->second;
-    const bool start = has_free_slot(w) && w.queue.empty();
+    const bool start = can_start(w, g.limits, now) && w.queue.empty();
     if (mode == command_mode::apply && w.estimate.suspect)
         estimate_take_probe(w.estimate, g.limits.estimate, now);
     if (mode == command_mode::apply && !is_late(w, make_waiting(r, 0), now))
@@ -260,13 +272,18 @@
     std::vector<gate_waiting> left;
     span_us queued = 0;
     for (const auto& x : q) {
-        const bool free = has_free_slot(w);
+        const bool free = can_start(w, g.limits, now);
         // One mean duration stands for the running work.
-        const span_us ahead = free ? 0 : w.mean_duration + queued;
-        if (!is_servable(w, g.limits, x, ahead, now)) {
+        queue_wait wait;
+        if (!has_free_slot(w))
+            wait.ahead = w.mean_duration + queued;
+        wait.start =
+            next_start(w.starts, g.limits.starts, left.size(), now) - now;
+        if (!is_servable(w, g.limits, x, wait, now)) {
             if (!x.idempotent)
                 store_record(g, x.attempt, gate_state::revoked, now);
-            decisions.push_back({x.attempt, false, gate_error::deadline_short});
+            decisions.push_back({x.attempt, false,
+                                 unservable_reason(w, g.limits, x, wait, now)});
         } else if (free) {
             take_slot(g, w, x.attempt, x.idempotent, x.route_class, now);
             decisions.push_back({x.attempt, true, gate_error::none});
@@ -462,6 +479,22 @@
     return decisions;
 }
 
+span_us gate_promise_start(gate& g, worker_id id, mono_us now)
+{
+    const auto it = g.workers.find(id);
+    if (it == g.workers.end())
+        return us_per_s;
+    auto& w = it->second;
+    return start_limit_refuse(w.starts, g.limits.starts, w.queue.size(), now);
+}
+
+void gate_count_start(gate& g, worker_id id, mono_us now)
+{
+    const auto it = g.workers.find(id);
+    if (it != g.workers.end())
+        start_limit_count(it->second.starts, g.limits.starts, now);
+}
+
 void gate_expire_records(gate& g, mono_us now)
 {
     while (!g.expiry_queue.empty() && g.expiry_queue.front().first <= now) {
--- a/src/gate/gate_cmd.hpp
+++ b/src/gate/gate_cmd.hpp
@@ -109,6 +109,14 @@
 std::vector<gate_decision> gate_remove_worker(gate& g, worker_id id,
                                               mono_us now);
 
+/// Returns after which time a caller that was refused because of the limit of
+/// starts should return.
+span_us gate_promise_start(gate& g, worker_id w, mono_us now);
+
+/// Counts a request that reaches a backend server beside the gate's work, such
+/// as a health probe.
+void gate_count_start(gate& g, worker_id w, mono_us now);
+
 void gate_expire_records(gate& g, mono_us now);
 
 } // namespace jasminetray
--- a/src/gate/gate_query.cpp
+++ b/src/gate/gate_query.cpp
@@ -11,15 +11,32 @@
     return it == g.records.end() ? nullptr : &it->second;
 }
 
-double gate_load(const gate& g, worker_id w)
+namespace {
+
+double slot_load(const gate_worker& x)
+{
+    const auto busy = static_cast<double>(x.in_flight + x.inherited) +
+                      static_cast<double>(x.queue.size());
+    return busy / x.limit;
+}
+
+} // namespace
+
+double gate_load(const gate& g, worker_id w, mono_us now)
 {
     const auto it = g.workers.find(w);
     if (it == g.workers.end())
         return 0;
     const auto& x = it->second;
-    const auto busy = static_cast<double>(x.in_flight + x.inherited) +
-                      static_cast<double>(x.queue.size());
-    return busy / x.limit;
+    const auto wait =
+        next_start(x.starts, g.limits.starts, x.queue.size(), now) - now;
+    if (wait <= 0)
+        return slot_load(x);
+    // With a load of 1 - 1 / slots, the next request takes the last slot.
+    const double durations =
+        static_cast<double>(wait) /
+        std::max<double>(1, static_cast<double>(x.mean_duration));
+    return std::max(slot_load(x), 1 - 1 / x.slots + durations);
 }
 
 span_us gate_retry_after(const gate& g, worker_id w)
@@ -27,7 +44,7 @@
     const auto it = g.workers.find(w);
     if (it == g.workers.end())
         return us_per_s;
-    const double load = std::max(gate_load(g, w), 1.0);
+    const double load = std::max(slot_load(it->second), 1.0);
     return static_cast<span_us>(load *
                                 static_cast<double>(it->second.mean_duration));
 }
--- a/src/gate/gate_query.hpp
+++ b/src/gate/gate_query.hpp
@@ -9,8 +9,10 @@
 const gate_record* gate_find(const gate& g, const attempt_id& a);
 
 /// Returns running and queued work of a backend server over its concurrency
-/// limit; above 1 when work is queued. Reported with every response.
-double gate_load(const gate& g, worker_id w);
+/// limit; above 1 when work is queued. Work that would wait for the limit of
+/// starts counts like work that would wait as long for a slot. Reported with
+/// every response.
+double gate_load(const gate& g, worker_id w, mono_us now);
 
 span_us gate_retry_after(const gate& g, worker_id w);
 
--- a/src/gate/gate_queue.cpp
+++ b/src/gate/gate_queue.cpp
@@ -11,10 +11,14 @@
 /// Minimum share of the slots in the forecast for late work.
 constexpr double min_late_share = 0.05;
 
-span_us expected_wait(const gate_worker& w, span_us ahead, double share)
+/// @param share of the slots and of the starts that the work may use
+span_us expected_wait(const gate_worker& w, const queue_wait& wait,
+                      double share)
 {
-    const double slots = std::max(1.0, w.limit) * share;
-    return static_cast<span_us>(static_cast<double>(ahead) / slots);
+    const double slots = std::max(1.0, w.limit);
+    const double longest = std::max(static_cast<double>(wait.ahead) / slots,
+                                    static_cast<double>(wait.start));
+    return static_cast<span_us>(longest / share);
 }
 
 /// Time that work needs before its deadline, in mean durations. Most work with
@@ -35,11 +39,11 @@
     return begin + static_cast<span_us>(times * mean_duration) < x.deadline;
 }
 
-/// Returns whether work starts in time when `ahead` goes first.
+/// Returns whether work starts in time after a wait.
 bool starts_in_time(const gate_worker& w, const gate_limits& l,
-                    const gate_waiting& x, span_us ahead, mono_us now)
+                    const gate_waiting& x, const queue_wait& wait, mono_us now)
 {
-    const auto begin = now + expected_wait(w, ahead, 1);
+    const auto begin = now + expected_wait(w, wait, 1);
     if (!ends_before_deadline(w, x, begin))
         return false;
     if (x.due == mono_never)
@@ -50,14 +54,14 @@
 /// Returns whether the capacity left over by on-time work lets late work finish
 /// before its deadline.
 bool is_servable_late(const gate_worker& w, const gate_limits& l,
-                      const gate_waiting& x, span_us ahead, mono_us now)
+                      const gate_waiting& x, const queue_wait& wait,
+                      mono_us now)
 {
     if (!l.late_forecast)
         return false;
     const double late_share =
         std::max(min_late_share, 1 - on_time_load_now(w, l, now));
-    return ends_before_deadline(w, x,
-                                now + expected_wait(w, ahead, late_share));
+    return ends_before_deadline(w, x, now + expected_wait(w, wait, late_share));
 }
 
 } // namespace
@@ -105,18 +109,32 @@
 void add_on_time_load(gate_worker& w, const gate_limits& l,
                       std::uint32_t route_class, mono_us now)
 {
-    const double whole = w.limit * static_cast<double>(l.on_time_load_window);
+    const auto window = static_cast<double>(l.on_time_load_window);
+    const double of_slots =
+        static_cast<double>(mean_duration_of(w, route_class)) /
+        (w.limit * window);
+    const bool limited = l.starts.on && is_limited(w.starts);
+    const double of_starts =
+        limited ? std::min(1.0, us_per_s / (w.starts.rate * window)) : 0;
     w.on_time_load =
-        on_time_load_now(w, l, now) +
-        static_cast<double>(mean_duration_of(w, route_class)) / whole;
+        on_time_load_now(w, l, now) + std::max(of_slots, of_starts);
     w.on_time_load_at = now;
 }
 
 bool is_servable(const gate_worker& w, const gate_limits& l,
-                 const gate_waiting& x, span_us ahead, mono_us now)
+                 const gate_waiting& x, const queue_wait& wait, mono_us now)
 {
-    return starts_in_time(w, l, x, ahead, now) ||
-           is_servable_late(w, l, x, ahead, now);
+    return starts_in_time(w, l, x, wait, now) ||
+           is_servable_late(w, l, x, wait, now);
+}
+
+gate_error unservable_reason(const gate_worker& w, const gate_limits& l,
+                             const gate_waiting& x, const queue_wait& wait,
+                             mono_us now)
+{
+    const bool by_limit =
+        wait.start > 0 && is_servable(w, l, x, {wait.ahead, 0}, now);
+    return by_limit ? gate_error::rate_limited : gate_error::deadline_short;
 }
 
 } // namespace jasminetray
--- a/src/gate/gate_queue.hpp
+++ b/src/gate/gate_queue.hpp
@@ -33,10 +33,22 @@
 void add_on_time_load(gate_worker& w, const gate_limits& l,
                       std::uint32_t route_class, mono_us now);
 
+/// What queued work waits for.
+struct queue_wait
+{
+    span_us ahead = 0; ///< sum of the durations of all work before it
+    span_us start = 0; ///< until the limit of starts allows it
+};
+
 /// Returns whether work is expected to start in time, or to finish before its
 /// deadline with the capacity left over by on-time work.
-/// @param ahead sum of the durations of all work before it
 bool is_servable(const gate_worker& w, const gate_limits& l,
-                 const gate_waiting& x, span_us ahead, mono_us now);
+                 const gate_waiting& x, const queue_wait& wait, mono_us now);
+
+/// Returns why work that isn't servable is refused: by the limit of starts if
+/// it were servable without one.
+gate_error unservable_reason(const gate_worker& w, const gate_limits& l,
+                             const gate_waiting& x, const queue_wait& wait,
+                             mono_us now);
 
 } // namespace jasminetray
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -31,12 +31,16 @@
     no_worker,      ///< no such backend server on this VM
     suspected,      ///< its backend server is probably unhealthy
     quarantined,    ///< the request crashes the processes that run it
+    rate_limited,   ///< its backend server accepts no more requests in time
 };
 
-inline constexpr std::array<std::string_view, 12> gate_error_names = {
-    "none",       "wrong-boot", "stale-stamp",  "revoked",
-    "duplicate",  "draining",   "records-full", "deadline-short",
-    "queue-full", "no-worker",  "suspected",    "quarantined"};
+/// Sent to entry nodes.
+inline constexpr std::string_view rate_limited_reason = "rate-limited";
+
+inline constexpr std::array<std::string_view, 13> gate_error_names = {
+    "none",      "wrong-boot",   "stale-stamp",      "revoked",    "duplicate",
+    "draining",  "records-full", "deadline-short",   "queue-full", "no-worker",
+    "suspected", "quarantined",  rate_limited_reason};
 
 /// State of a recorded non-idempotent attempt.
 enum class gate_state : std::uint8_t
@@ -127,6 +131,7 @@
     bool late_forecast = true;
     bool short_first = true; ///< sorts the queue by target
     early_success_policy early_success;
+    start_limit_policy starts;
     /// Decay time of the on-time load: longer than a unit of work, shorter
     /// than a burst.
     span_us on_time_load_window = 2 * us_per_s;
--- a/src/gate/start_limit.cpp
+++ b/src/gate/start_limit.cpp
@@ -18,6 +18,25 @@
     return static_cast<std::size_t>(slice) % start_slices;
 }
 
+constexpr double seconds = 1e6; // in microseconds
+/// Longest forecast of a start; keeps very low limits within range.
+constexpr double max_forecast_s = 3600;
+
+/// Returns the time in which `starts` become free at a rate.
+span_us time_for(double starts, double rate)
+{
+    const double s =
+        rate * max_forecast_s > starts ? starts / rate : max_forecast_s;
+    return static_cast<span_us>(s * seconds);
+}
+
+double tokens_now(const start_limit& s, const start_limit_policy& p,
+                  mono_us now)
+{
+    const auto passed = static_cast<double>(now - s.tokens_at) / seconds;
+    return std::min(p.burst, s.tokens + passed * s.rate);
+}
+
 /// Clears the slices between the newest one and `slice`.
 void advance_to(start_limit& s, std::int64_t slice)
 {
@@ -35,8 +54,10 @@
     return s.source != limit_source::none;
 }
 
-void start_limit_count(start_limit& s, mono_us now)
+void start_limit_count(start_limit& s, const start_limit_policy& p, mono_us now)
 {
+    s.tokens = std::max(-1.0, tokens_now(s, p, now) - 1);
+    s.tokens_at = now;
     advance_to(s, slice_of(now));
     ++s.slices[index_of(s.newest_slice)];
     s.last_start_at = now;
@@ -49,10 +70,58 @@
     return std::accumulate(copy.slices.begin(), copy.slices.end(), 0U);
 }
 
-bool start_limit_name(start_limit& s, double rate, limit_source source,
-                      mono_us now)
+namespace {
+
+/// Returns when the window has room for one more start, after `ahead` others.
+mono_us window_free_at(const start_limit& s, const start_limit_policy& p,
+                       std::size_t ahead, mono_us now)
+{
+    const auto window_s = static_cast<double>(start_window) / seconds;
+    const double most = s.rate * window_s * p.window_factor + p.window_slack;
+    double count = static_cast<double>(starts_in_window(s, now) + ahead) + 1;
+    const auto slices = static_cast<std::int64_t>(start_slices);
+    const auto end = s.newest_slice + 1;
+    for (auto k = slice_of(now) - slices + 1; k <= end; ++k) {
+        if (count <= most)
+            return std::max(now, (k + slices - 1) * start_slice);
+        count -= k < end ? s.slices[index_of(k)] : 0;
+    }
+    return now + start_window; // `ahead` alone exceeds a window
+}
+
+} // namespace
+
+mono_us next_start(const start_limit& s, const start_limit_policy& p,
+                   std::size_t ahead, mono_us now)
+{
+    if (!p.on || !is_limited(s))
+        return now;
+    const auto count = static_cast<double>(ahead) + 1;
+    const double missing = count - tokens_now(s, p, now);
+    const auto token_at = now + (missing > 0 ? time_for(missing, s.rate) : 0);
+    const auto trickle_at =
+        std::max(now, s.last_start_at + p.trickle_interval) +
+        static_cast<span_us>(ahead) * p.trickle_interval;
+    return std::min(trickle_at,
+                    std::max(token_at, window_free_at(s, p, ahead, now)));
+}
+
+span_us start_limit_refuse(start_limit& s, const start_limit_policy& p,
+                           std::size_t ahead, mono_us now)
+{
+    ++s.refused;
+    const auto free_at = std::max(s.promised_at, next_start(s, p, ahead, now));
+    const auto at = std::min(free_at, now + p.max_retry_after);
+    s.promised_at = at + std::min(p.trickle_interval, time_for(1, s.rate));
+    return at - now;
+}
+
+bool start_limit_name(start_limit& s, const start_limit_policy& p, double rate,
+                      limit_source source, mono_us now)
 {
     const bool changed = !is_limited(s) || s.rate != rate;
+    s.tokens = is_limited(s) ? tokens_now(s, p, now) : 1;
+    s.tokens_at = now;
     if (!is_limited(s))
         s.begun_at = now;
     s.source = source;
--- a/src/gate/start_limit.hpp
+++ b/src/gate/start_limit.hpp
@@ -32,6 +32,23 @@
 inline constexpr std::array<std::string_view, 4> limit_source_names = {
     "none", "answer", "health-probe", "entry-node"};
 
+/// How closely a limit is kept.
+struct start_limit_policy
+{
+    bool on = true;
+    /// Most starts in a window: this multiple of what the limit allows, plus
+    /// the slack. Binds after a limit begins or falls, when the window still
+    /// holds starts from before.
+    double window_factor = 1.5;
+    double window_slack = 4;
+    double burst = 3; ///< starts that may begin at once after an idle time
+    /// A start is allowed this long after the last one, whatever the limit: the
+    /// end of a limit is only learnt from answers.
+    span_us trickle_interval = 1800 * us_per_ms;
+    /// Longest time after which a refused caller is asked to return.
+    span_us max_retry_after = start_window;
+};
+
 /// Starts of one backend server and the limit that it named.
 struct start_limit
 {
@@ -43,6 +60,10 @@
     /// never.
     mono_us heard_at = 0;
     mono_us last_start_at = 0; ///< 0 for never
+    /// Token bucket; the tokens may fall to -1 by a start out of turn.
+    double tokens = 0;
+    mono_us tokens_at = 0;     ///< when `tokens` was computed
+    mono_us promised_at = 0;   ///< start that the last refused caller may get
     std::uint64_t refused = 0; ///< requests refused because of the limit
     std::array<std::uint32_t, start_slices> slices{}; ///< starts per slice
     std::int64_t newest_slice = 0; ///< number of the newest slice
@@ -52,15 +73,27 @@
 bool is_limited(const start_limit& s);
 
 /// Counts a request that is sent to the backend server.
-void start_limit_count(start_limit& s, mono_us now);
+void start_limit_count(start_limit& s, const start_limit_policy& p,
+                       mono_us now);
+
+/// Returns when the next request may be sent, after `ahead` others; `now` when
+/// no limit is in force.
+mono_us next_start(const start_limit& s, const start_limit_policy& p,
+                   std::size_t ahead, mono_us now);
+
+/// Returns after which time a refused caller should return. Each refusal moves
+/// the time for the next one, so that callers don't return all at once.
+/// @param ahead requests that are queued
+span_us start_limit_refuse(start_limit& s, const start_limit_policy& p,
+                           std::size_t ahead, mono_us now);
 
 /// Returns the starts in the window that ends now, rounded up to whole slices.
 std::uint32_t starts_in_window(const start_limit& s, mono_us now);
 
 /// Applies a limit that the backend server named.
 /// @return whether the limit in force changed
-bool start_limit_name(start_limit& s, double rate, limit_source source,
-                      mono_us now);
+bool start_limit_name(start_limit& s, const start_limit_policy& p, double rate,
+                      limit_source source, mono_us now);
 
 /// Applies an answer that names no limit. It ends the limit only if its request
 /// was sent after the limit was last named: answers of concurrent requests may
--- a/src/node/admin_query.cpp
+++ b/src/node/admin_query.cpp
@@ -92,7 +92,7 @@
             {"standing", name_of(ejection_state_names, w.health.state)},
             {"evidence", health_score(w.health, w.policy, now)},
             {"threshold", health_threshold(w.health, w.policy)},
-            {"load", gate_load(n.local_gate, id)}});
+            {"load", gate_load(n.local_gate, id, now)}});
     }
     return {{"node", n.settings.name},
             {"data_centre", n.settings.centre},
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -166,6 +166,8 @@
         return {attempt_event_kind::lost, "echo-mismatch"};
     }
     t.retry_after = a.retry_after;
+    t.rate_limited =
+        a.outcome == hop_outcome::not_run && a.reason == rate_limited_reason;
     switch (a.outcome) {
     case hop_outcome::answer: {
         const bool again =
--- a/src/node/entry_refusal.cpp
+++ b/src/node/entry_refusal.cpp
@@ -45,6 +45,19 @@
     m.body() = json::serialize(body) + "\n";
 }
 
+/// Returns the earliest time at which a backend server with a limit of starts
+/// would take the request; nothing when none refused it for its limit.
+std::optional<span_us> earliest_start(const entry_request& r)
+{
+    std::optional<span_us> earliest;
+    for (const auto& t : r.attempts) {
+        if (t.rate_limited)
+            earliest =
+                std::min(earliest.value_or(t.retry_after), t.retry_after);
+    }
+    return earliest;
+}
+
 } // namespace
 
 string_response make_refusal(const request_id& id, const refusal& x,
@@ -80,13 +93,19 @@
     x.retry_after = default_retry_after;
     for (const auto& t : r.attempts)
         x.retry_after = std::max(x.retry_after, t.retry_after);
+    if (x.reason == quarantined_reason)
+        return quarantine_refusal(r.n);
+    if (const auto earliest = earliest_start(r)) {
+        x.retry_after = std::max(default_retry_after, *earliest);
+        x.reason = rate_limited_reason;
+        x.event = event_id::refused_overload;
+        return x;
+    }
     if (x.reason == "queue-full" || x.reason == "shed" ||
         x.reason == "deadline-short")
         x.event = event_id::refused_overload;
     else if (x.reason == "no-worker")
         x.event = event_id::refused_no_worker;
-    else if (x.reason == quarantined_reason)
-        return quarantine_refusal(r.n);
     return x;
 }
 
--- a/src/node/entry_request.hpp
+++ b/src/node/entry_request.hpp
@@ -22,7 +22,8 @@
     node_address address;
     std::unique_ptr<http_connection> connection;
     std::unique_ptr<response_parser> parser;
-    span_us retry_after = 0; ///< from the exit node's refusal
+    span_us retry_after = 0;   ///< from the exit node's refusal
+    bool rate_limited = false; ///< refused because of a limit of starts
     bool cancelled = false;
     bool may_probe = false;   ///< may go to a suspect backend server
     bool is_fallback = false; ///< goes to a suspect, which admits it
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -90,7 +90,7 @@
     a.echo = attempt_echo(w.request.attempt);
     a.outcome = outcome;
     a.reason = reason;
-    a.load = gate_load(n.local_gate, id);
+    a.load = gate_load(n.local_gate, id, now);
     a.baseline_work = gate_mean_duration(n.local_gate, id);
     a.failure_percent =
         percent_of(gate_failure_probability(n.local_gate, id, now));
@@ -115,7 +115,10 @@
     string_response r(http::status::service_unavailable, 11);
     auto a = make_hop_answer(n, w, outcome, reason);
     a.reached = reached;
-    a.retry_after = gate_retry_after(n.local_gate, w.request.worker);
+    a.retry_after =
+        reason == rate_limited_reason
+            ? gate_promise_start(n.local_gate, w.request.worker, mono_now())
+            : gate_retry_after(n.local_gate, w.request.worker);
     r.set(hop_header, to_text(a));
     r.keep_alive(true);
     r.prepare_payload();
--- a/src/node/experiment_func.cpp
+++ b/src/node/experiment_func.cpp
@@ -20,6 +20,7 @@
     gate.late_forecast = e.is_enabled(mechanism::late_forecast);
     gate.short_first = e.is_enabled(mechanism::short_first);
     n.placing.on = estimation && e.is_enabled(mechanism::placement);
+    gate.starts.on = e.is_enabled(mechanism::start_limits);
     gate.early_success.enabled = e.is_enabled(mechanism::early_success);
     if (!e.is_enabled(mechanism::early_probe_success))
         gate.estimate.fast_failure_time = 0;
--- a/src/node/health_driver.cpp
+++ b/src/node/health_driver.cpp
@@ -253,7 +253,7 @@
         load_report l;
         l.worker = id;
         l.service = service_of(w.service);
-        l.load = gate_load(n.local_gate, id);
+        l.load = gate_load(n.local_gate, id, now);
         l.work = gate_mean_duration(n.local_gate, id);
         l.failure_probability =
             percent_of(gate_failure_probability(n.local_gate, id, now));
--- a/src/node/hosted_worker.cpp
+++ b/src/node/hosted_worker.cpp
@@ -41,6 +41,7 @@
     n.hosted.candidate.reset();
     const auto id = handle_announcement(n, a);
     n.workers[id].answered_ms = wall_ms_now();
+    gate_count_start(n.local_gate, id, p.sent_at);
     apply_worker_notice(n, id, p.notice, limit_source::health_probe, p.sent_at);
 }
 
@@ -95,6 +96,7 @@
     auto* w = current_worker(n);
     if (w != nullptr && p.name == w->name && !has_newer_candidate(h, p)) {
         w->announced_at = mono_now();
+        gate_count_start(n.local_gate, w->id, p.sent_at);
         apply_worker_notice(n, w->id, p.notice, limit_source::health_probe,
                             p.sent_at);
         return;
--- a/src/node/worker_notice.cpp
+++ b/src/node/worker_notice.cpp
@@ -31,7 +31,8 @@
     auto& s = g->second.starts;
     if (!x.malformed.empty())
         n.events.write(event_id::worker_notice_malformed, name, x.malformed);
-    if (x.rate && start_limit_name(s, *x.rate, source, now))
+    if (x.rate &&
+        start_limit_name(s, n.local_gate.limits.starts, *x.rate, source, now))
         n.events.write(event_id::worker_limit_named, name,
                        describe_limit(s, now));
     // An unreadable limit neither sets nor ends one. A health probe may be
--- a/test/platform_limit.py
+++ b/test/platform_limit.py
@@ -106,9 +106,96 @@
     expect(share >= 0.95, "the others serve the rest: %.3f" % share)
 
 
+def named(worker, limit):
+    """Names a limit and returns when."""
+    worker.notices = {LIMIT: limit} if limit is not None else {}
+    return time.monotonic()
+
+
+# Guards against windows that exceed a limit which falls or rises while work
+# waits, and against values that can't be read and lift or shut the gate.
+def check_changing_limits(h):
+    worker = h.workers["w0"]
+    callers = Callers(h)
+    for limit in ("30", "2", "0.3", "10"):
+        since = named(worker, limit) + STABILITY_S
+        time.sleep(STABILITY_S + WINDOW_S + 1)
+        expect_limit(worker, float(limit), since, "a limit of " + limit)
+        expect(len(arrivals(worker, since)) >= 2, "work goes on")
+    for text in ("", "-1", "nan", "many"):
+        since = named(worker, text)
+        time.sleep(0.5)
+    time.sleep(2)
+    expect_limit(worker, 10, since, "a malformed limit changes nothing")
+    before = named(worker, None)
+    time.sleep(4)
+    callers.stop()
+    expect(len(arrivals(worker, before)) > 80,
+           "after the end of the limit it gets its share: %d" %
+           len(arrivals(worker, before)))
+
+
+# Guards against requests that are held until their deadline, or refused without
+# a time to return, when no backend server accepts more.
+def check_all_limited(h):
+    for w in h.workers.values():
+        named(w, "2")
+    time.sleep(STABILITY_S)
+    since = time.monotonic()
+    callers = Callers(h)
+    time.sleep(WINDOW_S + 2)
+    results = callers.stop()
+    for w in h.workers.values():
+        expect_limit(w, 2, since, "a limit of a whole service")
+    refused = [(took, headers) for _, took, status, headers in results
+               if status == 503]
+    expect(len(refused) > 50, "what no one accepts is refused: %d" %
+           len(refused))
+    expect({s for _, _, s, _ in results} == {200, 503},
+           "all others are answered")
+    slow = [took for took, _ in refused if took > 0.6]
+    expect(len(slow) <= len(refused) / 20, "at once: %d of %d took longer" %
+           (len(slow), len(refused)))
+    times = [float(headers.get("Retry-After", 0)) for _, headers in refused]
+    expect(min(times) > 0 and max(times) <= WINDOW_S,
+           "with a time to return: %.3f to %.3f" % (min(times), max(times)))
+    for w in h.workers.values():
+        named(w, None)
+    expect(wait_for(lambda: share_of_answers(h) == 1, 10),
+           "after the end of the limits all are answered")
+
+
+def share_of_answers(h):
+    statuses = [h.ask(n, "/read/")[0] for n in h.nodes for _ in range(10)]
+    return statuses.count(200) / len(statuses)
+
+
+# Guards against a limit that a new process inherits from the former one at its
+# address and under its name.
+def check_new_process(h):
+    former = h.workers["w0"]
+    named(former, "0.3")
+    callers = Callers(h)
+    time.sleep(2)
+    former.alive = False
+    former.stop_serving()
+    time.sleep(0.5)
+    current = h.start_worker("w0", "n0")
+    since = time.monotonic()
+    time.sleep(6)
+    callers.stop()
+    expect(len(arrivals(current, since)) > 80,
+           "a new process begins without a limit: %d" %
+           len(arrivals(current, since)))
+
+
 def main():
     with fleet.Fleet(cluster="limit") as f:
-        check_limit_is_kept(start_fleet(f))
+        h = start_fleet(f)
+        check_limit_is_kept(h)
+        check_changing_limits(h)
+        check_new_process(h)
+        check_all_limited(h)
     return hosted.summarize("limit")
 
 
--- a/test/test_start_limit.cpp
+++ b/test/test_start_limit.cpp
@@ -1,9 +1,12 @@
 // Limits of starts per second that backend servers name: reading, counting and
 // the order of answers.
-#include "gate/start_limit.hpp"
+#include "gate/gate_cmd.hpp"
+#include "gate/gate_query.hpp"
 #include "node/worker_notice_type.hpp"
 
 #include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck.h>
 
 namespace jasminetray {
 namespace {
@@ -61,7 +64,7 @@
 {
     start_limit s;
     for (int n = 0; n < 40; ++n)
-        start_limit_count(s, t0 + n * 100 * us_per_ms);
+        start_limit_count(s, {}, t0 + n * 100 * us_per_ms);
     EXPECT_EQ(starts_in_window(s, t0 + 4 * us_per_s), 40U);
     EXPECT_EQ(starts_in_window(s, t0 + 6 * us_per_s), 20U);
     EXPECT_EQ(starts_in_window(s, t0 + 9 * us_per_s), 0U);
@@ -72,12 +75,202 @@
 TEST(start_limit, late_answer_does_not_end_it)
 {
     start_limit s;
-    EXPECT_TRUE(start_limit_name(s, 2, limit_source::answer, t0));
+    EXPECT_TRUE(start_limit_name(s, {}, 2, limit_source::answer, t0));
     EXPECT_FALSE(start_limit_not_named(s, t0 - us_per_ms, t0 + us_per_ms));
     EXPECT_TRUE(is_limited(s));
     EXPECT_TRUE(start_limit_not_named(s, t0 + us_per_ms, t0 + us_per_s));
     EXPECT_FALSE(is_limited(s));
 }
 
+constexpr worker_id backend{1};
+constexpr span_us step = 10 * us_per_ms;
+
+/// A gate under constant demand, with a clock.
+struct busy_gate
+{
+    gate g;
+    mono_us now = t0;
+    std::uint64_t seq = 0;
+    span_us work_time = 50 * us_per_ms;
+    int per_step = 1;           ///< requests that arrive in each step
+    span_us timeout = us_per_s; ///< of each request
+    std::vector<mono_us> starts;
+    std::multimap<mono_us, gate_request> running;  ///< by end
+    std::map<std::uint64_t, gate_request> waiting; ///< by sequence number
+    std::map<gate_error, int> refusals;
+
+    busy_gate()
+    {
+        constexpr int slots = 7;
+        g.boot = boot_id{5};
+        gate_set_worker(g, backend, slots, 0);
+    }
+
+    start_limit& limit()
+    {
+        return g.workers[backend].starts;
+    }
+
+    void name(double rate)
+    {
+        start_limit_name(limit(), g.limits.starts, rate, limit_source::answer,
+                         now);
+    }
+
+    void begin(const gate_request& r)
+    {
+        starts.push_back(now);
+        running.emplace(now + work_time, r);
+    }
+
+    void apply(const std::vector<gate_decision>& decisions)
+    {
+        for (const auto& d : decisions) {
+            const auto it = waiting.find(d.attempt.request.seq);
+            if (d.start)
+                begin(it->second);
+            else
+                ++refusals[d.refusal];
+            waiting.erase(it);
+        }
+    }
+
+    void arrive()
+    {
+        gate_request r;
+        r.attempt = {{node_id{1}, ++seq}, 1};
+        r.boot = g.boot;
+        r.stamp = now;
+        r.worker = backend;
+        r.idempotent = true;
+        r.deadline = now + timeout;
+        gate_error error{};
+        const auto a = gate_admit(command_mode::apply, g, r, now, error);
+        if (!a)
+            ++refusals[error];
+        else if (*a == admission::started)
+            begin(r);
+        else
+            waiting.emplace(seq, r);
+    }
+
+    void run(span_us time)
+    {
+        for (const auto end = now + time; now < end; now += step) {
+            while (!running.empty() && running.begin()->first <= now) {
+                gate_finish(g, running.begin()->second, work_result::answered,
+                            work_time, now);
+                running.erase(running.begin());
+            }
+            apply(gate_advance(g, backend, now));
+            for (int n = 0; n < per_step; ++n)
+                arrive();
+        }
+    }
+};
+
+/// Returns the starts in the window that ends with start `last`.
+std::size_t window_of(const std::vector<mono_us>& starts, std::size_t last)
+{
+    std::size_t n = 0;
+    for (std::size_t k = 0; k <= last; ++k)
+        n += starts[k] > starts[last] - start_window ? 1U : 0U;
+    return n;
+}
+
+// Guards against windows that exceed the limit in force when limits begin, fall
+// and rise while work waits.
+TEST(start_limit, no_window_exceeds_the_limit_in_force)
+{
+    EXPECT_TRUE(rc::check("windows", [] {
+        busy_gate b;
+        b.per_step = *rc::gen::inRange(1, 4);
+        b.work_time = *rc::gen::inRange<span_us>(1, 30) * step;
+        b.run(us_per_s);
+        const auto changes = *rc::gen::inRange(1, 5);
+        for (int n = 0; n < changes; ++n) {
+            const auto rate = *rc::gen::element(0.0, 0.3, 2.0, 30.0);
+            const auto first = b.starts.size();
+            b.name(rate);
+            b.run(*rc::gen::inRange<span_us>(1, 8) * us_per_s);
+            for (auto k = first; k < b.starts.size(); ++k) {
+                // Starts out of turn keep at least the trickle interval.
+                const auto since = b.starts[k] - b.starts[k - 1];
+                const auto most = 1.5 * rate * 4 + 5;
+                RC_ASSERT(since >= b.g.limits.starts.trickle_interval ||
+                          static_cast<double>(window_of(b.starts, k)) <= most);
+            }
+        }
+    }));
+}
+
+// Guards against a limit that stops all work, so that its end is never learnt,
+// and against one that gives away much of what is accepted.
+TEST(start_limit, work_goes_on_at_the_rate_named)
+{
+    for (const double rate : {0.0, 0.3, 2.0, 30.0}) {
+        busy_gate b;
+        b.run(us_per_s);
+        b.name(rate);
+        b.run(start_window);
+        const auto first = b.starts.size();
+        constexpr int time_s = 20;
+        b.run(time_s * us_per_s);
+        const auto count = static_cast<double>(b.starts.size() - first);
+        EXPECT_GE(count, 0.9 * rate * time_s) << rate;
+        EXPECT_GE(count, time_s / 2) << rate;
+        EXPECT_LE(count, std::max(rate, 0.6) * time_s + 5) << rate;
+    }
+}
+
+// Guards against work that waits for a start which comes after its deadline.
+TEST(start_limit, work_that_can_not_start_in_time_is_refused_at_once)
+{
+    busy_gate b;
+    b.name(2);
+    b.run(2 * us_per_s);
+    EXPECT_GT(b.refusals[gate_error::rate_limited], 100);
+    EXPECT_EQ(b.refusals[gate_error::deadline_short], 0);
+    EXPECT_LE(b.waiting.size(), 3U);
+}
+
+// Guards against callers that are all told to return at the same moment.
+TEST(start_limit, refused_callers_return_one_after_the_other)
+{
+    busy_gate b;
+    b.name(2);
+    b.run(100 * us_per_ms);
+    const auto first = gate_promise_start(b.g, backend, b.now);
+    const auto second = gate_promise_start(b.g, backend, b.now);
+    EXPECT_GT(first, 0);
+    EXPECT_EQ(second - first, us_per_s / 2);
+    for (int n = 0; n < 100; ++n)
+        EXPECT_LE(gate_promise_start(b.g, backend, b.now), start_window);
+}
+
+// Guards against placement that takes a backend server for idle because its
+// slots are free, although it accepts no request for a while.
+TEST(start_limit, load_includes_the_wait_for_a_start)
+{
+    busy_gate b;
+    b.name(0.3);
+    b.per_step = 0;
+    b.arrive();
+    b.arrive();
+    b.run(us_per_s);
+    EXPECT_GT(gate_load(b.g, backend, b.now), 1);
+}
+
+// Guards against a limit of a former process that binds a new one at the same
+// gate.
+TEST(start_limit, new_process_begins_without_a_limit)
+{
+    busy_gate b;
+    b.name(2);
+    gate_remove_worker(b.g, backend, b.now);
+    gate_set_worker(b.g, backend, 7, 0);
+    EXPECT_FALSE(is_limited(b.limit()));
+}
+
 } // namespace
 } // namespace jasminetray
