Drain a backend server that says in its answers that it is leaving

Two places now act on the answer itself. The gate stops new and queued work for that process, whatever its check-ins say, and its work in flight goes on; a health probe counts as an answer, so that a gate which starts anew learns it before it admits work. Each entry node that passed on such an answer remembers the process and sends it nothing more, in touch with gossip, store and gate or not. The mark is of one process: a new one has another id.

--- a/src/balance/view_func.cpp
+++ b/src/balance/view_func.cpp
@@ -94,7 +94,8 @@
     const bool reached =
         node.last_reply_at != 0 && now - node.last_reply_at < reply_ttl;
     c.alive = (node.state != liveness::dead || reached) &&
-              !node.record.leaving && !w.draining;
+              !node.record.leaving && !w.draining &&
+              !is_noted_leaving(v.notices, w.id);
     const bool scoped = w.scope != centre_id{} && w.scope != v.centre;
     c.severity = scoped ? 0 : w.severity;
     if (answer.at != 0 && now - answer.at < answer_severity_ttl)
--- a/src/balance/view_type.hpp
+++ b/src/balance/view_type.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "balance/balance_type.hpp"
+#include "balance/notice_memory.hpp"
 #include "config/config_type.hpp"
 #include "member/member_type.hpp"
 #include "outlier/floor_type.hpp"
@@ -50,6 +51,7 @@
     std::unordered_map<service_id, service_view> services;
     std::unordered_map<node_id, view_node> nodes;
     std::vector<node_id> suspected_nodes; ///< by a quorum of reporters
+    notice_memory notices;                ///< kept when a node is removed
 };
 
 /// Returns the hash of a service's name.
--- a/src/config/mechanism_type.hpp
+++ b/src/config/mechanism_type.hpp
@@ -33,13 +33,15 @@
     allowance_owners,    ///< count each team's allowance at one owner node
     quarantine,          ///< refuse requests that crash backend servers
     start_limits,        ///< keep the limits that backend servers name
+    leaving_answers,     ///< drain backend servers that answer as leaving
 };
 
-inline constexpr std::array<std::string_view, 16> mechanism_names = {
-    "doubt",       "quick-probe",     "last-resort", "late-forecast",
-    "short-first", "placing",         "probe-work",  "refusal-memory",
-    "load-news",   "retries",         "path-guard",  "verdicts",
-    "survival",    "allowance-homes", "quarantine",  "start-limits"};
+inline constexpr std::array<std::string_view, 17> mechanism_names = {
+    "doubt",          "quick-probe",     "last-resort", "late-forecast",
+    "short-first",    "placing",         "probe-work",  "refusal-memory",
+    "load-news",      "retries",         "path-guard",  "verdicts",
+    "survival",       "allowance-homes", "quarantine",  "start-limits",
+    "leaving-answers"};
 
 using mechanism_set = std::bitset<mechanism_names.size()>;
 
--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -74,6 +74,7 @@
     worker_limit_ended = 3018,
     worker_leaving_said = 3019,
     worker_notice_malformed = 3020,
+    worker_notice_noted = 3021,
     config_in_force = 4001,
     config_refused = 4002,
     store_unreachable = 4003,
--- a/src/node/announce.cpp
+++ b/src/node/announce.cpp
@@ -154,13 +154,13 @@
     }
     const bool is_new = n.workers.count(id) == 0;
     auto& w = is_new ? add_worker(n, a, id) : n.workers[id];
-    const bool changed =
-        is_new || w.slots != a.slots || w.draining != a.draining;
-    if (a.draining && !w.draining)
+    const bool draining = a.draining || w.said_leaving;
+    const bool changed = is_new || w.slots != a.slots || w.draining != draining;
+    if (draining && !w.draining)
         n.events.write(event_id::worker_draining, w.name, "");
     w.at = tcp::endpoint(asio::ip::make_address_v4(a.ip), a.port);
     w.slots = a.slots;
-    w.draining = a.draining;
+    w.draining = draining;
     w.announced_at = mono_now();
     gate_set_worker(n.local_gate, id, a.slots, a.busy);
     deliver_gate_decisions(
@@ -196,6 +196,15 @@
     publish_self(n);
 }
 
+void drain_leaving_worker(node_state& n, local_worker& w)
+{
+    w.said_leaving = true;
+    w.draining = true;
+    deliver_gate_decisions(
+        n, gate_drain_worker(n.local_gate, w.id, true, mono_now()));
+    publish_self(n);
+}
+
 void deregister_worker(node_state& n, worker_id id, const std::string& reason)
 {
     remove_worker(n, id, reason);
--- a/src/node/announce.hpp
+++ b/src/node/announce.hpp
@@ -24,6 +24,10 @@
 /// Removes backend servers whose announcements have stopped.
 void expire_workers(node_state& n, mono_us now);
 
+/// Stops new work for a backend server that said in an answer that it is
+/// leaving. Its announcements don't undo this; its work in flight goes on.
+void drain_leaving_worker(node_state& n, local_worker& w);
+
 /// Stops or resumes new work for a backend server at an operator's command.
 void set_operator_drain(node_state& n, worker_id id, bool draining);
 
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -4,6 +4,7 @@
 #include "node/entry_request.hpp"
 #include "node/http_func.hpp"
 #include "node/quarantine_driver.hpp"
+#include "node/worker_notice_type.hpp"
 
 namespace jasminetray {
 
@@ -155,6 +156,23 @@
     return q;
 }
 
+/// Remembers what a backend server says about itself in an answer. It binds
+/// this node whatever the exit node or the membership says later.
+void note_answer(const entry_request& r, const entry_attempt& t)
+{
+    auto& n = r.n;
+    if (!n.settings.experiment.is_enabled(mechanism::leaving_answers))
+        return;
+    const auto x = read_worker_notice(n.dialect, t.parser->get());
+    if (x.leaving && note_leaving(n.view.notices, t.worker, mono_now())) {
+        n.events.write(
+            event_id::worker_notice_noted, r.label,
+            "leaving=1 worker=" + to_hex(static_cast<std::uint64_t>(t.worker)) +
+                " service=" + r.service->name);
+        apply_service_ejections(n, {r.service_key});
+    }
+}
+
 /// Maps the exit node's answer to an event of the state machine.
 attempt_result classify_answer(const entry_request& r, entry_attempt& t,
                                std::uint32_t count, const hop_answer& a)
@@ -170,6 +188,7 @@
         a.outcome == hop_outcome::not_run && a.reason == rate_limited_reason;
     switch (a.outcome) {
     case hop_outcome::answer: {
+        note_answer(r, t);
         const bool again =
             a.failed && t.parser->is_done() && r.machine.policy.idempotent;
         return {again ? attempt_event_kind::failed_answer
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -455,6 +455,7 @@
     evict_idle_allowances(n.owned_allowances, make_allowance_policy(n), now);
     evict_idle_allowances(n.fallback_allowances, make_allowance_policy(n), now);
     quarantine_expire(n.quarantine, uptime_now());
+    expire_notices(n.view.notices, now);
     std::vector<node_id> members;
     for (const auto& [id, v] : n.view.nodes)
         members.push_back(id);
--- a/src/node/worker_notice.cpp
+++ b/src/node/worker_notice.cpp
@@ -1,6 +1,8 @@
 // Application of notices; see worker_notice.hpp.
 #include "node/worker_notice.hpp"
 
+#include "node/announce.hpp"
+
 #include <sstream>
 
 namespace jasminetray {
@@ -43,11 +45,15 @@
         n.events.write(event_id::worker_limit_ended, name,
                        describe_limit(s, now) + " limited_ms=" +
                            std::to_string((now - s.begun_at) / us_per_ms));
-    if (x.leaving && !w->second.said_leaving) {
-        w->second.said_leaving = true;
-        n.events.write(event_id::worker_leaving_said, name,
-                       "source=" +
-                           std::string(name_of(limit_source_names, source)));
+    const bool keeps_leaving =
+        n.settings.experiment.is_enabled(mechanism::leaving_answers);
+    if (x.leaving && keeps_leaving && !w->second.said_leaving) {
+        n.events.write(
+            event_id::worker_leaving_said, name,
+            "source=" + std::string(name_of(limit_source_names, source)) +
+                " running=" + std::to_string(g->second.in_flight) +
+                " waiting=" + std::to_string(g->second.queue.size()));
+        drain_leaving_worker(n, w->second);
     }
 }
 
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -226,6 +226,10 @@
               "A limit or a notice of leaving in an answer can't be read; it "
               "was ignored.",
               "Fix the backend server; the line has the values."},
+    event_row{event_id::worker_notice_noted, "worker_notice_noted",
+              "An entry node passed on the first answer that names a limit or "
+              "says that the backend server is leaving; it binds the node.",
+              "None."},
     event_row{event_id::config_in_force, "config_in_force",
               "A configuration version came into force on this node.", "None."},
     event_row{
