Give a gate that starts anew the limits that other nodes remember

A gate whose process starts again has forgotten the limit of its backend server, while the nodes that were told go on sending; until its first answer, a backend server in need would get all that its slots take.

An entry node remembers a limit that it has passed on, by exit node and service, for 60 s or until an answer names none, and sends it with its age in each request there. The gate adopts it if it was named before its own process started, no answer has said anything to it yet, and the backend server's process is not known to be newer. The numbers stand in unused bits of the flags, so that former builds read the request as before.

--- a/src/balance/notice_memory.cpp
+++ b/src/balance/notice_memory.cpp
@@ -3,6 +3,43 @@
 
 namespace jasminetray {
 
+namespace {
+
+template <class Map, class Expired>
+void erase_expired(Map& map, Expired is_expired)
+{
+    for (auto it = map.begin(); it != map.end();)
+        it = is_expired(it->second) ? map.erase(it) : std::next(it);
+}
+
+} // namespace
+
+bool note_limit(notice_memory& m, node_id exit, service_id service, double rate,
+                mono_us now)
+{
+    const auto [it, fresh] = m.limits.try_emplace({exit, service});
+    it->second = {rate, now};
+    return fresh;
+}
+
+void note_no_limit(notice_memory& m, node_id exit, service_id service,
+                   mono_us sent_at)
+{
+    const auto it = m.limits.find({exit, service});
+    if (it != m.limits.end() && sent_at >= it->second.at)
+        m.limits.erase(it);
+}
+
+std::optional<noted_limit> find_noted_limit(const notice_memory& m,
+                                            node_id exit, service_id service,
+                                            mono_us now)
+{
+    const auto it = m.limits.find({exit, service});
+    if (it == m.limits.end() || now - it->second.at > noted_limit_ttl)
+        return std::nullopt;
+    return it->second;
+}
+
 bool note_leaving(notice_memory& m, worker_id worker, mono_us now)
 {
     return m.leaving.insert_or_assign(worker, now).second;
@@ -15,9 +52,11 @@
 
 void expire_notices(notice_memory& m, mono_us now)
 {
-    for (auto it = m.leaving.begin(); it != m.leaving.end();)
-        it = now - it->second > noted_leaving_ttl ? m.leaving.erase(it)
-                                                  : std::next(it);
+    erase_expired(m.limits, [now](const noted_limit& x) {
+        return now - x.at > noted_limit_ttl;
+    });
+    erase_expired(m.leaving,
+                  [now](mono_us at) { return now - at > noted_leaving_ttl; });
 }
 
 } // namespace jasminetray
--- a/src/balance/notice_memory.hpp
+++ b/src/balance/notice_memory.hpp
@@ -1,23 +1,51 @@
-// What an entry node remembers of backend servers that said they are leaving,
-// in answers which it passed on. It holds even if the gate starts anew.
+// What an entry node remembers of limits and leaving that backend servers named
+// in answers which it passed on. A gate that starts anew has forgotten them.
 #pragma once
 
 #include "base/id_type.hpp"
-#include "base/time_type.hpp"
+#include "member/member_type.hpp"
 
+#include <map>
+#include <optional>
 #include <unordered_map>
+#include <utility>
 
 namespace jasminetray {
 
+struct noted_limit
+{
+    double rate = 0; ///< starts per second, from the whole fleet
+    mono_us at = 0;  ///< when an answer last named it
+};
+
+/// After this time a limit is not reported to its gate any more.
+constexpr span_us noted_limit_ttl = 60 * us_per_s;
 /// Longer than any backend server takes to leave.
 constexpr span_us noted_leaving_ttl = 3600 * us_per_s;
 
 struct notice_memory
 {
+    /// By exit node and service: a gate that starts anew may know the backend
+    /// server by another id.
+    std::map<std::pair<node_id, service_id>, noted_limit> limits;
     /// When each one said that it is leaving. An id is of one process.
     std::unordered_map<worker_id, mono_us> leaving;
 };
 
+/// Records a limit that an answer named.
+/// @return whether none was known
+bool note_limit(notice_memory& m, node_id exit, service_id service, double rate,
+                mono_us now);
+
+/// Records an answer without a limit, unless its request was sent before the
+/// limit was last named.
+void note_no_limit(notice_memory& m, node_id exit, service_id service,
+                   mono_us sent_at);
+
+std::optional<noted_limit> find_noted_limit(const notice_memory& m,
+                                            node_id exit, service_id service,
+                                            mono_us now);
+
 /// Records that a backend server is leaving.
 /// @return whether that is new
 bool note_leaving(notice_memory& m, worker_id worker, mono_us now);
--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -488,6 +488,17 @@
     return start_limit_refuse(w.starts, g.limits.starts, w.queue.size(), now);
 }
 
+bool gate_adopt_limit(gate& g, worker_id id, double rate, mono_us named_at,
+                      mono_us started_at, mono_us now)
+{
+    const auto it = g.workers.find(id);
+    if (it == g.workers.end() || it->second.starts.heard_at != 0 ||
+        named_at >= started_at)
+        return false;
+    return start_limit_name(it->second.starts, g.limits.starts, rate,
+                            limit_source::entry_node, now);
+}
+
 void gate_count_start(gate& g, worker_id id, mono_us now)
 {
     const auto it = g.workers.find(id);
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -142,6 +142,10 @@
     // can't, and a late answer is better than none.
     h.entry_stopping = r.machine.deadline >= n.last_answer_at &&
                        attempt_is_proven_not_run(r.machine, count);
+    const auto limit =
+        find_noted_limit(n.view.notices, t.exit, r.service_key, mono_now());
+    if (limit)
+        h.limit = reported_limit{limit->rate, mono_now() - limit->at};
     h.priority = r.priority;
     h.route_class = r.route_class;
     h.centre = static_cast<std::uint32_t>(n.self.centre);
@@ -156,20 +160,38 @@
     return q;
 }
 
+void note_leaving_worker(const entry_request& r, const entry_attempt& t)
+{
+    auto& n = r.n;
+    if (!n.settings.experiment.is_enabled(mechanism::leaving_answers) ||
+        !note_leaving(n.view.notices, t.worker, mono_now()))
+        return;
+    n.events.write(
+        event_id::worker_notice_noted, r.label,
+        "leaving=1 worker=" + to_hex(static_cast<std::uint64_t>(t.worker)) +
+            " service=" + r.service->name);
+    apply_service_ejections(n, {r.service_key});
+}
+
 /// Remembers what a backend server says about itself in an answer. It binds
 /// this node whatever the exit node or the membership says later.
-void note_answer(const entry_request& r, const entry_attempt& t)
+void note_answer(const entry_request& r, const entry_attempt& t,
+                 std::uint32_t count)
 {
     auto& n = r.n;
-    if (!n.settings.experiment.is_enabled(mechanism::leaving_answers))
-        return;
+    auto& memory = n.view.notices;
     const auto x = read_worker_notice(n.dialect, t.parser->get());
-    if (x.leaving && note_leaving(n.view.notices, t.worker, mono_now())) {
-        n.events.write(
-            event_id::worker_notice_noted, r.label,
-            "leaving=1 worker=" + to_hex(static_cast<std::uint64_t>(t.worker)) +
-                " service=" + r.service->name);
-        apply_service_ejections(n, {r.service_key});
+    if (x.leaving)
+        note_leaving_worker(r, t);
+    if (x.rate) {
+        if (note_limit(memory, t.exit, r.service_key, *x.rate, mono_now()))
+            n.events.write(event_id::worker_notice_noted, r.label,
+                           "limit=" + std::to_string(*x.rate) + " worker=" +
+                               to_hex(static_cast<std::uint64_t>(t.worker)) +
+                               " service=" + r.service->name);
+    } else if (x.malformed.empty()) {
+        note_no_limit(memory, t.exit, r.service_key,
+                      r.machine.attempt_states[count - 1].sent_at);
     }
 }
 
@@ -188,7 +210,7 @@
         a.outcome == hop_outcome::not_run && a.reason == rate_limited_reason;
     switch (a.outcome) {
     case hop_outcome::answer: {
-        note_answer(r, t);
+        note_answer(r, t, count);
         const bool again =
             a.failed && t.parser->is_done() && r.machine.policy.idempotent;
         return {again ? attempt_event_kind::failed_answer
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -13,6 +13,7 @@
 #include "node/http_func.hpp"
 #include "node/peer_request.hpp"
 #include "node/quarantine_driver.hpp"
+#include "node/worker_notice.hpp"
 #include "node/worker_request.hpp"
 #include "outlier/outlier_query.hpp"
 
@@ -32,7 +33,8 @@
     string_request message;
     std::optional<fingerprint> fingerprint_cache; ///< computed on first use
     gate_request request;
-    std::uint32_t source = 0; ///< see node_state::source_index
+    std::optional<reported_limit> limit; ///< that the entry node remembers
+    std::uint32_t source = 0;            ///< see node_state::source_index
 };
 
 std::uint32_t source_index_of(node_state& n, std::uint32_t id)
@@ -56,6 +58,7 @@
     w.request.may_probe = h->may_probe;
     w.request.is_fallback = h->is_fallback;
     w.request.entry_stopping = h->entry_stopping;
+    w.limit = h->limit;
     w.request.priority = h->priority;
     w.request.deadline =
         now + std::min(h->remaining, n.local_gate.limits.longest_deadline);
@@ -210,6 +213,8 @@
 {
     gate_error error{};
     const auto since = mono_now();
+    if (w.limit)
+        apply_reported_limit(n, w.request.worker, *w.limit);
     // Matched by content: a resubmitted request has another id and would crash
     // the next process too.
     if (is_quarantined(n, w.message, w.fingerprint_cache))
--- a/src/node/hop_func.cpp
+++ b/src/node/hop_func.cpp
@@ -4,6 +4,7 @@
 
 #include "base/text_func.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace jasminetray {
@@ -23,6 +24,12 @@
 constexpr std::uint64_t probe_bit = 2;
 constexpr std::uint64_t fallback_bit = 4;
 constexpr std::uint64_t stopping_bit = 8;
+constexpr std::uint64_t limit_bit = 16;
+// The numbers of a reported limit follow the flags, in the same number.
+constexpr unsigned limit_rate_shift = 8;
+constexpr unsigned limit_age_shift = 32;
+constexpr std::uint64_t limit_mask = 0xffffff; // 24 bits each
+constexpr span_us limit_age_unit = 10 * us_per_ms;
 constexpr std::uint64_t failed_bit = 1;
 constexpr std::uint64_t reached_bit = 2;
 constexpr std::uint64_t suspect_bit = 4;
@@ -45,6 +52,29 @@
     append_number(out, static_cast<std::uint64_t>(std::max<span_us>(0, t)));
 }
 
+std::uint64_t limit_bits(const reported_limit& l)
+{
+    constexpr auto most = static_cast<double>(limit_mask);
+    const double rate = std::clamp(limit_scale * l.rate, 0.0, most);
+    const auto age = std::clamp<span_us>(l.age / limit_age_unit, 0,
+                                         static_cast<span_us>(limit_mask));
+    return limit_bit |
+           static_cast<std::uint64_t>(std::llround(rate)) << limit_rate_shift |
+           static_cast<std::uint64_t>(age) << limit_age_shift;
+}
+
+std::optional<reported_limit> limit_of(std::uint64_t bits)
+{
+    if ((bits & limit_bit) == 0)
+        return std::nullopt;
+    reported_limit l;
+    l.rate = static_cast<double>(bits >> limit_rate_shift & limit_mask) /
+             limit_scale;
+    l.age = static_cast<span_us>(bits >> limit_age_shift & limit_mask) *
+            limit_age_unit;
+    return l;
+}
+
 /// Parses consecutive parts as numbers.
 struct number_reader
 {
@@ -86,7 +116,8 @@
     append_number(out, (r.idempotent ? idempotent_bit : 0) |
                            (r.may_probe ? probe_bit : 0) |
                            (r.is_fallback ? fallback_bit : 0) |
-                           (r.entry_stopping ? stopping_bit : 0));
+                           (r.entry_stopping ? stopping_bit : 0) |
+                           (r.limit ? limit_bits(*r.limit) : 0));
     append_number(out, static_cast<std::uint64_t>(r.priority));
     append_number(out, r.route_class);
     append_number(out, r.centre);
@@ -238,6 +269,7 @@
     r.may_probe = (bits & probe_bit) != 0;
     r.is_fallback = (bits & fallback_bit) != 0;
     r.entry_stopping = (bits & stopping_bit) != 0;
+    r.limit = limit_of(bits);
     r.priority = static_cast<int>(in.number() & INT32_MAX);
     r.route_class = static_cast<std::uint32_t>(in.number());
     r.centre = static_cast<std::uint32_t>(in.number());
--- a/src/node/hop_type.hpp
+++ b/src/node/hop_type.hpp
@@ -16,6 +16,13 @@
 /// Name of the header field; it is never sent to callers or backend servers.
 inline constexpr char hop_header[] = "jt";
 
+/// Limit of a backend server as reported to its gate.
+struct reported_limit
+{
+    double rate = 0; ///< starts per second; sent in thousandths
+    span_us age = 0; ///< since it was named; sent in hundredths of a second
+};
+
 /// Metadata of a request from an entry node to an exit node.
 struct hop_request
 {
@@ -25,6 +32,9 @@
     bool may_probe = false;      ///< a failure would be retried elsewhere
     bool is_fallback = false;    ///< all other gates refused it
     bool entry_stopping = false; ///< the entry node stops at the deadline
+    /// Limit of starts that the entry node remembers, for a gate that started
+    /// after it was named. Earlier builds ignore it.
+    std::optional<reported_limit> limit;
     int priority = 5;
     std::uint32_t route_class = 0; ///< hash of the route's name
     std::uint32_t centre = 0;      ///< hash of the entry node's data centre
--- a/src/node/worker_notice.cpp
+++ b/src/node/worker_notice.cpp
@@ -19,6 +19,17 @@
     return out.str();
 }
 
+/// Allows for steps of the wall clock.
+constexpr span_us max_clock_step = 5 * us_per_s;
+
+/// Returns whether a process has certainly started after a time in the past.
+bool started_since(const local_worker& w, span_us age)
+{
+    const auto then = static_cast<std::int64_t>(wall_ms_now()) -
+                      (age - max_clock_step) / us_per_ms;
+    return w.boot != 0 && static_cast<std::int64_t>(w.boot) > then;
+}
+
 } // namespace
 
 void apply_worker_notice(node_state& n, worker_id id, const worker_notice& x,
@@ -57,4 +68,17 @@
     }
 }
 
+void apply_reported_limit(node_state& n, worker_id id, const reported_limit& l)
+{
+    const auto w = n.workers.find(id);
+    const auto now = mono_now();
+    if (w == n.workers.end() || started_since(w->second, l.age) ||
+        !gate_adopt_limit(n.local_gate, id, l.rate, now - l.age, n.started_at,
+                          now))
+        return;
+    n.events.write(event_id::worker_limit_named, w->second.name,
+                   describe_limit(n.local_gate.workers[id].starts, now) +
+                       " age_ms=" + std::to_string(l.age / us_per_ms));
+}
+
 } // namespace jasminetray
--- a/src/node/worker_notice.hpp
+++ b/src/node/worker_notice.hpp
@@ -1,6 +1,7 @@
 // Applies what backend servers of this VM say about themselves in answers.
 #pragma once
 
+#include "node/hop_type.hpp"
 #include "node/node_state.hpp"
 #include "node/worker_notice_type.hpp"
 
@@ -12,4 +13,8 @@
 void apply_worker_notice(node_state& n, worker_id id, const worker_notice& x,
                          limit_source source, mono_us sent_at);
 
+/// Applies a limit that an entry node remembers from before this process
+/// started.
+void apply_reported_limit(node_state& n, worker_id id, const reported_limit& l);
+
 } // namespace jasminetray
--- a/test/platform_limit.py
+++ b/test/platform_limit.py
@@ -4,6 +4,7 @@
 In no window of 4 s may one get more than one and a half times that, and 5.
 """
 
+import signal
 import sys
 import threading
 import time
@@ -189,12 +190,35 @@
            len(arrivals(current, since)))
 
 
+# Guards against a gate that starts anew and has forgotten the limit, while the
+# nodes that were told go on sending.
+def check_gate_restart(h):
+    worker = h.workers["w1"]
+    worker.notices_in_health = False
+    since = named(worker, "2") + STABILITY_S
+    callers = Callers(h, nodes=["n0", "n2"])
+    time.sleep(STABILITY_S)
+    node = h.f.nodes["n1"]
+    node.send(signal.SIGKILL)
+    node.popen.wait(5)
+    worker.work_s = 1  # until then, no answer can tell the new process
+    h.start_node("n1", "billing", worker.port)
+    time.sleep(WINDOW_S + 4)
+    callers.stop()
+    worker.work_s = 0.02
+    expect_limit(worker, 2, since, "a limit across a restart of the gate")
+    expect(len(arrivals(worker, since + STABILITY_S)) >= 4, "work goes on")
+    worker.notices_in_health = True
+    named(worker, None)
+
+
 def main():
     with fleet.Fleet(cluster="limit") as f:
         h = start_fleet(f)
         check_limit_is_kept(h)
         check_changing_limits(h)
         check_new_process(h)
+        check_gate_restart(h)
         check_all_limited(h)
     return hosted.summarize("limit")
 
--- a/test/test_hop.cpp
+++ b/test/test_hop.cpp
@@ -1,4 +1,5 @@
 // Encoding of the header field between nodes: round trips and malformed input.
+#include "base/text_func.hpp"
 #include "node/hop_type.hpp"
 #include "platform/dialect.hpp"
 
@@ -25,6 +26,9 @@
         r.remaining = *rc::gen::inRange<span_us>(0, 60 * us_per_s);
         r.elapsed = *rc::gen::inRange<span_us>(0, 60 * us_per_s);
         r.target = *rc::gen::inRange<span_us>(0, 60 * us_per_s);
+        if (*rc::gen::arbitrary<bool>())
+            r.limit = {{*rc::gen::inRange(0, 9999) / 1000.0,
+                        *rc::gen::inRange<span_us>(0, 6000) * 10 * us_per_ms}};
         r.boot = static_cast<boot_id>(*rc::gen::inRange<std::uint64_t>(1, 99));
         r.stamp = *rc::gen::inRange<mono_us>(0, INT64_MAX);
         const auto back = parse_hop_request(to_text(r));
@@ -39,6 +43,11 @@
         RC_ASSERT(back->remaining == r.remaining);
         RC_ASSERT(back->elapsed == r.elapsed);
         RC_ASSERT(back->target == r.target);
+        RC_ASSERT(back->limit.has_value() == r.limit.has_value());
+        if (r.limit) {
+            RC_ASSERT(back->limit->age == r.limit->age);
+            RC_ASSERT(std::abs(back->limit->rate - r.limit->rate) < 1e-9);
+        }
         if (!r.idempotent) {
             RC_ASSERT(back->boot == r.boot);
             RC_ASSERT(back->stamp == r.stamp);
@@ -46,6 +55,22 @@
     }));
 }
 
+// Guards against requests that a former build can't read during a roll: it
+// reads the same number of parts and tests single flags.
+TEST(hop, reported_limit_adds_no_part)
+{
+    hop_request r;
+    r.attempt = {{node_id{1}, 2}, 1};
+    r.idempotent = true;
+    const auto parts = split(to_text(r), ',');
+    r.limit = reported_limit{1e9, 1000000 * us_per_s};
+    const auto with_limit = split(to_text(r), ',');
+    ASSERT_EQ(with_limit.size(), parts.size());
+    constexpr std::size_t flags = 2; // part
+    EXPECT_EQ(*parse_hex(with_limit[flags]) & 15U, *parse_hex(parts[flags]));
+    EXPECT_TRUE(parse_hop_request(to_text(r)).has_value());
+}
+
 TEST(hop, answer_round_trip)
 {
     hop_answer a;
--- a/test/test_start_limit.cpp
+++ b/test/test_start_limit.cpp
@@ -1,5 +1,6 @@
 // Limits of starts per second that backend servers name: reading, counting and
 // the order of answers.
+#include "balance/notice_memory.hpp"
 #include "gate/gate_cmd.hpp"
 #include "gate/gate_query.hpp"
 #include "node/worker_notice_type.hpp"
@@ -261,6 +262,50 @@
     EXPECT_GT(gate_load(b.g, backend, b.now), 1);
 }
 
+// Guards against a gate that starts anew and gives the work of seconds to a
+// backend server that has named a limit.
+TEST(start_limit, remembered_limit_binds_a_gate_that_started_later)
+{
+    busy_gate b;
+    const auto adopt = [&b](span_us age) {
+        return gate_adopt_limit(b.g, backend, 2, b.now - age, t0, b.now);
+    };
+    b.run(us_per_s / 10);
+    EXPECT_FALSE(adopt(us_per_s / 20)); // named to this process
+    EXPECT_TRUE(adopt(us_per_s));
+    EXPECT_EQ(b.limit().source, limit_source::entry_node);
+    b.run(us_per_s);
+    start_limit_not_named(b.limit(), b.now, b.now);
+    EXPECT_FALSE(adopt(2 * us_per_s)); // an answer has ended it
+}
+
+TEST(notice_memory, keeps_limits_until_an_answer_ends_them)
+{
+    constexpr node_id exit{1};
+    constexpr service_id service{2};
+    notice_memory m;
+    EXPECT_TRUE(note_limit(m, exit, service, 2, t0));
+    EXPECT_FALSE(note_limit(m, exit, service, 3, t0 + 1));
+    note_no_limit(m, exit, service, t0);
+    EXPECT_EQ(find_noted_limit(m, exit, service, t0 + 2)->rate, 3);
+    note_no_limit(m, exit, service, t0 + 2);
+    EXPECT_FALSE(find_noted_limit(m, exit, service, t0 + 3).has_value());
+    note_limit(m, exit, service, 2, t0);
+    expire_notices(m, t0 + noted_limit_ttl + 1);
+    EXPECT_TRUE(m.limits.empty());
+}
+
+// Guards against a mark that outlives its process or ends with its gate.
+TEST(notice_memory, leaving_is_of_one_process)
+{
+    notice_memory m;
+    EXPECT_TRUE(note_leaving(m, backend, t0));
+    EXPECT_FALSE(note_leaving(m, backend, t0 + us_per_s));
+    expire_notices(m, t0 + noted_leaving_ttl);
+    EXPECT_TRUE(is_noted_leaving(m, backend));
+    EXPECT_FALSE(is_noted_leaving(m, worker_id{2}));
+}
+
 // Guards against a limit of a former process that binds a new one at the same
 // gate.
 TEST(start_limit, new_process_begins_without_a_limit)
