Kill the gate's node after the time for draining in the test of leaving

Before that, the check also passed without the memory of the entry nodes: the gate learnt of the leaving from an answer within the time that is allowed.

--- a/test/platform_leaving.py
+++ b/test/platform_leaving.py
@@ -50,13 +50,13 @@
     callers = Callers(h, nodes=["n0", "n2"])
     time.sleep(0.5)
     since = say_leaving(leaving)
-    time.sleep(1)
+    time.sleep(DRAIN_S + 0.5)
     leaving.muted = muted
     node = h.f.nodes["n1"]
     node.send(signal.SIGKILL)
     node.popen.wait(5)
     h.start_node("n1", "billing", leaving.port)
-    time.sleep(DRAIN_S + 5)
+    time.sleep(5)
     callers.stop()
     expect_drained(leaving, since, "its gate starts anew, %s" %
                    ("found by a health probe" if muted else "with check-ins"))
