--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -86,6 +86,7 @@
         self.mode, self.state = "healthy", "ready"
         self.seq, self.acked = 0, None
         self.seen, self.running, self.work_s = [], 0, 0.02
+        self.shed = []  # as seen, but refused
         self.alive, self.muted = True, False
         self.notices = {}  # header fields of its answers
         self.notices_in_health = True
@@ -140,13 +141,15 @@
                 if wanted != worker.name:
                     return self.reply(421, {"X-Instance-Id": worker.name})
                 request = self.headers["X-Attempt-Id"]
-                worker.seen.append((request, time.monotonic(),
-                                    dict(self.headers), self.path, body))
+                arrived = (request, time.monotonic(), dict(self.headers),
+                           self.path, body)
+                if worker.mode == "shed":
+                    worker.shed.append(arrived)
+                    return self.reply(503, {"X-Not-Executed": "1"})
+                worker.seen.append(arrived)
                 if worker.mode == "fail":
                     return self.reply(500, {"X-Attempt-Id": request,
                                             "X-Server-Seal": "s", **load})
-                if worker.mode == "shed":
-                    return self.reply(503, {"X-Not-Executed": "1"})
                 worker.running += 1
                 worker.work(body)
                 worker.running -= 1
