--- a/src/gate/start_limit.cpp
+++ b/src/gate/start_limit.cpp
@@ -18,7 +18,7 @@
     return static_cast<std::size_t>(slice) % start_slices;
 }
 
-constexpr double seconds = 1e6; // in microseconds
+constexpr auto one_second = static_cast<double>(us_per_s);
 /// Longest forecast of a start; keeps very low limits within range.
 constexpr double max_forecast_s = 3600;
 
@@ -27,13 +27,13 @@
 {
     const double s =
         rate * max_forecast_s > starts ? starts / rate : max_forecast_s;
-    return static_cast<span_us>(s * seconds);
+    return static_cast<span_us>(s * one_second);
 }
 
 double tokens_now(const start_limit& s, const start_limit_policy& p,
                   mono_us now)
 {
-    const auto passed = static_cast<double>(now - s.tokens_at) / seconds;
+    const auto passed = static_cast<double>(now - s.tokens_at) / one_second;
     return std::min(p.burst, s.tokens + passed * s.rate);
 }
 
@@ -47,6 +47,24 @@
     s.newest_slice = std::max(s.newest_slice, slice);
 }
 
+/// Returns when the window has room for one more start, after `ahead` others.
+mono_us window_free_at(const start_limit& s, const start_limit_policy& p,
+                       std::size_t ahead, mono_us now)
+{
+    const auto window_s = static_cast<double>(start_window) / one_second;
+    const double most = s.rate * window_s * p.window_factor + p.window_slack;
+    double count = static_cast<double>(starts_in_window(s, now) + ahead) + 1;
+    const auto slices = static_cast<std::int64_t>(start_slices);
+    const auto end = s.newest_slice + 1;
+    const auto oldest = std::max<std::int64_t>(0, slice_of(now) - slices + 1);
+    for (auto k = oldest; k <= end; ++k) {
+        if (count <= most)
+            return std::max(now, (k + slices - 1) * start_slice);
+        count -= k < end ? s.slices[index_of(k)] : 0;
+    }
+    return now + start_window; // `ahead` alone exceeds a window
+}
+
 } // namespace
 
 bool is_limited(const start_limit& s)
@@ -60,7 +78,7 @@
     s.tokens_at = now;
     advance_to(s, slice_of(now));
     ++s.slices[index_of(s.newest_slice)];
-    s.last_start_at = now;
+    s.last_start_at = std::max(s.last_start_at, now);
 }
 
 std::uint32_t starts_in_window(const start_limit& s, mono_us now)
@@ -70,27 +88,6 @@
     return std::accumulate(copy.slices.begin(), copy.slices.end(), 0U);
 }
 
-namespace {
-
-/// Returns when the window has room for one more start, after `ahead` others.
-mono_us window_free_at(const start_limit& s, const start_limit_policy& p,
-                       std::size_t ahead, mono_us now)
-{
-    const auto window_s = static_cast<double>(start_window) / seconds;
-    const double most = s.rate * window_s * p.window_factor + p.window_slack;
-    double count = static_cast<double>(starts_in_window(s, now) + ahead) + 1;
-    const auto slices = static_cast<std::int64_t>(start_slices);
-    const auto end = s.newest_slice + 1;
-    for (auto k = slice_of(now) - slices + 1; k <= end; ++k) {
-        if (count <= most)
-            return std::max(now, (k + slices - 1) * start_slice);
-        count -= k < end ? s.slices[index_of(k)] : 0;
-    }
-    return now + start_window; // `ahead` alone exceeds a window
-}
-
-} // namespace
-
 mono_us next_start(const start_limit& s, const start_limit_policy& p,
                    std::size_t ahead, mono_us now)
 {
--- a/test/test_start_limit.cpp
+++ b/test/test_start_limit.cpp
@@ -185,6 +185,7 @@
 {
     EXPECT_TRUE(rc::check("windows", [] {
         busy_gate b;
+        b.now = *rc::gen::element(mono_us{step}, t0); // also soon after boot
         b.per_step = *rc::gen::inRange(1, 4);
         b.work_time = *rc::gen::inRange<span_us>(1, 30) * step;
         b.run(us_per_s);
