--- a/src/node/dialect_type.hpp
+++ b/src/node/dialect_type.hpp
@@ -20,9 +20,9 @@
     std::string_view worker_limit = "x-worker-limit";
     /// "1" on the answers of a backend server that accepts no new requests.
     std::string_view worker_leaving = "x-worker-leaving";
-    std::string_view worker;             ///< process that answered
-    std::string_view expected_worker;    ///< process that must run the work
-    std::string_view caller_service;     ///< service hosted on the caller's VM
+    std::string_view worker;          ///< process that answered
+    std::string_view expected_worker; ///< process that must run the work
+    std::string_view caller_service;  ///< service hosted on the caller's VM
     /// API key that authenticates a team; never forwarded.
     std::string_view team_key = "x-team-key";
     /// Team's name: set by entry nodes where keys are required, else by
--- a/test/platform_notices.py
+++ b/test/platform_notices.py
@@ -172,6 +172,11 @@
         self.version += 1
         self.h.put_config(make_document(self.version))
 
+    def repeat(self, steps, end):
+        while time.monotonic() < end:
+            self.rng.choice(steps)()
+            time.sleep(self.rng.uniform(0.1, 1))
+
     def run(self, seconds):
         threads = [threading.Thread(target=self.call, args=(node, kind))
                    for node in ENTRIES for kind in ("read", "pay")
@@ -183,15 +188,11 @@
                  self.reload, self.change_config)
         end = time.monotonic() + seconds
         # Two series, so that steps overlap; one alone replaces and restarts.
-        def series(own):
-            while time.monotonic() < end:
-                self.rng.choice(own)()
-                time.sleep(self.rng.uniform(0.1, 1))
         others = [s for s in steps if s not in (self.replace,
                                                 self.restart_gate)]
-        overlapping = threading.Thread(target=series, args=(others,))
+        overlapping = threading.Thread(target=self.repeat, args=(others, end))
         overlapping.start()
-        series(steps)
+        self.repeat(steps, end)
         overlapping.join()
         self.running = False
         for t in threads:
