Handle the answer to a health probe in one place

Counting the probe and applying the notice of its answer stood twice, for a process that is admitted and for the current one. No behaviour changes.

--- a/src/node/hosted_worker.cpp
+++ b/src/node/hosted_worker.cpp
@@ -33,6 +33,13 @@
     return n.workers.empty() ? nullptr : &n.workers.begin()->second;
 }
 
+/// Counts a health probe that a process answered, and applies its notice.
+void record_probe_answer(node_state& n, worker_id id, const probe_result& p)
+{
+    gate_count_start(n.local_gate, id, p.sent_at);
+    apply_worker_notice(n, id, p.notice, limit_source::health_probe, p.sent_at);
+}
+
 void admit_candidate(node_state& n, announcement a, const probe_result& p)
 {
     a.busy = p.running;
@@ -41,8 +48,7 @@
     n.hosted.candidate.reset();
     const auto id = handle_announcement(n, a);
     n.workers[id].answered_ms = wall_ms_now();
-    gate_count_start(n.local_gate, id, p.sent_at);
-    apply_worker_notice(n, id, p.notice, limit_source::health_probe, p.sent_at);
+    record_probe_answer(n, id, p);
 }
 
 /// Sets the start time of a process that was first found by a probe. It keeps
@@ -96,9 +102,7 @@
     auto* w = current_worker(n);
     if (w != nullptr && p.name == w->name && !has_newer_candidate(h, p)) {
         w->announced_at = mono_now();
-        gate_count_start(n.local_gate, w->id, p.sent_at);
-        apply_worker_notice(n, w->id, p.notice, limit_source::health_probe,
-                            p.sent_at);
+        record_probe_answer(n, w->id, p);
         return;
     }
     if (h.candidate && may_admit(n, *h.candidate, p))
