--- a/test/platform_crashes.py
+++ b/test/platform_crashes.py
@@ -45,9 +45,9 @@
         self.crashed = threading.Event()  # of the running process
         super().__init__(name, service, control, port, slots)
 
-    def work(self, body):
+    def work(self, request, body):
         if body != CRASHING or self.fixed:
-            return super().work(body)
+            return super().work(request, body)
         crashed = self.crashed
         self.arrivals.append(time.monotonic())
         threading.Timer(CRASH_S, self.crash, [crashed]).start()
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -77,15 +77,20 @@
     return next(FREE_PORTS)
 
 
+COLD_FACTOR = 2  # of the duration of work after a start
+
+
 class Worker:
     """A backend server of the platform with injectable failures."""
 
-    def __init__(self, name, service, control, port, slots=4):
+    def __init__(self, name, service, control, port, slots=4, cold_s=0):
         self.name, self.service, self.control = name, service, control
         self.port, self.slots = port, slots
         self.mode, self.state = "healthy", "ready"
         self.seq, self.acked = 0, None
         self.seen, self.running, self.work_s = [], 0, 0.02
+        self.durations = {}  # request id: seconds of its work, else work_s
+        self.cold_s = cold_s  # time after the start when work takes longer
         self.shed = []  # as seen, but refused
         self.alive, self.muted = True, False
         self.notices = {}  # header fields of its answers
@@ -93,6 +98,7 @@
         self.said = []  # (time, notices) whenever answers named other ones
         self.connections = set()
         self.born = int(time.time() * 1000)
+        self.started = time.monotonic()
         worker = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -155,7 +161,7 @@
                     return self.reply(500, {"X-Attempt-Id": request,
                                             "X-Server-Seal": "s", **load})
                 worker.running += 1
-                worker.work(body)
+                worker.work(request, body)
                 worker.running -= 1
                 text = ("%s by %s" % (request, worker.name)).encode()
                 headers = {"X-Attempt-Id": request, "X-Server-Seal": "s",
@@ -183,8 +189,12 @@
         self.server.shutdown()
         self.server.server_close()
 
-    def work(self, _body):
-        time.sleep(self.work_s)
+    def cold_left_s(self):
+        return max(0, self.started + self.cold_s - time.monotonic())
+
+    def work(self, request, _body):
+        seconds = self.durations.get(request, self.work_s)
+        time.sleep(seconds * (COLD_FACTOR if self.cold_left_s() else 1))
 
     def call(self, method, body=None):
         request = urllib.request.Request(
@@ -201,7 +211,7 @@
             "Info": {"Service": self.service, "Version": "v1", "Zone": "z",
                      "Slots": self.slots},
             "Status": {"State": state or self.state, "Seq": seq or self.seq,
-                       "ColdLeftS": 0}})
+                       "ColdLeftS": self.cold_left_s()}})
 
     def check_in_forever(self):
         while self.alive:
