Place less work on backend servers that have just started

Callers saw: 504 for reads at a VM that was stopped, although other backend servers had room.

Cause: work at a backend server that has just started takes about twice as long for some seconds, and its check-ins say for how long. Only the detector of its own gate read that. Entry nodes saw an idle candidate whose gate had no durations yet and forecast no wait, so it looked cheapest, and idle ones got work on purpose beside that. The hedge was placed in the same way. The route allows two attempts, so a read whose attempts both ran at such backend servers had none left when its node was stopped.

Ruled out: that a third attempt was not sent by mistake.

Change: a node's record says how long its backend server is slow from its registration, until that time is over. Placement counts the longer work as lateness; idle cold candidates get a small share of retryable work, so that a failing one is noticed.

--- a/src/balance/balance_type.hpp
+++ b/src/balance/balance_type.hpp
@@ -29,6 +29,8 @@
     mono_us load_at = 0;       ///< time of that report
     int in_flight = 0;         ///< own work there
     mono_us first_seen_at = 0; ///< start of its ramp-up
+    int record_warm_up_ms = 0; ///< warm-up time in its record
+    mono_us cold_until = 0;    ///< its work takes longer until then
     failure_estimate estimate; ///< as last reported by the exit node
     int record_failure_percent = 0; ///< failure probability in its record
     span_us work_us = 500000;       ///< normal duration of its work
--- a/src/balance/placement_func.cpp
+++ b/src/balance/placement_func.cpp
@@ -46,6 +46,39 @@
                stale_share * b.estimate.unhealthy_share;
 }
 
+bool is_cold(const candidate& c, const placement_policy& p, mono_us now)
+{
+    return p.cold_starts && now < c.cold_until;
+}
+
+/// Returns the mean duration of work at the warm candidates that reported it;
+/// 0 without any.
+span_us mean_warm_work(const std::vector<candidate>& all,
+                       const placement_policy& p, mono_us now)
+{
+    span_us sum = 0;
+    span_us count = 0;
+    for (const auto& c : all) {
+        if (c.load_at == 0 || is_cold(c, p, now))
+            continue;
+        sum += c.work_us;
+        ++count;
+    }
+    return count == 0 ? 0 : sum / count;
+}
+
+/// Returns the expected duration of work at a candidate. A cold one has run too
+/// little to know it.
+span_us expected_work(const candidate& c, const placement_policy& p,
+                      const placement_request& r, mono_us now)
+{
+    if (!is_cold(c, p, now))
+        return c.work_us;
+    return std::max(c.work_us,
+                    static_cast<span_us>(p.cold_slowdown *
+                                         static_cast<double>(r.warm_work)));
+}
+
 /// Returns a random candidate if the draw is within the share of the work.
 std::optional<choice> draw_for(const std::vector<std::size_t>& indices,
                                double draw, double share, random_state& rng)
@@ -66,11 +99,15 @@
 {
     std::vector<std::size_t> idle;
     std::vector<std::size_t> unproven;
+    std::vector<std::size_t> cold;
     for (std::size_t n = 0; n < all.size(); ++n) {
         const auto& c = all[n];
         if (!c.near || c.weight <= 0 || c.path_bad || was_tried(tried, c.id))
             continue;
-        if (is_idle(c, b, now))
+        if (is_cold(c, p, now) && !c.probe_only && !c.estimate.suspect) {
+            if (c.load <= 0 && c.in_flight == 0)
+                cold.push_back(n);
+        } else if (is_idle(c, b, now))
             idle.push_back(n);
         else if (wants_probe(c, b, now))
             unproven.push_back(n);
@@ -88,9 +125,15 @@
         if (c)
             return c;
     }
-    return r.retryable ? draw_for(unproven, random_unit(rng),
-                                  share_of(unproven, p.probe_share), rng)
-                       : std::nullopt;
+    if (!r.retryable)
+        return std::nullopt;
+    // A read that runs long at a cold one needs a hedge elsewhere. The upper
+    // end of the draw is left by the idle ones.
+    const auto slow =
+        draw_for(cold, 1 - r.idle_draw.value_or(draw), p.cold_share, rng);
+    return slow ? slow
+                : draw_for(unproven, random_unit(rng),
+                           share_of(unproven, p.probe_share), rng);
 }
 
 } // namespace
@@ -106,8 +149,12 @@
     // Work beyond the slots waits; all slots turn over in the time that one
     // piece of work takes.
     const double turns = std::max(0.0, load + 1 / c.slots - 1);
-    const double wait = turns * static_cast<double>(c.work_us) /
-                        static_cast<double>(std::max<span_us>(1, r.target));
+    const auto work = expected_work(c, p, r, now);
+    const bool slower = is_cold(c, p, now) && r.warm_work > 0;
+    const auto longer = slower ? work - r.warm_work : 0;
+    const double wait =
+        (turns * static_cast<double>(work) + static_cast<double>(longer)) /
+        static_cast<double>(std::max<span_us>(1, r.target));
     return fails * (r.retryable ? p.retry_share : 1) +
            (c.near ? 0 : p.far_share) + p.late_share * wait +
            p.busy_share * std::min(1.0, load) +
@@ -136,9 +183,10 @@
 
 std::optional<choice> choose_by_expected_loss(
     const std::vector<candidate>& all, const placement_policy& p,
-    const balance_policy& b, const placement_request& r,
+    const balance_policy& b, placement_request r,
     const std::vector<worker_id>& tried, random_state& rng, mono_us now)
 {
+    r.warm_work = mean_warm_work(all, p, now);
     auto best = choose_probe_target(all, p, b, r, tried, rng, now);
     if (best)
         return best;
--- a/src/balance/placement_type.hpp
+++ b/src/balance/placement_type.hpp
@@ -32,6 +32,11 @@
     /// Min share of idempotent work sent to near trusted candidates that are
     /// idle.
     double idle_share = 0.2;
+    bool cold_starts = true;  ///< count the longer work of cold candidates
+    double cold_slowdown = 2; ///< duration of work there, relative to others
+    /// Share of retryable work sent to near cold candidates that are idle, so
+    /// that a failing one is noticed.
+    double cold_share = 0.1;
     double noise = 0.04; ///< max random loss; spreads entry nodes' choices
 };
 
@@ -44,6 +49,9 @@
     /// Decides about idle candidates, 0 to 1; random if empty. Positions of a
     /// low-discrepancy sequence bound the requests that a candidate waits for.
     std::optional<double> idle_draw = std::nullopt;
+    /// Mean duration of work at the service's warm candidates; 0 if there are
+    /// none.
+    span_us warm_work = 0;
 };
 
 /// Returns the expected loss at a candidate.
@@ -64,7 +72,7 @@
 /// @param tried those that this request was sent to already
 std::optional<choice> choose_by_expected_loss(
     const std::vector<candidate>& all, const placement_policy& p,
-    const balance_policy& b, const placement_request& r,
+    const balance_policy& b, placement_request r,
     const std::vector<worker_id>& tried, random_state& rng, mono_us now);
 
 } // namespace jasminetray
--- a/src/balance/view_func.cpp
+++ b/src/balance/view_func.cpp
@@ -73,6 +73,12 @@
             percent * failure_estimate_policy{}.suspect_threshold;
         c.estimate.at = now;
     }
+    // The value changes at its start and its end only, so that a record that
+    // changes for another reason doesn't extend it.
+    if (w.warm_up_ms != c.record_warm_up_ms) {
+        c.record_warm_up_ms = w.warm_up_ms;
+        c.cold_until = now + w.warm_up_ms * us_per_ms;
+    }
     s.total += c.slots - s.ejection_requests[n].slots;
     s.ejection_requests[n].id = w.id;
     s.ejection_requests[n].slots = c.slots;
--- a/src/config/mechanism_type.hpp
+++ b/src/config/mechanism_type.hpp
@@ -34,14 +34,15 @@
     quarantine,          ///< refuse requests that crash backend servers
     start_limits,        ///< keep the limits that backend servers name
     leaving_answers,     ///< drain backend servers that answer as leaving
+    cold_starts,         ///< place less work on cold backend servers
 };
 
-inline constexpr std::array<std::string_view, 17> mechanism_names = {
-    "doubt",          "quick-probe",     "last-resort", "late-forecast",
-    "short-first",    "placing",         "probe-work",  "refusal-memory",
-    "load-news",      "retries",         "path-guard",  "verdicts",
-    "survival",       "allowance-homes", "quarantine",  "start-limits",
-    "leaving-answers"};
+inline constexpr std::array<std::string_view, 18> mechanism_names = {
+    "doubt",           "quick-probe",     "last-resort", "late-forecast",
+    "short-first",     "placing",         "probe-work",  "refusal-memory",
+    "load-news",       "retries",         "path-guard",  "verdicts",
+    "survival",        "allowance-homes", "quarantine",  "start-limits",
+    "leaving-answers", "cold-starts"};
 
 using mechanism_set = std::bitset<mechanism_names.size()>;
 
--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -49,6 +49,8 @@
     bool draining = false;
     std::uint8_t failure_probability = 0; ///< percent
     centre_id scope{}; ///< callers that the ejection request covers; 0 for all
+    /// How long it is slow from its registration; 0 once that time is over.
+    std::uint16_t warm_up_ms = 0;
 };
 
 /// Record that a node publishes about itself.
--- a/src/node/announce.cpp
+++ b/src/node/announce.cpp
@@ -15,6 +15,9 @@
 namespace json = boost::json;
 
 constexpr span_us announcement_timeout = 5 * us_per_s;
+/// Entry nodes treat a backend server as warm after this time, whatever its
+/// check-ins say.
+constexpr span_us max_warm_up_time = 10 * us_per_s;
 
 /// Returns the id of an announced process. One whose start time was learnt
 /// later keeps its id, as its work and its health statistics refer to it.
@@ -101,6 +104,21 @@
     return w;
 }
 
+/// Takes over what a check-in says about the cold start; a process that was
+/// found by a probe has not said anything yet.
+void update_cold_start(local_worker& w, const announcement& a, mono_us now)
+{
+    if (a.sequence == 0)
+        return;
+    w.health.cold_start_until = now + a.warm_up_time;
+    const auto left = std::min(a.warm_up_time, max_warm_up_time);
+    // Later check-ins may only shorten it.
+    w.cold_until =
+        w.warm_up_time == 0 ? now + left : std::min(w.cold_until, now + left);
+    if (w.warm_up_time == 0)
+        w.warm_up_time = left;
+}
+
 } // namespace
 
 std::optional<announcement> parse_announcement(const std::string& text,
@@ -155,7 +173,10 @@
     const bool is_new = n.workers.count(id) == 0;
     auto& w = is_new ? add_worker(n, a, id) : n.workers[id];
     const bool draining = a.draining || w.said_leaving;
-    const bool changed = is_new || w.slots != a.slots || w.draining != draining;
+    update_cold_start(w, a, mono_now());
+    const bool changed = is_new || w.slots != a.slots ||
+                         w.draining != draining ||
+                         is_warm_up_outdated(w, mono_now());
     if (draining && !w.draining)
         n.events.write(event_id::worker_draining, w.name, "");
     w.at = tcp::endpoint(asio::ip::make_address_v4(a.ip), a.port);
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -370,7 +370,8 @@
             " worker=" + to_hex(static_cast<std::uint64_t>(x.id)) + " exit=" +
             node->second.record.name + " cost=" + std::to_string(c->cost) +
             " other_cost=" + std::to_string(c->other_cost) +
-            (x.probe_only ? " trickle=1" : ""));
+            (x.probe_only ? " trickle=1" : "") +
+            (mono_now() < x.cold_until ? " cold=1" : ""));
     return true;
 }
 
--- a/src/node/health_driver.cpp
+++ b/src/node/health_driver.cpp
@@ -283,6 +283,8 @@
 {
     for (auto& [id, w] : n.workers) {
         evaluate_worker(n, w, now);
+        if (is_warm_up_outdated(w, now))
+            publish_self(n);
         // A backend server that hangs yields no outcomes until its first
         // timeout after 8 to 10 s, so overdue requests count before that.
         const auto overdue = health_mark_overdue(w.health, min_overdue, now);
--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -15,6 +15,15 @@
 
 constexpr int severity_step = 50; // granularity in the record
 
+/// Returns the whole warm-up time while it lasts, so that the record changes
+/// at its start and its end only.
+std::uint16_t warm_up_to_publish(const local_worker& w, mono_us now)
+{
+    return now < w.cold_until
+               ? static_cast<std::uint16_t>(w.warm_up_time / us_per_ms)
+               : 0;
+}
+
 worker_record make_worker_record(const node_state& n, local_worker& w,
                                  mono_us now)
 {
@@ -36,6 +45,8 @@
     r.scope = w.health.state == ejection_state::ejected
                   ? scope_centre(n, w.health.scope)
                   : centre_id{};
+    r.warm_up_ms = warm_up_to_publish(w, now);
+    w.published_warm_up_ms = r.warm_up_ms;
     return r;
 }
 
@@ -69,6 +80,11 @@
     return health_severity(w.health, w.policy, now);
 }
 
+bool is_warm_up_outdated(const local_worker& w, mono_us now)
+{
+    return warm_up_to_publish(w, now) != w.published_warm_up_ms;
+}
+
 void publish_self(node_state& n)
 {
     const auto now = mono_now();
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -56,6 +56,11 @@
     std::set<http_connection*> busy;
     std::uint64_t next_work_key = 0;
     int published_severity = 0;
+    /// Cold start as reported by its check-ins, and the time in its published
+    /// record; 0 for none.
+    span_us warm_up_time = 0;
+    mono_us cold_until = 0;
+    std::uint16_t published_warm_up_ms = 0;
     load_report reported_load;
     mono_us load_reported_at = 0;
     std::uint64_t boot = 0; ///< start of its process as announced, which with
@@ -227,6 +232,9 @@
 /// Rebuilds and publishes this node's record, and decides all ejections.
 void publish_self(node_state& n);
 
+/// Returns whether the published warm-up time of a backend server has changed.
+bool is_warm_up_outdated(const local_worker& w, mono_us now);
+
 /// Decides the ejections of all services, and logs those held by the capacity
 /// floor.
 void apply_all_ejections(node_state& n);
--- a/src/wire/gossip.capnp
+++ b/src/wire/gossip.capnp
@@ -22,6 +22,7 @@
   severity @4 :UInt8;
   draining @5 :Bool;
   doubt @6 :UInt8;
+  warmUpMs @7 :UInt16;
 }
 
 struct Summary {
--- a/src/wire/gossip.capnp.h
+++ b/src/wire/gossip.capnp.h
@@ -301,6 +301,8 @@
 
   inline  ::uint8_t getDoubt() const;
 
+  inline  ::uint16_t getWarmUpMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -350,6 +352,9 @@
   inline  ::uint8_t getDoubt();
   inline void setDoubt( ::uint8_t value);
 
+  inline  ::uint16_t getWarmUpMs();
+  inline void setWarmUpMs( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1426,6 +1431,20 @@
       ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t Worker::Reader::getWarmUpMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Worker::Builder::getWarmUpMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void Worker::Builder::setWarmUpMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Summary::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/wire/wire_func.cpp
+++ b/src/wire/wire_func.cpp
@@ -94,6 +94,7 @@
         workers[k].setSeverity(w.severity);
         workers[k].setDoubt(w.failure_probability);
         workers[k].setDraining(w.draining);
+        workers[k].setWarmUpMs(w.warm_up_ms);
     }
     auto complaints =
         b.initComplaints(static_cast<unsigned>(n.avoided_peers.size()));
@@ -119,8 +120,8 @@
         n.workers.push_back({static_cast<worker_id>(w.getId()),
                              static_cast<service_id>(w.getService()),
                              w.getSlots(), w.getSeverity(), w.getDraining(),
-                             w.getDoubt(),
-                             static_cast<centre_id>(w.getScope())});
+                             w.getDoubt(), static_cast<centre_id>(w.getScope()),
+                             w.getWarmUpMs()});
     }
     for (const auto c : r.getComplaints())
         n.avoided_peers.push_back(static_cast<node_id>(c));
--- a/test/test_core.cpp
+++ b/test/test_core.cpp
@@ -316,6 +316,27 @@
     EXPECT_EQ(view_candidate(v, service_of("s"), w1)->weight, 1);
 }
 
+// Guards against a cold start that seems to begin anew whenever the record of
+// its node changes or is repeated.
+TEST(view, cold_start_ends_in_time)
+{
+    constexpr std::uint16_t warm_up_ms = 4000;
+    fleet_view v;
+    node_record r;
+    r.id = node_id{4};
+    r.workers.push_back(
+        {w1, service_of("s"), 6, 0, false, 0, centre_id{}, warm_up_ms});
+    view_update(v, r, liveness::alive, us_per_s);
+    const auto* x = view_candidate(v, service_of("s"), w1);
+    EXPECT_EQ(x->cold_until, 5 * us_per_s);
+    r.workers[0].failure_probability = 30;
+    view_update(v, r, liveness::alive, 3 * us_per_s);
+    EXPECT_EQ(x->cold_until, 5 * us_per_s);
+    r.workers[0].warm_up_ms = 0;
+    view_update(v, r, liveness::alive, 4 * us_per_s);
+    EXPECT_EQ(x->cold_until, 4 * us_per_s);
+}
+
 TEST(balance, ejected_worker_gets_no_non_idempotent_requests)
 {
     std::vector<candidate> all(2);
--- a/test/test_estimate.cpp
+++ b/test/test_estimate.cpp
@@ -379,6 +379,38 @@
     EXPECT_GE(probes, 80);
 }
 
+// Guards against work that goes to a backend server that has just started and
+// is idle, where it takes longer, while others have room.
+TEST(placement, new_process_gets_no_more_than_its_share)
+{
+    constexpr std::size_t count = 8;
+    constexpr int requests = 400;
+    std::vector<candidate> all;
+    for (std::uint64_t id = 1; id <= count; ++id)
+        all.push_back(make_candidate(id, true, 0.3, 0.02));
+    for (auto& c : all)
+        c.first_seen_at = start - 60 * us_per_s;
+    for (const double probability : {0.02, 0.1}) { // after and before answers
+        all[0] = make_candidate(1, true, 0, probability);
+        all[0].first_seen_at = start - us_per_s;
+        all[0].cold_until = start + us_per_s;
+        balance_policy b;
+        b.estimate = enabled_policy();
+        random_state rng{1};
+        int sent = 0;
+        for (int k = 0; k < requests; ++k) {
+            const auto c = choose_by_expected_loss(all, placement_policy{}, b,
+                                                   {true, 4 * us_per_s, true},
+                                                   {}, rng, start);
+            ASSERT_TRUE(c);
+            sent += c->index == 0 ? 1 : 0;
+        }
+        EXPECT_LE(sent, requests / static_cast<int>(count))
+            << "probability=" << probability;
+        EXPECT_GT(sent, 0) << "probability=" << probability;
+    }
+}
+
 // The recovery of an ejected candidate goes unnoticed without probe traffic.
 TEST(placement, ejected_candidate_gets_retryable_work)
 {
--- a/test/test_pages.cpp
+++ b/test/test_pages.cpp
@@ -132,7 +132,8 @@
     node_record r;
     r.id = node_id{3};
     r.name = "fukuoka-1";
-    r.workers.push_back({worker_id{1}, service_id{2}, 6, 100, true, {}});
+    r.workers.push_back(
+        {worker_id{1}, service_id{2}, 6, 100, true, 0, centre_id{}, 4000});
     m.records.push_back(r);
     return m;
 }
@@ -145,6 +146,7 @@
     ASSERT_TRUE(m);
     EXPECT_EQ(m->records[0].name, "fukuoka-1");
     EXPECT_TRUE(m->records[0].workers[0].draining);
+    EXPECT_EQ(m->records[0].workers[0].warm_up_ms, 4000);
 }
 
 // During key rotation, datagrams signed with either key must be accepted.
