Hedge again when a hedge of a stopping node runs long

Callers saw: 504 for a read whose hedge was sent after the signal and ran long, although the route allowed a third attempt and other backend servers would have answered.

Cause: the time from which work of a stopping node is overdue covered only attempts sent before it. A hedge sent later was overdue after the whole response timeout, of the order of the time that was left; from half a second after the signal no further one was ever sent.

Change: an attempt sent while the node stops is overdue after its expected duration, or once another hedge could barely end, but not before half of it.

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -115,11 +115,27 @@
            now + r.policy.min_remaining < r.deadline;
 }
 
+/// Returns until when a hedge can be expected to end before the node does. It
+/// needs twice the expected duration, since half of all work takes longer than
+/// expected.
+mono_us latest_stop_hedge(const request_state& r)
+{
+    constexpr span_us durations_per_hedge = 2;
+    return r.deadline - durations_per_hedge * r.stop_expected;
+}
+
 /// Returns when an open attempt is overdue.
 mono_us overdue_time(const request_state& r, const attempt_state& t)
 {
     const auto timeout = t.sent_at + r.policy.response_timeout;
-    return t.sent_at < r.overdue_at ? std::min(timeout, r.overdue_at) : timeout;
+    if (r.stop_expected == 0)
+        return timeout;
+    if (t.sent_at < r.overdue_at)
+        return std::min(timeout, r.overdue_at);
+    // Sent as a hedge. Another one right beside it would rarely help.
+    const auto earliest = t.sent_at + r.stop_expected / 2;
+    return std::min({timeout, t.sent_at + r.stop_expected,
+                     std::max(latest_stop_hedge(r), earliest)});
 }
 
 /// Returns when all open attempts are overdue; `mono_never` without any.
@@ -346,12 +362,9 @@
 {
     if (!r.policy.idempotent || r.attempt_states.empty())
         return;
-    // A hedge needs twice the expected duration, since half of all work takes
-    // longer than expected.
-    constexpr span_us durations_per_hedge = 2;
-    const auto latest_hedge = r.deadline - durations_per_hedge * expected;
+    r.stop_expected = expected;
     const auto overdue = r.attempt_states.back().sent_at + expected;
-    r.overdue_at = std::max(now, std::min(latest_hedge, overdue));
+    r.overdue_at = std::max(now, std::min(latest_stop_hedge(r), overdue));
 }
 
 void attempt_shorten_deadline(request_state& r, mono_us deadline,
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -130,6 +130,8 @@
     mono_us wake_at = mono_never;              ///< time of the next timer event
     /// Time from which attempts sent before it are overdue.
     mono_us overdue_at = mono_never;
+    /// Expected duration of its work while the node stops; 0 before that.
+    span_us stop_expected = 0;
     bool out_of_workers = false; ///< no candidate is left
     bool quarantined = false;    ///< must not be sent again
     bool fallback_tried = false;
--- a/test/test_stop.cpp
+++ b/test/test_stop.cpp
@@ -271,6 +271,77 @@
                     .empty());
 }
 
+/// Returns after how long a request sends its next hedge, or nothing when it
+/// sends none until its deadline. Its attempts stay open.
+std::optional<span_us> time_to_hedge(request_state& r, retry_budget& budget,
+                                     mono_us from)
+{
+    auto now = from;
+    const auto sent = r.attempt_states.size();
+    attempt_step(r, {attempt_event_kind::timer, 0, ""}, budget, now);
+    while (r.attempt_states.size() == sent && r.wake_at < r.deadline) {
+        now = r.wake_at;
+        attempt_step(r, {attempt_event_kind::timer, 0, ""}, budget, now);
+    }
+    if (r.attempt_states.size() == sent)
+        return std::nullopt;
+    return now - from;
+}
+
+constexpr span_us answer_time = 5300 * us_per_ms; ///< of a stopping node
+
+/// A read whose target of 4 s makes it overdue after 3.2 s, with one attempt.
+request_state read_with_target(retry_budget& budget)
+{
+    attempt_policy p;
+    p.idempotent = true;
+    p.response_timeout = 3200 * us_per_ms;
+    auto r = make_request(p, start + 25 * us_per_s);
+    attempt_step(r, {attempt_event_kind::begin, 0, ""}, budget, start);
+    return r;
+}
+
+// Guards against a read without a third attempt although its hedge began just
+// before the stop and another backend server would answer.
+TEST(entry_stop, hedge_just_before_the_stop_is_hedged_again)
+{
+    for (const auto expected : {1600, 2000, 2600, 3000, 5000, 7000}) {
+        auto budget = some_budget();
+        auto r = read_with_target(budget);
+        const auto hedged = start + 5200 * us_per_ms;
+        attempt_step(r, {attempt_event_kind::timer, 0, ""}, budget, hedged);
+        ASSERT_EQ(r.attempt_states.size(), 2U);
+        const auto now = hedged + 80 * us_per_ms;
+        attempt_shorten_deadline(r, now + answer_time, expected * us_per_ms,
+                                 now);
+        const auto after = time_to_hedge(r, budget, now);
+        ASSERT_TRUE(after) << expected;
+        EXPECT_LE(*after, expected * us_per_ms);
+    }
+}
+
+// Guards against a read without a third attempt because the retry for its
+// second one was borrowed late.
+TEST(entry_stop, hedge_sent_late_is_hedged_again)
+{
+    for (const span_us delay : {0, 300, 600, 1000, 1500}) {
+        auto budget = some_budget();
+        retry_budget empty;
+        empty.fixed = 0;
+        auto r = read_with_target(budget);
+        const auto stop = start + 4 * us_per_s;
+        attempt_shorten_deadline(r, stop + answer_time, expected_time, stop);
+        attempt_step(r, {attempt_event_kind::timer, 0, ""}, empty, stop);
+        const auto hedged = stop + delay * us_per_ms;
+        attempt_step(r, {attempt_event_kind::timer, 0, ""}, budget, hedged);
+        ASSERT_EQ(r.attempt_states.size(), 2U);
+        const auto after = time_to_hedge(r, budget, hedged);
+        EXPECT_TRUE(after) << "delay_ms=" << delay;
+        EXPECT_LE(after.value_or(mono_never), expected_time)
+            << "delay_ms=" << delay;
+    }
+}
+
 TEST(entry_stop, notice_round_trip)
 {
     shorten_notice s;
