Hedge reads of routes with a long target while a node stops

Cause: a hedge had to have half of the response timeout left, which follows from the target and exceeds the whole grace for such routes.

Change: the expectation that is derived from the target is limited to half of the time that is left at a stop, and the shorter of it and the measured one decides whether a hedge could still end.

Test: entry_stop.long_target_does_not_prevent_the_hedge, which failed for targets of 16 and 30 s.

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -351,10 +351,13 @@
 
 bool attempt_wants_hedge(const request_state& r, mono_us now)
 {
+    const auto expected = expected_duration(r.policy);
+    const auto shortest =
+        r.stop_expected == 0 ? expected : std::min(expected, r.stop_expected);
     return r.outcome == final_outcome::open && r.policy.idempotent &&
            now >= all_overdue_time(r) &&
            (may_send_more(r, now) || may_hedge_at_suspect(r)) &&
-           now + expected_duration(r.policy) < r.deadline;
+           now + shortest < r.deadline;
 }
 
 void attempt_hedge_before_deadline(request_state& r, span_us expected,
--- a/src/node/entry_stop.cpp
+++ b/src/node/entry_stop.cpp
@@ -64,10 +64,13 @@
 }
 
 /// Returns the expected duration of a request's work. The server's baseline
-/// covers its short work too, so the policy's expectation is a lower limit.
+/// covers its short work too, so the policy's expectation is a lower limit,
+/// unless it leaves no time for a hedge.
 span_us expected_request_time(const entry_request& r)
 {
-    const auto expected = expected_duration(r.machine.policy);
+    const auto max_expected = (r.n.last_answer_at - mono_now()) / 2;
+    const auto expected =
+        std::min(expected_duration(r.machine.policy), max_expected);
     const auto* c =
         r.attempts.empty()
             ? nullptr
--- a/test/test_stop.cpp
+++ b/test/test_stop.cpp
@@ -342,6 +342,20 @@
     }
 }
 
+// Guards against reads of a route with a long target that are never hedged at
+// a stop, although their work takes a fraction of the time that is left.
+TEST(entry_stop, long_target_does_not_prevent_the_hedge)
+{
+    for (const span_us target : {8, 12, 16, 30}) {
+        auto budget = some_budget();
+        auto r = read_with_target(budget);
+        r.policy.response_timeout = target * us_per_s * 8 / 10;
+        const auto now = start + 4 * us_per_s;
+        attempt_shorten_deadline(r, now + answer_time, us_per_s, now);
+        EXPECT_TRUE(time_to_hedge(r, budget, now)) << "target_s=" << target;
+    }
+}
+
 TEST(entry_stop, notice_round_trip)
 {
     shorten_notice s;
