Count the tries of a stopping node's hedges from the stop on

Cause: a request goes to four gates in all, its first attempt and refusals before the stop included.

Change: gates that were asked before the stop don't count after it. A request that holds a paid and unused retry borrows no further one.

Test: entry_stop.refused_hedges_leave_a_third_attempt failed before.

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -90,8 +90,9 @@
 bool may_send_more(const request_state& r, mono_us now)
 {
     return reached_count(r) < r.policy.max_attempts &&
-           r.attempt_states.size() < r.policy.max_tries && !r.out_of_workers &&
-           !r.quarantined && now + r.policy.min_remaining < r.deadline;
+           r.attempt_states.size() < r.tries_before_stop + r.policy.max_tries &&
+           !r.out_of_workers && !r.quarantined &&
+           now + r.policy.min_remaining < r.deadline;
 }
 
 /// Ends a request without open attempts.
@@ -366,6 +367,7 @@
     if (!r.policy.idempotent || r.attempt_states.empty())
         return;
     r.stop_expected = expected;
+    r.tries_before_stop = static_cast<std::uint32_t>(r.attempt_states.size());
     const auto overdue = r.attempt_states.back().sent_at + expected;
     r.overdue_at = std::max(now, std::min(latest_stop_hedge(r), overdue));
 }
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -132,6 +132,8 @@
     mono_us overdue_at = mono_never;
     /// Expected duration of its work while the node stops; 0 before that.
     span_us stop_expected = 0;
+    /// Attempts at the stop; gates that refused them before don't count then.
+    std::uint32_t tries_before_stop = 0;
     bool out_of_workers = false; ///< no candidate is left
     bool quarantined = false;    ///< must not be sent again
     bool fallback_tried = false;
--- a/src/node/entry_stop.cpp
+++ b/src/node/entry_stop.cpp
@@ -160,7 +160,8 @@
 {
     std::map<std::string, int> missing;
     for (const auto* r : n.open_requests) {
-        if (attempt_wants_hedge(r->machine, now))
+        if (r->machine.unused_retries == 0 &&
+            attempt_wants_hedge(r->machine, now))
             ++missing[r->service->name];
     }
     for (auto& [service, count] : missing) {
--- a/test/test_stop.cpp
+++ b/test/test_stop.cpp
@@ -356,6 +356,23 @@
     }
 }
 
+// Guards against a read that is given up after two gates refused its hedge
+// although attempts that reached no backend server don't count.
+TEST(entry_stop, refused_hedges_leave_a_third_attempt)
+{
+    auto budget = some_budget();
+    auto r = read_with_target(budget);
+    r.policy.max_tries = 4;
+    const auto now = start + 4 * us_per_s;
+    attempt_shorten_deadline(r, now + answer_time, expected_time, now);
+    attempt_step(r, {attempt_event_kind::timer, 0, ""}, budget, now);
+    for (const std::uint32_t n : {2, 3})
+        attempt_step(r, {attempt_event_kind::not_run, n, "suspected"}, budget,
+                     now);
+    ASSERT_EQ(r.attempt_states.size(), 4U);
+    EXPECT_TRUE(time_to_hedge(r, budget, now));
+}
+
 TEST(entry_stop, notice_round_trip)
 {
     shorten_notice s;
