Ask again for a backend server after a moment without one

Cause: the state that no candidate is left was final for the request. It holds at that moment only; processes come back, and suspects are trusted again.

Change: while an attempt is open, a hedge that found no candidate is asked for again at the usual interval. It takes no try and no further retry.

Test: entry_stop.returning_backend_server_gets_the_hedge failed before. The check at the end of entry_stop.refused_hedge_goes_to_a_suspect_at_last said that such a request sleeps until its deadline, which is this fault; it now says as strictly that the request asks again after the interval.

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -87,12 +87,25 @@
                       [](const auto& t) { return t.reached; }));
 }
 
-bool may_send_more(const request_state& r, mono_us now)
+/// Returns the attempts that went to a gate.
+std::uint32_t tries_of(const request_state& r)
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(r.attempt_states.begin(), r.attempt_states.end(),
+                      [](const auto& t) { return t.placed; }));
+}
+
+/// Returns whether its limits allow another attempt.
+bool is_within_limits(const request_state& r, mono_us now)
 {
     return reached_count(r) < r.policy.max_attempts &&
-           r.attempt_states.size() < r.tries_before_stop + r.policy.max_tries &&
-           !r.out_of_workers && !r.quarantined &&
-           now + r.policy.min_remaining < r.deadline;
+           tries_of(r) < r.tries_before_stop + r.policy.max_tries &&
+           !r.quarantined && now + r.policy.min_remaining < r.deadline;
+}
+
+bool may_send_more(const request_state& r, mono_us now)
+{
+    return is_within_limits(r, now) && !r.out_of_workers;
 }
 
 /// Ends a request without open attempts.
@@ -161,12 +174,14 @@
 void hedge_if_overdue(request_state& r, retry_budget& budget, mono_us now,
                       actions& out)
 {
-    if (!attempt_wants_hedge(r, now) || !take_request_retry(r, budget, now))
+    const bool regular = may_send_more(r, now);
+    if (!attempt_wants_hedge(r, now) || !(regular || may_hedge_at_suspect(r)) ||
+        !take_request_retry(r, budget, now))
         return;
     ++r.retries;
     // A middlebox may have dropped the connection's state, so that only new
     // connections work.
-    if (may_send_more(r, now))
+    if (regular)
         return send(r, attempt_action_kind::send_fresh, true, now, out);
     r.fallback_tried = true;
     send(r, attempt_action_kind::send_fallback, true, now, out);
@@ -254,8 +269,10 @@
             r.reason = "deadline";
         return settle(r, out, on);
     }
-    if (r.policy.idempotent)
+    if (r.policy.idempotent) {
+        r.out_of_workers = false; // one may have come back
         return hedge_if_overdue(r, budget, now, out);
+    }
     const bool margin = now >= r.deadline - r.policy.revoke_margin;
     for (std::uint32_t n = 1; n <= r.attempt_states.size(); ++n) {
         const auto& t = r.attempt_states[n - 1];
@@ -317,6 +334,7 @@
         return retry_or_settle(r, budget, now, out, on);
     case attempt_event_kind::no_worker:
         mark_not_run(r, t, false);
+        t.placed = false;
         r.out_of_workers = true;
         return retry_or_settle(r, budget, now, out, on);
     default:
@@ -357,7 +375,7 @@
         r.stop_expected == 0 ? expected : std::min(expected, r.stop_expected);
     return r.outcome == final_outcome::open && r.policy.idempotent &&
            now >= all_overdue_time(r) &&
-           (may_send_more(r, now) || may_hedge_at_suspect(r)) &&
+           (is_within_limits(r, now) || may_hedge_at_suspect(r)) &&
            now + shortest < r.deadline;
 }
 
@@ -367,7 +385,7 @@
     if (!r.policy.idempotent || r.attempt_states.empty())
         return;
     r.stop_expected = expected;
-    r.tries_before_stop = static_cast<std::uint32_t>(r.attempt_states.size());
+    r.tries_before_stop = tries_of(r);
     const auto overdue = r.attempt_states.back().sent_at + expected;
     r.overdue_at = std::max(now, std::min(latest_stop_hedge(r), overdue));
 }
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -88,7 +88,8 @@
     /// May have reached a backend server. Attempts that a gate refused don't
     /// count as retries.
     bool reached = true;
-    bool paid = false; ///< took a retry out of the budget
+    bool paid = false;  ///< took a retry out of the budget
+    bool placed = true; ///< a candidate was left for it
     mono_us sent_at = 0;
 };
 
@@ -134,8 +135,9 @@
     span_us stop_expected = 0;
     /// Attempts at the stop; gates that refused them before don't count then.
     std::uint32_t tries_before_stop = 0;
-    bool out_of_workers = false; ///< no candidate is left
-    bool quarantined = false;    ///< must not be sent again
+    /// No candidate was left for the last attempt. Open attempts ask again.
+    bool out_of_workers = false;
+    bool quarantined = false; ///< must not be sent again
     bool fallback_tried = false;
     std::uint32_t retries = 0; ///< attempts after the first
     /// Retries taken out of the budget for attempts that never reached a
