Report a leaving backend server to a gate that starts anew

platform_leaving_memory: after a kill of the gate's node, one or two requests of a node that had passed on the notice reached the leaving backend server. The id of a process is made of its name and start time. A new gate that finds it by a health probe doesn't know the start time, so it gets another id than the one that entry nodes remember, and a gate that starts anew has forgotten.

Entry nodes remember the newest process that leaves by exit node and service too, and send the age of its notice with each request there, in the bits of a reported limit and with a flag that former builds ignore. The gate of a hosted backend server drains one whose start is earlier or not known and refuses the request as not run. It resumes when it learns a later start. An answer of another process without the notice ends the entry node's record.

--- a/src/balance/notice_memory.hpp
+++ b/src/balance/notice_memory.hpp
@@ -18,6 +18,13 @@
     mono_us at = 0;  ///< when an answer last named it
 };
 
+/// Process that said that it is leaving.
+struct noted_leaving
+{
+    worker_id worker{}; ///< by the id it had then
+    mono_us at = 0;     ///< when it first said so
+};
+
 /// After this time a limit is not reported to its gate any more.
 constexpr span_us noted_limit_ttl = 60 * us_per_s;
 /// Longer than any backend server takes to leave.
@@ -30,6 +37,8 @@
     std::map<std::pair<node_id, service_id>, noted_limit> limits;
     /// When each one said that it is leaving. An id is of one process.
     std::unordered_map<worker_id, mono_us> leaving;
+    /// Newest one of each exit node and service, for a gate that starts anew.
+    std::map<std::pair<node_id, service_id>, noted_leaving> newest_leaving;
 };
 
 /// Records a limit that an answer named.
@@ -50,6 +59,19 @@
 /// @return whether that is new
 bool note_leaving(notice_memory& m, worker_id worker, mono_us now);
 
+/// Records that the backend server of a service at an exit node is leaving.
+void note_exit_leaving(notice_memory& m, node_id exit, service_id service,
+                       worker_id worker, mono_us now);
+
+/// Records an answer that doesn't say so. That of another process, to a request
+/// sent later, ends the record.
+void note_exit_not_leaving(notice_memory& m, node_id exit, service_id service,
+                           worker_id worker, mono_us sent_at);
+
+/// Returns when the newest one that is leaving first said so.
+std::optional<mono_us> find_exit_leaving(const notice_memory& m, node_id exit,
+                                         service_id service, mono_us now);
+
 bool is_noted_leaving(const notice_memory& m, worker_id worker);
 
 /// Drops what is older than its time to live.
--- a/src/hosted/incarnation_cmd.cpp
+++ b/src/hosted/incarnation_cmd.cpp
@@ -125,4 +125,9 @@
     return start_ms <= probed_ms || start_ms > wall_ms;
 }
 
+bool may_have_started_by(std::uint64_t start_ms, std::int64_t wall_ms)
+{
+    return start_ms == 0 || static_cast<std::int64_t>(start_ms) <= wall_ms;
+}
+
 } // namespace jasminetray
--- a/src/hosted/incarnation_type.hpp
+++ b/src/hosted/incarnation_type.hpp
@@ -111,4 +111,8 @@
                                 std::uint64_t current_start_ms,
                                 std::uint64_t probed_ms, std::uint64_t wall_ms);
 
+/// Returns whether a process may have run at a time in the past.
+/// @param start_ms its start, in milliseconds since 1970; 0 when not known
+bool may_have_started_by(std::uint64_t start_ms, std::int64_t wall_ms);
+
 } // namespace jasminetray
--- a/src/node/admin_query.cpp
+++ b/src/node/admin_query.cpp
@@ -88,6 +88,7 @@
             {"slots", w.slots},
             {"draining", w.draining || w.drained_by_operator},
             {"said_leaving", w.said_leaving},
+            {"reported_leaving", w.leaving_reported_ms != 0},
             {"start_limit", start_limit_json(n, id, now)},
             {"standing", name_of(ejection_state_names, w.health.state)},
             {"evidence", health_score(w.health, w.policy, now)},
--- a/src/node/announce.cpp
+++ b/src/node/announce.cpp
@@ -172,8 +172,9 @@
     }
     const bool is_new = n.workers.count(id) == 0;
     auto& w = is_new ? add_worker(n, a, id) : n.workers[id];
-    const bool draining = a.draining || w.said_leaving;
     update_cold_start(w, a, mono_now());
+    const bool draining =
+        a.draining || w.said_leaving || w.leaving_reported_ms != 0;
     const bool changed = is_new || w.slots != a.slots ||
                          w.draining != draining ||
                          is_warm_up_outdated(w, mono_now());
@@ -220,6 +221,11 @@
 void drain_leaving_worker(node_state& n, local_worker& w)
 {
     w.said_leaving = true;
+    drain_reported_worker(n, w);
+}
+
+void drain_reported_worker(node_state& n, local_worker& w)
+{
     w.draining = true;
     deliver_gate_decisions(
         n, gate_drain_worker(n.local_gate, w.id, true, mono_now()));
--- a/src/node/announce.hpp
+++ b/src/node/announce.hpp
@@ -28,6 +28,10 @@
 /// leaving. Its announcements don't undo this; its work in flight goes on.
 void drain_leaving_worker(node_state& n, local_worker& w);
 
+/// Stops new and queued work for a backend server that an entry node reports as
+/// leaving, until its start time shows that it is a later process.
+void drain_reported_worker(node_state& n, local_worker& w);
+
 /// Stops or resumes new work for a backend server at an operator's command.
 void set_operator_drain(node_state& n, worker_id id, bool draining);
 
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -142,14 +142,16 @@
     // can't, and a late answer is better than none.
     h.entry_stopping = r.machine.deadline >= n.last_answer_at &&
                        attempt_is_proven_not_run(r.machine, count);
-    const auto limit =
-        find_noted_limit(n.view.notices, t.exit, r.service_key, mono_now());
-    if (limit)
-        h.limit = reported_limit{limit->rate, mono_now() - limit->at};
     h.priority = r.priority;
     h.route_class = r.route_class;
     h.centre = static_cast<std::uint32_t>(n.self.centre);
     const auto now = mono_now();
+    const auto& notices = n.view.notices;
+    if (const auto at = find_exit_leaving(notices, t.exit, r.service_key, now))
+        h.leaving_age = now - *at;
+    else if (const auto limit =
+                 find_noted_limit(notices, t.exit, r.service_key, now))
+        h.limit = reported_limit{limit->rate, now - limit->at};
     h.remaining = r.machine.deadline - now;
     h.elapsed = now - r.received_at;
     h.target = r.route->target_us;
@@ -163,8 +165,11 @@
 void note_leaving_worker(const entry_request& r, const entry_attempt& t)
 {
     auto& n = r.n;
-    if (!n.settings.experiment.is_enabled(mechanism::leaving_answers) ||
-        !note_leaving(n.view.notices, t.worker, mono_now()))
+    if (!n.settings.experiment.is_enabled(mechanism::leaving_answers))
+        return;
+    const auto now = mono_now();
+    note_exit_leaving(n.view.notices, t.exit, r.service_key, t.worker, now);
+    if (!note_leaving(n.view.notices, t.worker, now))
         return;
     n.events.write(
         event_id::worker_notice_noted, r.label,
@@ -181,8 +186,11 @@
     auto& n = r.n;
     auto& memory = n.view.notices;
     const auto x = read_worker_notice(n.dialect, t.parser->get());
+    const auto sent_at = r.machine.attempt_states[count - 1].sent_at;
     if (x.leaving)
         note_leaving_worker(r, t);
+    else
+        note_exit_not_leaving(memory, t.exit, r.service_key, t.worker, sent_at);
     if (x.rate) {
         if (note_limit(memory, t.exit, r.service_key, *x.rate, mono_now()))
             n.events.write(event_id::worker_notice_noted, r.label,
@@ -190,8 +198,7 @@
                                to_hex(static_cast<std::uint64_t>(t.worker)) +
                                " service=" + r.service->name);
     } else if (!x.rate_unreadable) {
-        note_no_limit(memory, t.exit, r.service_key,
-                      r.machine.attempt_states[count - 1].sent_at);
+        note_no_limit(memory, t.exit, r.service_key, sent_at);
     }
 }
 
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -34,6 +34,7 @@
     std::optional<fingerprint> fingerprint_cache; ///< computed on first use
     gate_request request;
     std::optional<reported_limit> limit; ///< that the entry node remembers
+    std::optional<span_us> leaving_age;  ///< as hop_request
     std::uint32_t source = 0;            ///< see node_state::source_index
 };
 
@@ -59,6 +60,7 @@
     w.request.is_fallback = h->is_fallback;
     w.request.entry_stopping = h->entry_stopping;
     w.limit = h->limit;
+    w.leaving_age = h->leaving_age;
     w.request.priority = h->priority;
     w.request.deadline =
         now + std::min(h->remaining, n.local_gate.limits.longest_deadline);
@@ -213,6 +215,8 @@
 {
     gate_error error{};
     const auto since = mono_now();
+    if (w.leaving_age)
+        apply_reported_leaving(n, w.request.worker, *w.leaving_age);
     if (w.limit)
         apply_reported_limit(n, w.request.worker, *w.limit);
     // Matched by content: a resubmitted request has another id and would crash
--- a/src/node/hop_func.cpp
+++ b/src/node/hop_func.cpp
@@ -25,11 +25,12 @@
 constexpr std::uint64_t fallback_bit = 4;
 constexpr std::uint64_t stopping_bit = 8;
 constexpr std::uint64_t limit_bit = 16;
-// The numbers of a reported limit follow the flags, in the same number.
+constexpr std::uint64_t leaving_bit = 32;
+// The numbers of a notice follow the flags, in the same number.
 constexpr unsigned limit_rate_shift = 8;
-constexpr unsigned limit_age_shift = 32;
-constexpr std::uint64_t limit_mask = 0xffffff; // 24 bits each
-constexpr span_us limit_age_unit = 10 * us_per_ms;
+constexpr unsigned notice_age_shift = 32;
+constexpr std::uint64_t notice_mask = 0xffffff; // 24 bits each
+constexpr span_us notice_age_unit = 10 * us_per_ms;
 constexpr std::uint64_t failed_bit = 1;
 constexpr std::uint64_t reached_bit = 2;
 constexpr std::uint64_t suspect_bit = 4;
@@ -52,15 +53,26 @@
     append_number(out, static_cast<std::uint64_t>(std::max<span_us>(0, t)));
 }
 
+std::uint64_t age_bits(span_us age)
+{
+    const auto n = std::clamp<span_us>(age / notice_age_unit, 0,
+                                       static_cast<span_us>(notice_mask));
+    return static_cast<std::uint64_t>(n) << notice_age_shift;
+}
+
+span_us age_of(std::uint64_t bits)
+{
+    return static_cast<span_us>(bits >> notice_age_shift & notice_mask) *
+           notice_age_unit;
+}
+
 std::uint64_t limit_bits(const reported_limit& l)
 {
-    constexpr auto most = static_cast<double>(limit_mask);
+    constexpr auto most = static_cast<double>(notice_mask);
     const double rate = std::clamp(limit_scale * l.rate, 0.0, most);
-    const auto age = std::clamp<span_us>(l.age / limit_age_unit, 0,
-                                         static_cast<span_us>(limit_mask));
     return limit_bit |
            static_cast<std::uint64_t>(std::llround(rate)) << limit_rate_shift |
-           static_cast<std::uint64_t>(age) << limit_age_shift;
+           age_bits(l.age);
 }
 
 std::optional<reported_limit> limit_of(std::uint64_t bits)
@@ -68,13 +80,20 @@
     if ((bits & limit_bit) == 0)
         return std::nullopt;
     reported_limit l;
-    l.rate = static_cast<double>(bits >> limit_rate_shift & limit_mask) /
+    l.rate = static_cast<double>(bits >> limit_rate_shift & notice_mask) /
              limit_scale;
-    l.age = static_cast<span_us>(bits >> limit_age_shift & limit_mask) *
-            limit_age_unit;
+    l.age = age_of(bits);
     return l;
 }
 
+/// A backend server that leaves gets no requests, so its limit isn't needed.
+std::uint64_t notice_bits(const hop_request& r)
+{
+    if (r.leaving_age)
+        return leaving_bit | age_bits(*r.leaving_age);
+    return r.limit ? limit_bits(*r.limit) : 0;
+}
+
 /// Parses consecutive parts as numbers.
 struct number_reader
 {
@@ -117,7 +136,7 @@
                            (r.may_probe ? probe_bit : 0) |
                            (r.is_fallback ? fallback_bit : 0) |
                            (r.entry_stopping ? stopping_bit : 0) |
-                           (r.limit ? limit_bits(*r.limit) : 0));
+                           notice_bits(r));
     append_number(out, static_cast<std::uint64_t>(r.priority));
     append_number(out, r.route_class);
     append_number(out, r.centre);
@@ -270,6 +289,8 @@
     r.is_fallback = (bits & fallback_bit) != 0;
     r.entry_stopping = (bits & stopping_bit) != 0;
     r.limit = limit_of(bits);
+    if ((bits & leaving_bit) != 0)
+        r.leaving_age = age_of(bits);
     r.priority = static_cast<int>(in.number() & INT32_MAX);
     r.route_class = static_cast<std::uint32_t>(in.number());
     r.centre = static_cast<std::uint32_t>(in.number());
--- a/src/node/hop_type.hpp
+++ b/src/node/hop_type.hpp
@@ -36,6 +36,10 @@
     /// Limit of starts that the entry node remembers, for a gate that started
     /// after it was named. Earlier builds ignore it.
     std::optional<reported_limit> limit;
+    /// Time since the backend server that the entry node last knew there said
+    /// that it is leaving; sent in hundredths of a second, in place of a limit.
+    /// Earlier builds ignore it.
+    std::optional<span_us> leaving_age;
     int priority = 5;
     std::uint32_t route_class = 0; ///< hash of the route's name
     std::uint32_t centre = 0;      ///< hash of the entry node's data centre
--- a/src/node/hosted_worker.cpp
+++ b/src/node/hosted_worker.cpp
@@ -60,11 +60,16 @@
         !is_start_of_probed_process(a.boot, w->boot, w->answered_ms,
                                     wall_ms_now()))
         return false;
+    const bool is_later = w->leaving_reported_ms != 0 &&
+                          !may_have_started_by(a.boot, w->leaving_reported_ms);
     n.events.write(event_id::worker_start_learned, a.name,
                    "start=" + std::to_string(a.boot) +
                        " former=" + std::to_string(w->boot) +
-                       " running=" + std::to_string(w->busy.size()));
+                       " running=" + std::to_string(w->busy.size()) +
+                       (is_later ? " leaving=0" : ""));
     w->boot = a.boot;
+    if (is_later)
+        w->leaving_reported_ms = 0;
     return true;
 }
 
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -47,6 +47,9 @@
     bool draining = false;
     bool drained_by_operator = false;
     bool said_leaving = false; ///< in one of its answers; final for a process
+    /// Unix time in milliseconds at which, by an entry node, a process at this
+    /// VM said that it is leaving, if it may be this one; 0 for never.
+    std::int64_t leaving_reported_ms = 0;
     mono_us announced_at = 0;
     worker_health health;
     outlier_policy policy;
--- a/src/node/worker_notice.cpp
+++ b/src/node/worker_notice.cpp
@@ -79,4 +79,27 @@
                        " age_ms=" + std::to_string(l.age / us_per_ms));
 }
 
+void apply_reported_leaving(node_state& n, worker_id id, span_us age)
+{
+    const auto it = n.workers.find(id);
+    // Several processes run behind other gates; their ids outlive the gate.
+    if (it == n.workers.end() || n.settings.hosted.control.empty() ||
+        !n.settings.experiment.is_enabled(mechanism::leaving_answers))
+        return;
+    auto& w = it->second;
+    const auto said_ms =
+        static_cast<std::int64_t>(wall_ms_now()) - age / us_per_ms;
+    if (w.said_leaving || w.leaving_reported_ms != 0 ||
+        !may_have_started_by(w.boot, said_ms))
+        return;
+    w.leaving_reported_ms = std::max<std::int64_t>(1, said_ms);
+    n.events.write(
+        event_id::worker_leaving_said, w.name,
+        "source=" +
+            std::string(name_of(limit_source_names, limit_source::entry_node)) +
+            " age_ms=" + std::to_string(age / us_per_ms) +
+            " start=" + std::to_string(w.boot));
+    drain_reported_worker(n, w);
+}
+
 } // namespace jasminetray
--- a/src/node/worker_notice.hpp
+++ b/src/node/worker_notice.hpp
@@ -17,4 +17,9 @@
 /// started.
 void apply_reported_limit(node_state& n, worker_id id, const reported_limit& l);
 
+/// Applies what an entry node remembers: that the backend server of this VM
+/// said some time ago that it is leaving. It binds a process that may be that
+/// one.
+void apply_reported_leaving(node_state& n, worker_id id, span_us age);
+
 } // namespace jasminetray
--- a/test/platform_leaving.py
+++ b/test/platform_leaving.py
@@ -81,6 +81,30 @@
                         arrivals(w, at), 8), "a new process is used")
 
 
+def kill_gate(h, name):
+    node = h.f.nodes[name]
+    node.send(signal.SIGKILL)
+    node.popen.wait(5)
+
+
+# Guards against a new process that a new gate finds by a health probe, without
+# its start time, and takes for the one that left also when it has learnt it.
+def check_new_process_at_new_gate(h):
+    callers = Callers(h, nodes=["n0"])
+    say_leaving(h.workers["w1"])
+    expect(wait_for(lambda: callers.told), "its callers' node is told")
+    kill_gate(h, "n1")
+    current = start_again(h, "w1", "n1")
+    current.muted = True  # its first check-in finds no gate
+    h.start_node("n1", "billing", current.port)
+    time.sleep(2)
+    current.muted = False
+    since = time.monotonic()
+    expect(wait_for(lambda: arrivals(current, since), 8),
+           "a new process is used once its start is known")
+    callers.stop()
+
+
 # Guards against running work that is cut, and new work that is held, when all
 # backend servers of a service are leaving.
 def check_all_leaving(h):
@@ -128,6 +152,13 @@
         check_gate_restart(h, muted=True, in_health=True)
         check_new_process(h)
         check_all_leaving(h)
+    # No node of this fleet has a mark on a process without start time.
+    with fleet.Fleet(cluster="leaving-anew") as f:
+        h = start_fleet(f)
+        check_new_process(h)
+        check_new_process_at_new_gate(h)
+        check_new_process(h)
+        check_gate_restart(h, muted=True, in_health=False)
     return hosted.summarize("leaving")
 
 
--- a/test/test_hop.cpp
+++ b/test/test_hop.cpp
@@ -1,4 +1,5 @@
 // Encoding of the header field between nodes: round trips and malformed input.
+#include "balance/notice_memory.hpp"
 #include "base/text_func.hpp"
 #include "node/hop_type.hpp"
 #include "platform/dialect.hpp"
@@ -29,6 +30,9 @@
         if (*rc::gen::arbitrary<bool>())
             r.limit = {{*rc::gen::inRange(0, 9999) / 1000.0,
                         *rc::gen::inRange<span_us>(0, 6000) * 10 * us_per_ms}};
+        else if (*rc::gen::arbitrary<bool>())
+            r.leaving_age =
+                *rc::gen::inRange<span_us>(0, 360000) * 10 * us_per_ms;
         r.boot = static_cast<boot_id>(*rc::gen::inRange<std::uint64_t>(1, 99));
         r.stamp = *rc::gen::inRange<mono_us>(0, INT64_MAX);
         const auto back = parse_hop_request(to_text(r));
@@ -43,6 +47,7 @@
         RC_ASSERT(back->remaining == r.remaining);
         RC_ASSERT(back->elapsed == r.elapsed);
         RC_ASSERT(back->target == r.target);
+        RC_ASSERT(back->leaving_age == r.leaving_age);
         RC_ASSERT(back->limit.has_value() == r.limit.has_value());
         if (r.limit) {
             RC_ASSERT(back->limit->age == r.limit->age);
@@ -71,6 +76,25 @@
     EXPECT_TRUE(parse_hop_request(to_text(r)).has_value());
 }
 
+// Guards against a former build that takes the age for a limit.
+TEST(hop, reported_leaving_adds_no_part_and_no_limit)
+{
+    hop_request r;
+    r.attempt = {{node_id{1}, 2}, 1};
+    r.idempotent = true;
+    const auto parts = split(to_text(r), ',');
+    r.limit = reported_limit{2, us_per_s};
+    r.leaving_age = 1000000 * us_per_s;
+    const auto with_leaving = split(to_text(r), ',');
+    ASSERT_EQ(with_leaving.size(), parts.size());
+    constexpr std::size_t flags = 2; // part
+    EXPECT_EQ(*parse_hex(with_leaving[flags]) & 31U, *parse_hex(parts[flags]));
+    const auto back = parse_hop_request(to_text(r));
+    ASSERT_TRUE(back && back->leaving_age);
+    EXPECT_GT(*back->leaving_age, noted_leaving_ttl);
+    EXPECT_FALSE(back->limit.has_value());
+}
+
 TEST(hop, answer_round_trip)
 {
     hop_answer a;
--- a/test/test_incarnation.cpp
+++ b/test/test_incarnation.cpp
@@ -141,5 +141,15 @@
     EXPECT_FALSE(is_start_of_probed_process(wall + 3000, 0, 0, wall));
 }
 
+// Guards against a gate that takes a new process for one that left before it
+// started, or a process whose start it doesn't know for a new one.
+TEST(incarnation, only_an_earlier_or_unknown_start_may_be_of_a_past_process)
+{
+    const auto said_ms = static_cast<std::int64_t>(wall);
+    EXPECT_TRUE(may_have_started_by(earlier_start, said_ms));
+    EXPECT_TRUE(may_have_started_by(0, said_ms));
+    EXPECT_FALSE(may_have_started_by(wall + 1, said_ms));
+}
+
 } // namespace
 } // namespace jasminetray
--- a/test/test_start_limit.cpp
+++ b/test/test_start_limit.cpp
@@ -361,6 +361,32 @@
     EXPECT_FALSE(is_noted_leaving(m, worker_id{2}));
 }
 
+// Guards against a gate that starts anew, knows the process by another id, and
+// isn't told that it is leaving.
+TEST(notice_memory, reports_leaving_until_another_process_answers)
+{
+    constexpr node_id exit{1};
+    constexpr service_id service{2};
+    constexpr worker_id other{9};
+    notice_memory m;
+    const auto since = [&](mono_us now) {
+        return find_exit_leaving(m, exit, service, now);
+    };
+    note_exit_leaving(m, exit, service, backend, t0);
+    note_exit_leaving(m, exit, service, backend, t0 + us_per_s);
+    EXPECT_EQ(since(t0 + 2 * us_per_s), t0);
+    EXPECT_FALSE(find_exit_leaving(m, exit, service_id{3}, t0).has_value());
+    note_exit_not_leaving(m, exit, service, backend, t0 + 2 * us_per_s);
+    note_exit_not_leaving(m, exit, service, other, t0);
+    EXPECT_EQ(since(t0 + 2 * us_per_s), t0);
+    EXPECT_FALSE(since(t0 + noted_leaving_ttl + 1).has_value());
+    note_exit_not_leaving(m, exit, service, other, t0 + 1);
+    EXPECT_FALSE(since(t0 + 2 * us_per_s).has_value());
+    note_exit_leaving(m, exit, service, other, t0);
+    expire_notices(m, t0 + noted_leaving_ttl + 1);
+    EXPECT_TRUE(m.newest_leaving.empty());
+}
+
 // Guards against a limit of a former process that binds a new one at the same
 // gate.
 TEST(start_limit, new_process_begins_without_a_limit)
