Count a cold start also where it is not stated or work is mixed

- A service whose other work is short has a short mean duration, so that the longer work of a cold backend server counted for nothing.
Now it counts for at least the share of the target that a hedge's expectation takes too.
- A process that its gate found by a health probe was warm to entry nodes until its first check-in.
Now it is taken as cold for 2 s until then.
- A hedge was drawn to an idle cold backend server at times.
Only first attempts are now.
- The tolerance of the detector changed with each check-in; it is set at the registration again.
Later check-ins may only shorten a cold start.
- An expected duration of 0 or less at the end of a stop is limited to 1 ms.

Test: placement.short_work_does_not_hide_a_cold_start. The other points have no test of their own.

--- a/src/balance/placement_func.cpp
+++ b/src/balance/placement_func.cpp
@@ -79,6 +79,21 @@
                                          static_cast<double>(r.warm_work)));
 }
 
+/// Returns by how much longer than elsewhere a request runs at a candidate. The
+/// mean covers other routes, so that work may be as long as the target
+/// suggests.
+double cold_delay(const candidate& c, const placement_policy& p,
+                  const placement_request& r, mono_us now)
+{
+    constexpr double work_per_target = 0.4;
+    if (!is_cold(c, p, now))
+        return 0;
+    const double work =
+        std::max(static_cast<double>(r.warm_work),
+                 work_per_target * static_cast<double>(r.target));
+    return (p.cold_slowdown - 1) * work;
+}
+
 /// Returns a random candidate if the draw is within the share of the work.
 std::optional<choice> draw_for(const std::vector<std::size_t>& indices,
                                double draw, double share, random_state& rng)
@@ -129,8 +144,10 @@
         return std::nullopt;
     // A read that runs long at a cold one needs a hedge elsewhere. The upper
     // end of the draw is left by the idle ones.
-    const auto slow =
-        draw_for(cold, 1 - r.idle_draw.value_or(draw), p.cold_share, rng);
+    const double cold_draw = 1 - r.idle_draw.value_or(draw);
+    const auto slow = tried.empty()
+                          ? draw_for(cold, cold_draw, p.cold_share, rng)
+                          : std::nullopt;
     return slow ? slow
                 : draw_for(unproven, random_unit(rng),
                            share_of(unproven, p.probe_share), rng);
@@ -150,11 +167,9 @@
     // piece of work takes.
     const double turns = std::max(0.0, load + 1 / c.slots - 1);
     const auto work = expected_work(c, p, r, now);
-    const bool slower = is_cold(c, p, now) && r.warm_work > 0;
-    const auto longer = slower ? work - r.warm_work : 0;
-    const double wait =
-        (turns * static_cast<double>(work) + static_cast<double>(longer)) /
-        static_cast<double>(std::max<span_us>(1, r.target));
+    const auto target = static_cast<double>(std::max<span_us>(1, r.target));
+    const double wait = turns * static_cast<double>(work) / target +
+                        cold_delay(c, p, r, now) / target;
     return fails * (r.retryable ? p.retry_share : 1) +
            (c.near ? 0 : p.far_share) + p.late_share * wait +
            p.busy_share * std::min(1.0, load) +
--- a/src/node/announce.cpp
+++ b/src/node/announce.cpp
@@ -18,6 +18,8 @@
 /// Entry nodes treat a backend server as warm after this time, whatever its
 /// check-ins say.
 constexpr span_us max_warm_up_time = 10 * us_per_s;
+/// Assumed until the first check-in, which comes earlier.
+constexpr span_us unknown_warm_up_time = 2 * us_per_s;
 
 /// Returns the id of an announced process. One whose start time was learnt
 /// later keeps its id, as its work and its health statistics refer to it.
@@ -104,19 +106,21 @@
     return w;
 }
 
-/// Takes over what a check-in says about the cold start; a process that was
-/// found by a probe has not said anything yet.
+/// Takes over what a check-in says about the cold start. Later ones may only
+/// shorten it.
 void update_cold_start(local_worker& w, const announcement& a, mono_us now)
 {
-    if (a.sequence == 0)
-        return;
-    w.health.cold_start_until = now + a.warm_up_time;
-    const auto left = std::min(a.warm_up_time, max_warm_up_time);
-    // Later check-ins may only shorten it.
-    w.cold_until =
-        w.warm_up_time == 0 ? now + left : std::min(w.cold_until, now + left);
-    if (w.warm_up_time == 0)
+    const bool is_stated = a.sequence != 0;
+    const bool is_first = is_stated ? !w.warm_up_stated : w.announced_at == 0;
+    const auto left = is_stated ? std::min(a.warm_up_time, max_warm_up_time)
+                                : unknown_warm_up_time;
+    if (is_first) {
+        w.warm_up_stated = is_stated;
         w.warm_up_time = left;
+        w.cold_until = now + left;
+    } else if (is_stated) {
+        w.cold_until = std::min(w.cold_until, now + left);
+    }
 }
 
 } // namespace
--- a/src/node/entry_stop.cpp
+++ b/src/node/entry_stop.cpp
@@ -68,7 +68,8 @@
 /// unless it leaves no time for a hedge.
 span_us expected_request_time(const entry_request& r)
 {
-    const auto max_expected = (r.n.last_answer_at - mono_now()) / 2;
+    const auto max_expected =
+        std::max(us_per_ms, (r.n.last_answer_at - mono_now()) / 2);
     const auto expected =
         std::min(expected_duration(r.machine.policy), max_expected);
     const auto* c =
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -59,8 +59,9 @@
     std::set<http_connection*> busy;
     std::uint64_t next_work_key = 0;
     int published_severity = 0;
-    /// Cold start as reported by its check-ins, and the time in its published
-    /// record; 0 for none.
+    /// Cold start by its check-ins, or as assumed before the first one, and the
+    /// time in its published record; 0 for none.
+    bool warm_up_stated = false;
     span_us warm_up_time = 0;
     mono_us cold_until = 0;
     std::uint16_t published_warm_up_ms = 0;
--- a/test/test_estimate.cpp
+++ b/test/test_estimate.cpp
@@ -411,6 +411,23 @@
     }
 }
 
+// Guards against long reads at a cold candidate of a service whose other work
+// is so short that its mean hides them.
+TEST(placement, short_work_does_not_hide_a_cold_start)
+{
+    std::vector<candidate> all;
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        all.push_back(make_candidate(id, true, id == 1 ? 0 : 0.5, 0.02));
+        all.back().work_us = 20 * us_per_ms;
+    }
+    all[0].cold_until = start + us_per_s;
+    for (const bool retryable : {false, true}) {
+        const placement_request read{retryable, 4 * us_per_s, true};
+        EXPECT_GT(expected_loss(all[0], {}, {}, read, start),
+                  expected_loss(all[1], {}, {}, read, start));
+    }
+}
+
 // The recovery of an ejected candidate goes unnoticed without probe traffic.
 TEST(placement, ejected_candidate_gets_retryable_work)
 {
