Don't take a new process for the one that left before it

Change: the report carries the time at which the answered request was sent: the process that left ran then, and its successor did not. A gate keeps a report for 60 s only, in case a clock has stepped or a VM was suspended; afterwards a process must say by itself that it leaves.

Test: notice_memory.late_leaving_is_older_than_the_next_process. The end of a report after 60 s has no test.

--- a/src/balance/notice_memory.cpp
+++ b/src/balance/notice_memory.cpp
@@ -46,11 +46,11 @@
 }
 
 void note_exit_leaving(notice_memory& m, node_id exit, service_id service,
-                       worker_id worker, mono_us now)
+                       worker_id worker, mono_us sent_at)
 {
     auto& x = m.newest_leaving[{exit, service}];
     if (x.worker != worker || x.at == 0)
-        x = {worker, now};
+        x = {worker, sent_at};
 }
 
 void note_exit_not_leaving(notice_memory& m, node_id exit, service_id service,
--- a/src/balance/notice_memory.hpp
+++ b/src/balance/notice_memory.hpp
@@ -22,13 +22,16 @@
 struct noted_leaving
 {
     worker_id worker{}; ///< by the id it had then
-    mono_us at = 0;     ///< when it first said so
+    mono_us at = 0;     ///< when the request was sent to which it first said so
 };
 
 /// After this time a limit is not reported to its gate any more.
 constexpr span_us noted_limit_ttl = 60 * us_per_s;
 /// Longer than any backend server takes to leave.
 constexpr span_us noted_leaving_ttl = 3600 * us_per_s;
+/// A gate drains a process on an entry node's report for this time. Afterwards
+/// it must say so itself, in case a clock has stepped or a VM was suspended.
+constexpr span_us reported_leaving_ttl = 60 * us_per_s;
 
 struct notice_memory
 {
@@ -60,15 +63,18 @@
 bool note_leaving(notice_memory& m, worker_id worker, mono_us now);
 
 /// Records that the backend server of a service at an exit node is leaving.
+/// @param sent_at of the request that it answered: it ran then, and a process
+/// that started later is another one
 void note_exit_leaving(notice_memory& m, node_id exit, service_id service,
-                       worker_id worker, mono_us now);
+                       worker_id worker, mono_us sent_at);
 
 /// Records an answer that doesn't say so. That of another process, to a request
 /// sent later, ends the record.
 void note_exit_not_leaving(notice_memory& m, node_id exit, service_id service,
                            worker_id worker, mono_us sent_at);
 
-/// Returns when the newest one that is leaving first said so.
+/// Returns when the request was sent to which the newest one that is leaving
+/// first said so.
 std::optional<mono_us> find_exit_leaving(const notice_memory& m, node_id exit,
                                          service_id service, mono_us now);
 
--- a/src/node/announce.cpp
+++ b/src/node/announce.cpp
@@ -106,6 +106,14 @@
     return w;
 }
 
+void expire_leaving_report(local_worker& w)
+{
+    const auto age_ms =
+        static_cast<std::int64_t>(wall_ms_now()) - w.leaving_reported_ms;
+    if (age_ms > reported_leaving_ttl / us_per_ms)
+        w.leaving_reported_ms = 0;
+}
+
 /// Takes over what a check-in says about the cold start. Later ones may only
 /// shorten it.
 void update_cold_start(local_worker& w, const announcement& a, mono_us now)
@@ -177,6 +185,7 @@
     const bool is_new = n.workers.count(id) == 0;
     auto& w = is_new ? add_worker(n, a, id) : n.workers[id];
     update_cold_start(w, a, mono_now());
+    expire_leaving_report(w);
     const bool draining =
         a.draining || w.said_leaving || w.leaving_reported_ms != 0;
     const bool changed = is_new || w.slots != a.slots ||
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -162,14 +162,14 @@
     return q;
 }
 
-void note_leaving_worker(const entry_request& r, const entry_attempt& t)
+void note_leaving_worker(const entry_request& r, const entry_attempt& t,
+                         mono_us sent_at)
 {
     auto& n = r.n;
     if (!n.settings.experiment.is_enabled(mechanism::leaving_answers))
         return;
-    const auto now = mono_now();
-    note_exit_leaving(n.view.notices, t.exit, r.service_key, t.worker, now);
-    if (!note_leaving(n.view.notices, t.worker, now))
+    note_exit_leaving(n.view.notices, t.exit, r.service_key, t.worker, sent_at);
+    if (!note_leaving(n.view.notices, t.worker, mono_now()))
         return;
     n.events.write(
         event_id::worker_notice_noted, r.label,
@@ -188,7 +188,7 @@
     const auto x = read_worker_notice(n.dialect, t.parser->get());
     const auto sent_at = r.machine.attempt_states[count - 1].sent_at;
     if (x.leaving)
-        note_leaving_worker(r, t);
+        note_leaving_worker(r, t, sent_at);
     else
         note_exit_not_leaving(memory, t.exit, r.service_key, t.worker, sent_at);
     if (x.rate) {
--- a/src/node/worker_notice.cpp
+++ b/src/node/worker_notice.cpp
@@ -90,7 +90,7 @@
     const auto said_ms =
         static_cast<std::int64_t>(wall_ms_now()) - age / us_per_ms;
     if (w.said_leaving || w.leaving_reported_ms != 0 ||
-        !may_have_started_by(w.boot, said_ms))
+        age > reported_leaving_ttl || !may_have_started_by(w.boot, said_ms))
         return;
     w.leaving_reported_ms = std::max<std::int64_t>(1, said_ms);
     n.events.write(
--- a/test/test_start_limit.cpp
+++ b/test/test_start_limit.cpp
@@ -387,6 +387,20 @@
     EXPECT_TRUE(m.newest_leaving.empty());
 }
 
+// Guards against a late answer of a process that left, after which the one that
+// replaced it would be taken for it.
+TEST(notice_memory, late_leaving_is_older_than_the_next_process)
+{
+    constexpr node_id exit{1};
+    constexpr service_id service{2};
+    notice_memory m;
+    note_exit_leaving(m, exit, service, backend, t0);
+    note_exit_not_leaving(m, exit, service, worker_id{9}, t0 + us_per_s);
+    note_exit_leaving(m, exit, service, backend, t0 - us_per_s);
+    const auto at = find_exit_leaving(m, exit, service, t0 + 2 * us_per_s);
+    EXPECT_LT(at.value_or(0), t0 + us_per_s);
+}
+
 // Guards against a limit of a former process that binds a new one at the same
 // gate.
 TEST(start_limit, new_process_begins_without_a_limit)
