--- a/test/test_stop.cpp
+++ b/test/test_stop.cpp
@@ -366,7 +366,7 @@
     const auto now = start + 4 * us_per_s;
     attempt_shorten_deadline(r, now + answer_time, expected_time, now);
     attempt_step(r, {attempt_event_kind::timer, 0, ""}, budget, now);
-    for (const std::uint32_t n : {2, 3})
+    for (const std::uint32_t n : {2U, 3U})
         attempt_step(r, {attempt_event_kind::not_run, n, "suspected"}, budget,
                      now);
     ASSERT_EQ(r.attempt_states.size(), 4U);
