--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,6 +7,7 @@
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
+RECORD = os.path.join(FOLDER, "record.txt")
 sys.path.insert(0, os.path.dirname(FOLDER))
 import stand_ins as s  # noqa: E402
 
@@ -105,5 +106,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(s.play(s.Case(FOLDER, ["reads", "reads", "charges", "charges"]),
+    sys.exit(s.play(s.Case(RECORD, ["reads", "reads", "charges", "charges"]),
                     run))
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -92,11 +92,10 @@
 
 
 class Record:
-    """What was sent, answered and run, in record.txt of the case's folder."""
+    """What was sent, answered and run, in the file that the case names."""
 
-    def __init__(self, folder):
-        self.out = open(os.path.join(folder, "record.txt"), "w",
-                        encoding="ascii", errors="replace")
+    def __init__(self, path):
+        self.out = open(path, "w", encoding="ascii", errors="replace")
         self.start = time.monotonic()
 
     def now(self):
@@ -317,7 +316,9 @@
         self.machine, self.slots = machine, slots
         self.state, self.sequence, self.running = "ready", 0, 0
         self.runs = []  # (time, request id, fields)
+        self.ends = {}  # request id: time of its answer
         self.work_s = 0.02
+        self.free_slots = asyncio.Semaphore(slots)
         self.spoil = None
         self.born = int(time.time() * 1000)
         self.tasks = []
@@ -370,6 +371,10 @@
         if fields.get("x-expect-instance", self.name) != self.name:
             writer.write(http_answer(421, {"X-Instance-Id": self.name}))
             return True
+        async with self.free_slots:
+            return await self.run(method, target, fields, load, writer)
+
+    async def run(self, method, target, fields, load, writer):
         request = fields.get("x-attempt-id", "")
         self.runs.append((time.monotonic(), request, fields))
         self.record.write("run %s at %s: %s %s caller=%s tenant=%s" % (
@@ -386,11 +391,14 @@
             return False
         self.running += 1
         work = float(fields.get("x-test-work-s", self.work_s))
-        await asyncio.sleep(work)
+        limit = int(fields.get("x-deadline-ms", 60000)) / 1000
+        await asyncio.sleep(min(work, limit))
         self.running -= 1
+        status = 200 if work <= limit else 504
         text = ("%s by %s" % (request, self.name)).encode()
-        self.record.write("answer %s by %s: 200" % (request, self.name))
-        writer.write(http_answer(200, {
+        self.ends[request] = time.monotonic()
+        self.record.write("answer %s by %s: %d" % (request, self.name, status))
+        writer.write(http_answer(status, {
             "X-Attempt-Id": request, "X-Server-Seal": "seal." + request,
             **load}, text))
         await writer.drain()
@@ -407,6 +415,7 @@
         self.ip = case.network + str(index + 1)
         self.process = None
         self.starts = 0
+        self.misses = 0  # of readiness, in a row
 
     def settings(self):
         listen = {k: "%s:%d" % (self.ip, p) for k, p in PORTS.items()}
@@ -530,8 +539,8 @@
 class Case:
     """A small deployment, from start to end."""
 
-    def __init__(self, folder, services, teams=False, zones=("hall-a",)):
-        self.record = Record(folder)
+    def __init__(self, record_path, services, teams=False, zones=("hall-a",)):
+        self.record = Record(record_path)
         self.bounds = {**BOUNDS, **(TEAM_BOUNDS if teams else {})}
         self.network = choose_network(len(services))
         self.folder = tempfile.mkdtemp(prefix="jasminetray-review-")
@@ -539,6 +548,7 @@
         self.machines = [Machine(self, k + 1, s, zones[k % len(zones)])
                          for k, s in enumerate(services)]
         self.workers = []
+        self.watch = []
         self.next_id = 0
 
     async def start(self, first_config, slots=8):
@@ -556,15 +566,34 @@
             if time.monotonic() > end:
                 raise CannotRun("the nodes did not become ready")
             await asyncio.sleep(0.1)
+        self.watch = [asyncio.ensure_future(self.ask_ready(m))
+                      for m in self.machines]
+
+    async def ask_ready(self, machine):
+        """Asks once a second whether a node is ready."""
+        while True:
+            begin = time.monotonic()
+            ready = await machine.is_ready()
+            machine.misses = 0 if ready else machine.misses + 1
+            if not ready:
+                self.record.write("ready: miss %d in a row of %s" % (
+                    machine.misses, machine.name))
+            await asyncio.sleep(max(0, begin + 1 - time.monotonic()))
+
+    def gets_requests(self, machine):
+        """After two misses requesters get no new work, unless fewer than half
+        of the zone's nodes are in."""
+        zone = [m for m in self.machines if m.zone == machine.zone]
+        out = [m for m in zone if m.misses >= 2]
+        return machine not in out or 2 * len(out) > len(zone)
 
     def attempt_id(self):
         self.next_id += 1
         return "%08x%08x" % (random.randrange(1 << 32), self.next_id)
 
     def stop(self):
-        for w in self.workers:
-            for t in w.tasks:
-                t.cancel()
+        for t in [*self.watch, *(t for w in self.workers for t in w.tasks)]:
+            t.cancel()
         for m in self.machines:
             m.stop()
         if os.environ.get("KEEP") != "1":
