Repeat downloads until their first byte has gone out; end them cleanly after

The kind `download` was unknown to the adapter: its routes got one attempt, and no failure of a backend server could be repeated. That the attempt machine repeats until the first byte has gone to the caller holds as it is: up to hold_bytes are read before an answer counts.

The new test on real processes (platform_download) found a fault of the exit side that is older than the kind: `head_forwarded` was read but never set. When a backend server broke off an answer of over hold_bytes, the exit node wrote its refusal, a 503 with a head of its own, behind the part of the body that it had passed on already. Cut at 262,144 of 409,611 bytes the caller waited 5 s for the rest; cut 20 bytes before the end the caller got a complete 200 whose last bytes were those of the refusal (409,610 bytes got, 409,580 sent). The head is now noted as forwarded, and the connection closed.

--- a/src/config/config_type.hpp
+++ b/src/config/config_type.hpp
@@ -100,6 +100,7 @@
     int attempts = 0;                    ///< maximum; 0 for the node's setting
     std::string idempotent = "GET,HEAD"; ///< methods, or * for all
     idempotency_key_mode idempotency_keys = idempotency_key_mode::claim;
+    bool large_answers = false; ///< answers are usually large: downloads
     bool open = false; ///< callers need no team key, even if teams have keys
     /// Why the route could not be understood; usually empty. Its requests are
     /// refused as not run, while the rest of the configuration is in force.
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -313,6 +313,8 @@
         alive = send_answer(n, w, a, stream, y);
         const bool whole = a.parser->is_done();
         if (!whole) {
+            // A refusal after the head would count as a part of the body.
+            a.head_forwarded = true;
             a.result = work_result::lost;
             a.closed_by_worker = a.link && peer_closed(a.link->stream.socket());
         }
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -94,6 +94,8 @@
         self.shed = []  # as seen, but refused
         self.alive, self.muted = True, False
         self.notices = {}  # header fields of its answers
+        self.padding = 0  # bytes added to each answer
+        self.cut_after = None  # bytes of an answer's body before it breaks off
         self.notices_in_health = True
         self.said = []  # (time, notices) whenever answers named other ones
         self.connections = set()
@@ -136,7 +138,8 @@
                         worker.said.append((time.monotonic(), notices))
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
-                self.wfile.write(body)
+                self.wfile.write(body[:worker.cut_after])
+                self.close_connection = worker.cut_after is not None
 
             def serve(self):
                 body = self.rfile.read(int(self.headers.get(
@@ -164,6 +167,7 @@
                 worker.work(request, body)
                 worker.running -= 1
                 text = ("%s by %s" % (request, worker.name)).encode()
+                text += b"x" * worker.padding
                 headers = {"X-Attempt-Id": request, "X-Server-Seal": "s",
                            **load}
                 if worker.mode == "unsealed":
--- a/test/test_platform_config.cpp
+++ b/test/test_platform_config.cpp
@@ -140,6 +140,20 @@
     EXPECT_EQ(c.routes[0].attempts, 2);
 }
 
+// Guards against downloads that get a single attempt, which the first failure
+// of a backend server ends.
+TEST(operator_config, downloads_are_idempotent)
+{
+    const auto c =
+        parse_accepted(replaced("\"non_idempotent\"", "\"download\""));
+    EXPECT_TRUE(c.warnings.empty());
+    EXPECT_TRUE(is_idempotent(c.routes[0], "GET"));
+    EXPECT_TRUE(is_idempotent(c.routes[0], "POST"));
+    EXPECT_EQ(c.routes[0].attempts, 2);
+    EXPECT_TRUE(c.routes[0].large_answers);
+    EXPECT_FALSE(c.routes[1].large_answers);
+}
+
 // Requests of an unknown kind might not be idempotent, so they must not be
 // repeated.
 TEST(operator_config, unknown_kind_gets_a_single_attempt)
