Weigh what crosses data centres by its size

Crossing cost the same 0.3 of a request's value for an answer of 400 bytes and for one of 540 KB, so that where bytes between data centres are dear, a download crossed as easily as a lookup. On by `[placement] byte_cost`, or without it at 0.06 for 1,000 bytes once the configuration has a route of the kind `download`; else nothing changes. `nan` is refused now as a value of any real setting; it passed every range before.

--- a/src/balance/placement_func.cpp
+++ b/src/balance/placement_func.cpp
@@ -171,8 +171,8 @@
     const double wait = turns * static_cast<double>(work) / target +
                         cold_delay(c, p, r, now) / target;
     return fails * (r.retryable ? p.retry_share : 1) +
-           (c.near ? 0 : p.far_share) + p.late_share * wait +
-           p.busy_share * std::min(1.0, load) +
+           (c.near ? 0 : r.far_loss.value_or(p.far_share)) +
+           p.late_share * wait + p.busy_share * std::min(1.0, load) +
            (c.probe_only ? p.ejected_share : 0) +
            (c.path_bad ? p.path_share : 0);
 }
--- a/src/balance/placement_type.hpp
+++ b/src/balance/placement_type.hpp
@@ -12,8 +12,10 @@
 /// Settings of placement. Losses are shares of a request's value.
 struct placement_policy
 {
-    bool on = false;            ///< else choose_worker() is used
-    double far_share = 0.3;     ///< loss by 5 KB between data centres
+    bool on = false;        ///< else choose_worker() is used
+    double far_share = 0.3; ///< loss by 5 KB between data centres
+    /// Loss by 1000 bytes between data centres; 0: far_share at any size.
+    double byte_cost = 0;
     double baseline_load = 0.6; ///< assumed without a recent load report
     double retry_share = 0.25;  ///< loss by a failure that is retried
     double late_share = 0.7;    ///< loss by a wait as long as the target
@@ -52,6 +54,8 @@
     /// Mean duration of work at the service's warm candidates; 0 if there are
     /// none.
     span_us warm_work = 0;
+    /// Loss by crossing to another data centre; far_share if empty.
+    std::optional<double> far_loss = std::nullopt;
 };
 
 /// Returns the expected loss at a candidate.
--- a/src/config/mechanism_type.hpp
+++ b/src/config/mechanism_type.hpp
@@ -35,14 +35,15 @@
     start_limits,        ///< keep the limits that backend servers name
     leaving_answers,     ///< drain backend servers that answer as leaving
     cold_starts,         ///< place less work on cold backend servers
+    carried_bytes,       ///< weigh what crosses data centres by its size
 };
 
-inline constexpr std::array<std::string_view, 18> mechanism_names = {
-    "doubt",           "quick-probe",     "last-resort", "late-forecast",
-    "short-first",     "placing",         "probe-work",  "refusal-memory",
-    "load-news",       "retries",         "path-guard",  "verdicts",
-    "survival",        "allowance-homes", "quarantine",  "start-limits",
-    "leaving-answers", "cold-starts"};
+inline constexpr std::array<std::string_view, 19> mechanism_names = {
+    "doubt",           "quick-probe",     "last-resort",  "late-forecast",
+    "short-first",     "placing",         "probe-work",   "refusal-memory",
+    "load-news",       "retries",         "path-guard",   "verdicts",
+    "survival",        "allowance-homes", "quarantine",   "start-limits",
+    "leaving-answers", "cold-starts",     "carried-bytes"};
 
 using mechanism_set = std::bitset<mechanism_names.size()>;
 
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -41,6 +41,13 @@
     span_us retry_after = 60 * us_per_s;  ///< sent to refused callers
 };
 
+struct placement_settings
+{
+    /// Loss by 1000 bytes between data centres, as a share of a request's
+    /// value. Without it, the configuration decides.
+    std::optional<double> byte_cost;
+};
+
 struct node_settings
 {
     std::string file;             ///< file it was read from; empty for none
@@ -74,6 +81,7 @@
     std::string safeguards_off;       ///< for tests; names separated by commas
     hosted_settings hosted;
     quarantine_settings quarantine;
+    placement_settings placement;
     experiment_settings experiment;
 };
 
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -286,6 +286,10 @@
 {
     if (auto* c = view_candidate(r.n.view, r.service_key, t.worker))
         c->in_flight = std::max(0, c->in_flight - 1);
+    if (result.kind != attempt_event_kind::unsent)
+        count_carried_bytes(r, t,
+                            r.message.body().size() +
+                                (t.parser ? t.parser->get().body().size() : 0));
     // The caller's coroutine owns the connection of an incomplete answer.
     const bool complete = t.parser && t.parser->is_done() && !t.cancelled;
     if (complete && result.reason != "echo-mismatch" &&
@@ -309,6 +313,20 @@
     return workers;
 }
 
+/// Returns the loss by crossing data centres; nothing where the size of a
+/// request and its answer does not count.
+std::optional<double> find_far_loss(const entry_request& r)
+{
+    const auto& place = r.n.placing;
+    if (place.byte_cost <= 0)
+        return std::nullopt;
+    const carrying_cost cost{place.byte_cost, place.far_share};
+    const auto bytes = expected_bytes(
+        r.n.answer_sizes, text_hash(r.route->name), r.route->large_answers,
+        static_cast<double>(r.message.body().size()));
+    return crossing_loss(cost, bytes, r.tried_workers.size());
+}
+
 placement_request make_placement_request(entry_request& r,
                                          const entry_attempt& t)
 {
@@ -324,6 +342,7 @@
         it->second = next_position(it->second);
         p.idle_draw = it->second;
     }
+    p.far_loss = find_far_loss(r);
     return p;
 }
 
@@ -366,6 +385,8 @@
         return false;
     t.worker = x.id;
     t.exit = x.exit;
+    t.far = !x.near;
+    const auto far_loss = find_far_loss(r);
     t.boot = node->second.record.boot;
     t.address = node->second.record.address;
     ++x.in_flight;
@@ -378,6 +399,9 @@
             node->second.record.name + " cost=" + std::to_string(c->cost) +
             " other_cost=" + std::to_string(c->other_cost) +
             (x.probe_only ? " trickle=1" : "") +
+            (far_loss ? " far=" + std::to_string(t.far ? 1 : 0) +
+                            " far_loss=" + std::to_string(*far_loss)
+                      : "") +
             (mono_now() < x.cold_until ? " cold=1" : ""));
     return true;
 }
@@ -423,6 +447,14 @@
     return connection;
 }
 
+void count_carried_bytes(entry_request& r, const entry_attempt& t,
+                         std::size_t bytes)
+{
+    if (t.far && bytes > 0)
+        increment_bounded(r.n.metrics.carried_bytes, r.route->name,
+                          static_cast<double>(bytes));
+}
+
 void entry_request::queue_event(attempt_event e)
 {
     event_queue.push_back(std::move(e));
--- a/src/node/entry_request.hpp
+++ b/src/node/entry_request.hpp
@@ -27,6 +27,7 @@
     bool cancelled = false;
     bool may_probe = false;   ///< may go to a suspect backend server
     bool is_fallback = false; ///< goes to a suspect, which admits it
+    bool far = false;         ///< in another data centre
 };
 
 /// One request of a caller.
@@ -79,6 +80,10 @@
 /// Abandons an attempt and closes its connection.
 void cancel_attempt(entry_request& r, std::uint32_t count);
 
+/// Counts bytes that an attempt carried between data centres.
+void count_carried_bytes(entry_request& r, const entry_attempt& t,
+                         std::size_t bytes);
+
 /// Pings an exit node on a new connection.
 void start_path_probe(node_state& n, node_id exit);
 
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -157,6 +157,25 @@
     c.stream.socket().cancel(ec);
 }
 
+/// Learns the size of an answer, and counts the part of it that is streamed. An
+/// answer without a length counts as far as it is held.
+void note_answer_bytes(entry_request& r, const entry_attempt& t)
+{
+    auto& n = r.n;
+    const auto held = t.parser->get().body().size();
+    const auto length = t.parser->content_length();
+    const auto bytes = t.parser->is_done() || !length
+                           ? held
+                           : std::max(held, static_cast<std::size_t>(*length));
+    count_carried_bytes(r, t, bytes - held);
+    constexpr unsigned first_failure = 300; // says nothing about answers
+    if (n.placing.byte_cost > 0 &&
+        t.parser->get().result_int() < first_failure &&
+        r.message.method() != http::verb::head)
+        add_answer_bytes(n.answer_sizes, text_hash(r.route->name),
+                         static_cast<double>(bytes), mono_now());
+}
+
 /// @return whether the connection can be reused
 bool deliver_answer(entry_request& r, std::uint32_t number, caller& c,
                     const yield& y)
@@ -164,6 +183,7 @@
     auto& n = r.n;
     auto& t = r.attempts[number - 1];
     auto& answer = t.parser->get();
+    note_answer_bytes(r, t);
     strip_hop_fields(answer);
     if (!n.dialect.preserve_request_id)
         answer.erase(to_beast_view(n.dialect.request));
--- a/src/node/fleet_update.cpp
+++ b/src/node/fleet_update.cpp
@@ -58,6 +58,29 @@
     return changed;
 }
 
+/// Derives the cost of bytes between data centres from the settings and the
+/// configuration.
+void update_byte_cost(node_state& n)
+{
+    if (!n.settings.experiment.is_enabled(mechanism::carried_bytes))
+        return;
+    const auto& setting = n.settings.placement.byte_cost;
+    const auto& routes = n.config->routes;
+    const bool large_answers =
+        std::any_of(routes.begin(), routes.end(),
+                    [](const auto& r) { return r.large_answers; });
+    const double cost = byte_cost_in_force(setting, large_answers);
+    if (cost == n.placing.byte_cost)
+        return;
+    n.placing.byte_cost = cost;
+    n.events.write(
+        event_id::byte_cost_changed, n.settings.name,
+        "byte_cost=" + std::to_string(cost) +
+            " source=" + (setting ? "setting" : "configuration") +
+            " large_answers=" + std::to_string(large_answers ? 1 : 0) +
+            " version=" + std::to_string(n.config->version));
+}
+
 } // namespace
 
 void apply_member_updates(node_state& n,
@@ -103,6 +126,7 @@
     for (std::size_t k = 0; k < n.config->services.size(); ++k)
         n.service_positions[service_of(n.config->services[k].name)] = k;
     refresh_ejection_policies(n);
+    update_byte_cost(n);
     apply_all_ejections(n);
 }
 
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -35,6 +35,11 @@
                       "Work at this node's gate by decision.");
     m->ejection_steps = counter(r, "jasminetray_verdicts_total",
                                 "Verdicts on backend servers by step.");
+    m->carried_bytes.family = counter(
+        r, "jasminetray_carried_bytes_total",
+        "Bytes of bodies that this entry node sent to and received from other "
+        "data centres, by route.");
+    m->carried_bytes.label = "route";
     m->datagrams = counter(r, "jasminetray_datagrams_total",
                            "Datagrams received by fate.");
     m->check_ins = counter(r, "jasminetray_check_ins_total",
@@ -96,6 +101,16 @@
     family.Add({{label, value}}).Increment();
 }
 
+void increment_bounded(bounded_counter& c, const std::string& value, double by)
+{
+    const bool known =
+        c.values.count(value) != 0 || c.values.size() < max_label_values;
+    auto& x = known ? c.values[value] : c.values["other"];
+    if (x == nullptr)
+        x = &c.family->Add({{c.label, known ? value : "other"}});
+    x->Increment(by);
+}
+
 std::string metrics_text(const node_metrics& m)
 {
     std::ostringstream out;
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -1,5 +1,6 @@
-// Prometheus metrics. Label values come from fixed sets and never from callers,
-// which bounds the number of time series.
+// Prometheus metrics. Label values come from fixed sets or, in a bounded
+// number, from the configuration, and never from callers, which bounds the
+// number of time series.
 #pragma once
 
 #include <memory>
@@ -8,9 +9,22 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <string>
+#include <unordered_map>
 
 namespace jasminetray {
 
+/// Counters by a label whose values change with the configuration.
+struct bounded_counter
+{
+    prometheus::Family<prometheus::Counter>* family = nullptr;
+    std::string label;
+    // Invariant: size <= max_label_values + 1; all further values count as
+    // "other".
+    std::unordered_map<std::string, prometheus::Counter*> values;
+};
+
+inline constexpr std::size_t max_label_values = 256;
+
 struct node_metrics
 {
     prometheus::Registry registry;
@@ -20,6 +34,7 @@
     prometheus::Family<prometheus::Counter>* ejection_steps; ///< by step
     prometheus::Family<prometheus::Counter>* datagrams;      ///< by fate
     prometheus::Family<prometheus::Counter>* check_ins;      ///< by fate
+    bounded_counter carried_bytes;                           ///< by route
     prometheus::Counter* bytes_in;                           ///< of datagrams
     prometheus::Counter* bytes_out;                          ///< of datagrams
     prometheus::Histogram* duration;  ///< seconds, at the entry side
@@ -44,6 +59,8 @@
 void increment_counter(prometheus::Family<prometheus::Counter>& family,
                        const std::string& label, const std::string& value);
 
+void increment_bounded(bounded_counter& c, const std::string& value, double by);
+
 /// Returns all metrics in the Prometheus text format.
 std::string metrics_text(const node_metrics& m);
 
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "attempt/attempt_type.hpp"
+#include "balance/carried_bytes.hpp"
 #include "balance/load_update.hpp"
 #include "balance/placement_type.hpp"
 #include "balance/view_type.hpp"
@@ -204,6 +205,7 @@
     balance_policy balance;
     placement_policy placing;
     load_update_policy load_updates;
+    carried_bytes answer_sizes; ///< learned while placing.byte_cost > 0
     /// Time of the newest failure returned to a caller.
     mono_us last_failure_reported_at = 0;
     std::unordered_map<node_id, connection_pool> exit_connections;
--- a/src/table/config_table.hpp
+++ b/src/table/config_table.hpp
@@ -14,7 +14,7 @@
 inline bool set_real(double& member, std::string_view s, double min, double max)
 {
     const auto n = parse_double(s);
-    if (!n || *n < min || *n > max)
+    if (!n || !(*n >= min && *n <= max)) // also rejects "nan"
         return false;
     member = *n;
     return true;
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -101,6 +101,10 @@
         "A stopping node asked other nodes for retry tokens because its own "
         "share of the allowance was spent.",
         "None; few granted tokens mean that the fleet's allowance is used up."},
+    event_row{event_id::byte_cost_changed, "byte_cost_changed",
+              "The cost of bytes between data centres in force has changed.",
+              "None; `source` says whether the setting or the configuration "
+              "decided."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "The evidence against a backend server exceeded its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -441,6 +441,20 @@
                   },
                   "seconds",
                   "retry delay sent to callers of a quarantined request"}},
+    settings_row{"placement",
+                 {"byte_cost",
+                  [](node_settings& s, std::string_view v) {
+                      constexpr double max_loss = 10; // by 1000 bytes
+                      double cost = 0;
+                      if (!set_real(cost, v, 0, max_loss))
+                          return false;
+                      s.placement.byte_cost = cost;
+                      return true;
+                  },
+                  "0 to 10, share of a request's value for each 1000 bytes",
+                  "cost of bytes between data centres, hosted nodes only; 0: "
+                  "the same cost at any size; if not set, 0.06 once the "
+                  "configuration has a route with large answers, else 0"}},
     settings_row{"experiment",
                  {"off",
                   [](node_settings& s, std::string_view v) {
--- a/test/test_config.cpp
+++ b/test/test_config.cpp
@@ -212,6 +212,30 @@
     EXPECT_FALSE(read_setting("experiment", "scale = unknown:2"));
 }
 
+// Guards against a cost that makes other data centres attractive, or that no
+// comparison holds for.
+TEST(settings, byte_cost_outside_its_range_is_refused)
+{
+    const auto unset = read_setting("placement", "");
+    ASSERT_TRUE(unset);
+    EXPECT_FALSE(unset->placement.byte_cost);
+    const auto set = read_setting("placement", "byte_cost = 0.07");
+    ASSERT_TRUE(set);
+    EXPECT_EQ(set->placement.byte_cost, 0.07);
+    EXPECT_EQ(read_setting("placement", "byte_cost = 0")->placement.byte_cost,
+              0.0);
+    for (const std::string bad : {"-0.1", "10.1", "nan", "inf", "1 KB", ""})
+        EXPECT_FALSE(read_setting("placement", "byte_cost = " + bad)) << bad;
+    const auto file = testing::TempDir() + "/byte_cost.ini";
+    std::ofstream(file) << "[placement]\nbyte_cost = -1\n";
+    config_error error;
+    EXPECT_FALSE(read_settings(file, error));
+    EXPECT_EQ(error.text(),
+              file +
+                  ":2: bad value '-1' for byte_cost: expected 0 to 10, share "
+                  "of a request's value for each 1000 bytes");
+}
+
 TEST(settings, errors_include_file_and_line)
 {
     const auto file = testing::TempDir() + "/settings.ini";
