Count a request from its first byte, so that a stop waits for its turn

A node that got SIGTERM counted requests as in flight only from their first attempt. Requests that waited for their team's next token, or whose body was still being read, weren't counted; the node took itself for idle after the time to drain, ended, and closed their connections.

One count now covers a request from its first byte to the last byte of its answer; the stop reads it. A request whose token comes after the end of the drain is refused at once as not run, with a Retry-After. One that waited while the stop began gets the shortened deadline. The limit on requests at the entry side reads the same count.

--- a/src/node/caller_read.cpp
+++ b/src/node/caller_read.cpp
@@ -178,6 +178,7 @@
     const auto limits = n.config ? n.config->limits : caller_limits{};
     if (!wait_for_request(stream, buf, limits.idle_us, y))
         return r;
+    r.open.emplace(n);
     request_parser parser;
     parser.header_limit(static_cast<std::uint32_t>(
         std::min<std::int64_t>(limits.header_bytes, INT32_MAX)));
--- a/src/node/caller_read.hpp
+++ b/src/node/caller_read.hpp
@@ -4,14 +4,16 @@
 #pragma once
 
 #include "node/entry_refusal.hpp"
+#include "node/open_call.hpp"
 
 namespace jasminetray {
 
-/// Result of reading; both are empty when the caller disconnected.
+/// Result of reading; the first two are empty when the caller disconnected.
 struct read_result
 {
     std::optional<string_request> message; ///< a complete request
     std::optional<refusal> refused;        ///< sent before closing
+    std::optional<open_call> open; ///< set from the first byte of a request
 };
 
 /// Reads the next request.
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -124,7 +124,7 @@
     }
     // The limit per service keeps one with hanging backend servers from
     // exhausting the node's limit.
-    if (n.in_flight >= n.settings.max_in_flight ||
+    if (n.in_flight > n.settings.max_in_flight ||
         n.in_flight_by_service[name] >= n.settings.service_in_flight) {
         x.event = event_id::refused_overload;
         x.reason = "entry-full";
@@ -347,8 +347,9 @@
 {
     auto& n = r->n;
     auto& in_flight_of_service = n.in_flight_by_service[r->service->name];
-    ++n.in_flight;
     ++in_flight_of_service;
+    // The node may have begun to stop while the request waited for its grant.
+    r->machine.deadline = std::min(r->machine.deadline, n.last_answer_at);
     watch_caller(r, c);
     n.open_requests.insert(r.get());
     const auto delivered = run_state_machine(r, y);
@@ -363,7 +364,6 @@
         keep = deliver_answer(*r, delivered, c, y);
     else if (r->machine.outcome != final_outcome::disconnected)
         keep = send_refusal(n, c, r->id, r->label, final_refusal(*r), y);
-    --n.in_flight;
     --in_flight_of_service;
     return keep;
 }
--- a/src/node/entry_team.cpp
+++ b/src/node/entry_team.cpp
@@ -130,13 +130,22 @@
                                 static_cast<double>(r.route->target_us));
 }
 
-void wait_for(node_state& n, span_us wait, const yield& y)
+/// Waits for the team's next token, unless the node stops before.
+/// @return whether the request may proceed
+bool wait_for_token(node_state& n, span_us wait, const yield& y)
 {
+    const auto until = mono_now() + wait;
+    if (until >= n.refuse_at)
+        return false;
     if (wait <= 0)
-        return;
-    asio::steady_timer timer(n.ctx, std::chrono::microseconds(wait));
+        return true;
+    grant_wait w{asio::steady_timer(n.ctx, std::chrono::microseconds(wait)),
+                 until};
+    n.grant_waits.insert(&w);
     beast::error_code ec;
-    timer.async_wait(y[ec]);
+    w.timer.async_wait(y[ec]);
+    n.grant_waits.erase(&w);
+    return !ec;
 }
 
 } // namespace
@@ -248,8 +257,10 @@
             take_fallback_allowance(n.fallback_allowances, r.team_hash, r.limit,
                                     make_allowance_policy(n), mono_now());
     if (answer->granted) {
-        wait_for(n, answer->wait, y);
-        return std::nullopt;
+        if (wait_for_token(n, answer->wait, y))
+            return std::nullopt;
+        return refuse(http::status::service_unavailable,
+                      event_id::refused_not_run, "stopping", us_per_s);
     }
     auto refused =
         refuse(http::status::too_many_requests, event_id::refused_team_limit,
@@ -258,6 +269,14 @@
     return refused;
 }
 
+void refuse_late_grants(node_state& n)
+{
+    for (auto* w : n.grant_waits) {
+        if (w->until >= n.refuse_at)
+            w->timer.cancel();
+    }
+}
+
 bool serve_grant_request(node_state& n, const string_request& m,
                          beast::tcp_stream& to, const yield& y)
 {
--- a/src/node/entry_team.hpp
+++ b/src/node/entry_team.hpp
@@ -26,6 +26,9 @@
 std::optional<refusal> acquire_grant(node_state& n, const entry_request& r,
                                      const yield& y);
 
+/// Refuses the requests whose token comes too late for a node that stops.
+void refuse_late_grants(node_state& n);
+
 /// Answers another node's grant request.
 /// @return false when the connection cannot be reused
 bool serve_grant_request(node_state& n, const string_request& m,
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -29,6 +29,7 @@
 #include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <cassert>
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -482,8 +483,14 @@
     close_listeners(p);
     const bool idle =
         p.state.in_flight == 0 && gate_pending_count(p.state.local_gate) == 0;
-    if (idle || now >= p.stop_at)
-        p.ctx.stop();
+    if (!idle && now < p.stop_at)
+        return;
+    if (p.state.in_flight > 0) {
+        p.events.write(event_id::callers_cut, p.settings.name,
+                       "requests=" + std::to_string(p.state.in_flight));
+        p.state.in_flight = 0;
+    }
+    p.ctx.stop();
 }
 
 void tick(node_parts& p)
@@ -528,6 +535,7 @@
     p.state.refuse_at = p.close_listeners_at;
     p.state.last_answer_at = p.stop_at - answer_margin;
     shorten_deadlines(p.state);
+    refuse_late_grants(p.state);
     publish_self(p.state);
     p.control_plane->leave();
 }
@@ -597,6 +605,7 @@
                    "data_centre=" + s.centre);
     write_ready_file(p);
     p.ctx.run();
+    assert(p.state.in_flight == 0); // or was logged
     // Exits without joining threads: calls to the store may block for seconds,
     // beyond the platform's grace period, and no state is left to save.
     p.log.flush(log_flush_ms);
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -95,6 +95,13 @@
     bool caller_left = false;
 };
 
+/// A request that waits for its team's next token.
+struct grant_wait
+{
+    asio::steady_timer timer; ///< cancelled to refuse the request
+    mono_us until = 0;
+};
+
 /// A query for peers' statistics of a backend server, until all replies
 /// arrived.
 struct peer_query
@@ -209,8 +216,9 @@
     std::unordered_map<node_id, connection_pool> exit_connections;
     std::unordered_map<std::string, retry_budget> retry_budgets;
     std::unordered_map<std::string, int> in_flight_by_service;
-    int in_flight = 0;
-    allowance_table local_allowances; ///< of teams without keys
+    int in_flight = 0; ///< requests that callers wait for; see open_call
+    std::set<grant_wait*> grant_waits; ///< of requests in flight
+    allowance_table local_allowances;  ///< of teams without keys
     /// Position of each route's next request within its traffic split.
     std::unordered_map<std::string, double> split_positions;
     /// Position of each service's next idempotent request in the sequence that
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -101,6 +101,10 @@
         "A stopping node asked other nodes for retry tokens because its own "
         "share of the allowance was spent.",
         "None; few granted tokens mean that the fleet's allowance is used up."},
+    event_row{event_id::callers_cut, "callers_cut",
+              "The time of a node to stop was over while callers still waited "
+              "for answers; their connections were closed.",
+              "Compare [limits] stop_ms with the platform's grace period."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "The evidence against a backend server exceeded its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
