--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -39,6 +39,7 @@
     request_shortened = 1028,
     refused_quarantined = 1029,
     retries_borrowed = 1030,
+    callers_cut = 1035,
     byte_cost_changed = 1038,
     worker_ejected = 2001,
     worker_returned = 2002,
