Take no memory for named lengths, and confine exceptions

An answer that names a Content-Length beyond all memory made the library's string body reserve it. std::bad_alloc was thrown in an operation that runs from the I/O loop, not on the coroutine's stack, left io_context::run() and ended the node, with the requests that it held for sound backend servers.

Bodies grow with the bytes that arrive (arriving_body); lack of memory is an error of the read. Coroutines, the loop, calls on the pool and calls of the store are guarded: an exception ends one request or one connection, with event 6006 and a counter. What a coroutine holds is given back by on_exit, as the library destroys the one whose operation threw.

Exceptions on a coroutine's own stack ended no process before: they were dropped without a line in the log.

--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -93,6 +93,7 @@
     log_lines_dropped = 6003,
     settings_reloaded = 6004,
     settings_refused = 6005,
+    handler_failed = 6006,
 };
 
 /// Subject area of an event. Each family has its own ring, so that a flood of
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,6 +1,8 @@
 // Blocking HTTP call on Boost.Beast.
 #include "http/http_client.hpp"
 
+#include "http/arriving_body.hpp"
+
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -41,7 +43,7 @@
     return message;
 }
 
-http_response make_response(const http::response<http::string_body>& message)
+http_response make_response(const http::response<arriving_body>& message)
 {
     http_response result;
     result.status = message.result_int();
@@ -55,10 +57,8 @@
     return result;
 }
 
-} // namespace
-
-std::optional<http_response> send_http_request(const http_request& request,
-                                               http_error& error)
+std::optional<http_response> exchange(const http_request& request,
+                                      http_error& error)
 {
     asio::io_context ctx;
     beast::tcp_stream stream(ctx);
@@ -75,7 +75,7 @@
             ctx, [&](auto done) { http::async_write(stream, message, done); }))
         return std::nullopt;
     beast::flat_buffer buf;
-    http::response_parser<http::string_body> parser;
+    http::response_parser<arriving_body> parser;
     parser.body_limit(max_body_bytes);
     if (!run_operation(ctx, [&](auto done) {
             http::async_read(stream, buf, parser, done);
@@ -85,4 +85,19 @@
     return make_response(parser.get());
 }
 
+} // namespace
+
+std::optional<http_response> send_http_request(const http_request& request,
+                                               http_error& error)
+{
+    error = http_error::not_sent;
+    try {
+        return exchange(request, error);
+    } catch (const std::exception&) { // no memory for the message
+        if (error == http_error::none)
+            error = http_error::no_answer;
+        return std::nullopt;
+    }
+}
+
 } // namespace jasminetray
--- a/src/node/caller_read.cpp
+++ b/src/node/caller_read.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-using request_parser = http::request_parser<http::string_body>;
-
 constexpr span_us body_timeout = 30 * us_per_s;
 
 refusal bad_request(http::status status, const char* reason)
@@ -30,6 +28,13 @@
                            "head-too-large");
     if (ec == http::error::body_limit)
         return bad_request(http::status::payload_too_large, "body-too-large");
+    // Nothing was passed on; the connection is closed, as the body is unread.
+    if (ec == boost::system::errc::not_enough_memory) {
+        refusal x;
+        x.event = event_id::refused_overload;
+        x.reason = "no-memory";
+        return x;
+    }
     const auto& parser_category =
         http::make_error_code(http::error::bad_method).category();
     if (ec.category() == parser_category && ec != http::error::end_of_stream &&
--- a/src/node/crash_watch.cpp
+++ b/src/node/crash_watch.cpp
@@ -2,6 +2,7 @@
 #include "node/crash_watch.hpp"
 
 #include "base/text_func.hpp"
+#include "node/guard_func.hpp"
 #include "node/http_func.hpp"
 #include "node/quarantine_driver.hpp"
 
@@ -99,9 +100,8 @@
     if (!closed || w.crash_check_pending)
         return;
     w.crash_check_pending = true;
-    asio::spawn(
-        n.ctx, [&n, id](const yield& y) { check_process(n, id, y); },
-        asio::detached);
+    spawn_guarded(n, "crash-check",
+                  [&n, id](const yield& y) { check_process(n, id, y); });
 }
 
 void handle_worker_replaced(node_state& n, local_worker& w)
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -1,7 +1,9 @@
 // Network I/O of attempts: connections, pings, messages and answers.
 #include "attempt/attempt_func.hpp"
+#include "base/on_exit.hpp"
 #include "base/text_func.hpp"
 #include "node/entry_request.hpp"
+#include "node/guard_func.hpp"
 #include "node/http_func.hpp"
 #include "node/quarantine_driver.hpp"
 #include "node/worker_notice_type.hpp"
@@ -13,6 +15,8 @@
 constexpr span_us connect_timeout = 250 * us_per_ms;
 constexpr span_us ping_timeout = 100 * us_per_ms;
 constexpr span_us revoke_timeout = 80 * us_per_ms;
+/// Of attempts that an exception ended.
+constexpr char internal_reason[] = "internal";
 
 /// Result of an attempt.
 struct attempt_result
@@ -289,10 +293,11 @@
     // The caller's coroutine owns the connection of an incomplete answer.
     const bool complete = t.parser && t.parser->is_done() && !t.cancelled;
     if (complete && result.reason != "echo-mismatch" &&
+        result.reason != internal_reason &&
         is_reusable(*t.connection, t.parser->keep_alive())) {
         return_connection(r.n.exit_connections[t.exit], std::move(t.connection),
                           max_idle_exit_connections, mono_now());
-    } else if (complete || t.cancelled) {
+    } else if (complete || t.cancelled || result.reason == internal_reason) {
         t.connection.reset();
     }
 }
@@ -470,16 +475,19 @@
     if (!select_target(*r, t, count))
         return r->queue_event({attempt_event_kind::no_worker, count,
                                t.is_fallback ? "" : "no-worker"});
-    asio::spawn(
-        r->n.ctx,
-        [r, &t, count, new_connection](const yield& y) {
-            const auto result = run_attempt(*r, t, count, new_connection, y);
-            finish_attempt(*r, t, result);
-            if (!t.cancelled)
-                r->queue_event(
-                    {result.kind, count, result.reason, result.reached});
-        },
-        asio::detached);
+    spawn_guarded(
+        r->n, "attempt", [r, &t, count, new_connection](const yield& y) {
+            attempt_result result{attempt_event_kind::lost, internal_reason};
+            const on_exit finish([&] {
+                run_guarded(r->n, "attempt", [&] {
+                    finish_attempt(*r, t, result);
+                    if (!t.cancelled)
+                        r->queue_event({result.kind, count, result.reason,
+                                        result.reached});
+                });
+            });
+            result = run_attempt(*r, t, count, new_connection, y);
+        });
 }
 
 void start_revoke(const std::shared_ptr<entry_request>& r, std::uint32_t count)
@@ -528,16 +536,15 @@
     entry_attempt t;
     t.exit = exit;
     t.address = it->second.record.address;
-    asio::spawn(
-        n.ctx,
+    spawn_guarded(
+        n, "path-probe",
         [&n,
          t = std::make_shared<entry_attempt>(std::move(t))](const yield& y) {
             auto connection =
                 connect_exit(n, t->address, mono_now() + connect_timeout, y);
             record_path_result(
                 n, t->exit, !connection || !ping(n, *connection, t->exit, y));
-        },
-        asio::detached);
+        });
 }
 
 } // namespace jasminetray
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -2,6 +2,7 @@
 #include "node/entry_server.hpp"
 
 #include "attempt/attempt_func.hpp"
+#include "base/on_exit.hpp"
 #include "base/random_func.hpp"
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
@@ -10,6 +11,7 @@
 #include "node/entry_refusal.hpp"
 #include "node/entry_stop.hpp"
 #include "node/entry_team.hpp"
+#include "node/guard_func.hpp"
 #include "node/http_func.hpp"
 #include "node/idempotency_key.hpp"
 #include "node/quarantine_driver.hpp"
@@ -33,12 +35,14 @@
 {
     beast::tcp_stream& stream;
     bool keep_alive = true;
+    bool answer_begun = false; ///< bytes of the current answer may be sent
 };
 
 bool send(caller& c, string_response m, const yield& y)
 {
     m.keep_alive(c.keep_alive);
     m.prepare_payload();
+    c.answer_begun = true;
     c.stream.expires_after(std::chrono::microseconds(write_timeout));
     beast::error_code ec;
     http::async_write(c.stream, m, y[ec]);
@@ -177,6 +181,7 @@
                         " attempts=" + std::to_string(r.attempts.size()) +
                         " us=" + std::to_string(mono_now() - r.received_at));
     if (!t.parser->is_done()) {
+        c.answer_begun = true;
         if (relay_answer(*t.connection, *t.parser, answer.base(), c.stream,
                          write_timeout, y))
             return c.keep_alive;
@@ -188,8 +193,9 @@
     if (r.message.method() != http::verb::head)
         return send(c, std::move(m), y);
     m.keep_alive(c.keep_alive);
+    c.answer_begun = true;
     beast::error_code ec;
-    http::response_serializer<http::string_body> s(m);
+    http::response_serializer<arriving_body> s(m);
     http::async_write_header(c.stream, s, y[ec]);
     return !ec && c.keep_alive;
 }
@@ -349,8 +355,14 @@
     auto& in_flight_of_service = n.in_flight_by_service[r->service->name];
     ++n.in_flight;
     ++in_flight_of_service;
-    watch_caller(r, c);
     n.open_requests.insert(r.get());
+    const on_exit leave([&n, &r, &in_flight_of_service] {
+        n.open_requests.erase(r.get());
+        r->watching_caller = false;
+        --n.in_flight;
+        --in_flight_of_service;
+    });
+    watch_caller(r, c);
     const auto delivered = run_state_machine(r, y);
     n.open_requests.erase(r.get());
     unwatch_caller(*r, c);
@@ -363,8 +375,6 @@
         keep = deliver_answer(*r, delivered, c, y);
     else if (r->machine.outcome != final_outcome::disconnected)
         keep = send_refusal(n, c, r->id, r->label, final_refusal(*r), y);
-    --n.in_flight;
-    --in_flight_of_service;
     return keep;
 }
 
@@ -393,6 +403,29 @@
     return run_request(r, c, y);
 }
 
+/// Handles a request; one whose handling throws is answered, if that is still
+/// possible, with a status that does not say whether the work ran.
+bool handle_guarded(node_state& n, string_request message, caller& c,
+                    const yield& y)
+{
+    c.answer_begun = false;
+    bool keep = false;
+    if (run_guarded(n, "request", [&] {
+            keep = handle_request(n, std::move(message), c, y);
+        }))
+        return keep;
+    c.keep_alive = false;
+    if (c.answer_begun)
+        return false;
+    refusal x;
+    x.status = http::status::internal_server_error;
+    x.outcome = final_outcome::unknown;
+    x.event = event_id::handler_failed;
+    x.reason = "internal";
+    const request_id id{n.self.id, n.next_request++};
+    return send_refusal(n, c, id, to_text(id), x, y);
+}
+
 } // namespace
 
 void serve_caller(node_state& n, beast::tcp_stream stream, const yield& y)
@@ -409,7 +442,7 @@
         if (!r.message)
             break;
         c.keep_alive = r.message->keep_alive() && !n.stopping;
-        if (!handle_request(n, std::move(*r.message), c, y))
+        if (!handle_guarded(n, std::move(*r.message), c, y))
             break;
     }
     beast::error_code ec;
--- a/src/node/entry_stop.cpp
+++ b/src/node/entry_stop.cpp
@@ -2,9 +2,11 @@
 #include "node/entry_stop.hpp"
 
 #include "attempt/attempt_func.hpp"
+#include "base/on_exit.hpp"
 #include "base/text_func.hpp"
 #include "limit/limit_type.hpp"
 #include "node/entry_budget.hpp"
+#include "node/guard_func.hpp"
 #include "node/http_func.hpp"
 #include "node/peer_request.hpp"
 
@@ -48,9 +50,8 @@
 
 void start_notice(node_state& n, node_id exit, exit_attempts group)
 {
-    asio::spawn(
-        n.ctx,
-        [&n, exit, group = std::move(group)](const yield& y) {
+    spawn_guarded(
+        n, "stop-notice", [&n, exit, group = std::move(group)](const yield& y) {
             const bool delivered = notify_exit(n, exit, group, y);
             for (const auto& label : group.labels)
                 n.events.write(
@@ -59,8 +60,7 @@
                         " told=" + (delivered ? "1" : "0") + " left_ms=" +
                         std::to_string((n.last_answer_at - mono_now()) /
                                        us_per_ms));
-        },
-        asio::detached);
+        });
 }
 
 /// Returns the expected duration of a request's work. The server's baseline
@@ -180,13 +180,11 @@
         if (count <= 0 || !loans->pending.insert(service).second)
             continue;
         const retry_loan loan{service_of(service), count};
-        asio::spawn(
-            n.ctx,
-            [&n, loans, name = service, loan](const yield& y) {
+        spawn_guarded(
+            n, "retry-loan", [&n, loans, name = service, loan](const yield& y) {
+                const on_exit done([&] { loans->pending.erase(name); });
                 borrow_retries(n, name, loan, y);
-                loans->pending.erase(name);
-            },
-            asio::detached);
+            });
     }
 }
 
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -1,6 +1,7 @@
 // Implementation of the exit side; see exit_server.hpp.
 #include "node/exit_server.hpp"
 
+#include "base/on_exit.hpp"
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
 #include "gate/gate_query.hpp"
@@ -9,6 +10,7 @@
 #include "node/crash_watch.hpp"
 #include "node/entry_stop.hpp"
 #include "node/entry_team.hpp"
+#include "node/guard_func.hpp"
 #include "node/health_driver.hpp"
 #include "node/http_func.hpp"
 #include "node/peer_request.hpp"
@@ -140,6 +142,8 @@
     auto admission =
         std::make_shared<pending_admission>(n.ctx, w.request.deadline);
     n.pending_admissions[w.request.attempt] = admission;
+    const on_exit forget(
+        [&n, a = w.request.attempt] { n.pending_admissions.erase(a); });
     stream.socket().async_wait(
         tcp::socket::wait_read, [admission, &stream](beast::error_code ec) {
             if (ec || admission->decision || !peer_closed(stream.socket()))
@@ -300,11 +304,31 @@
            " target=" + target.substr(0, max_logged_target);
 }
 
+/// Frees the slot of work whose handling an exception has ended.
+void abandon_work(node_state& n, const exit_request& w, worker_exchange& a,
+                  mono_us started_at)
+{
+    const auto now = mono_now();
+    gate_finish(n.local_gate, w.request, work_result::lost, now - started_at,
+                now);
+    if (a.result == work_result::answered) {
+        a.result = work_result::lost;
+        finish_on_worker(n, w.request, a, false);
+    }
+    advance_gate(n, w.request.worker);
+}
+
 bool execute_admitted(node_state& n, exit_request& w, beast::tcp_stream& stream,
                       const yield& y)
 {
     const auto started_at = mono_now();
-    auto a = execute_on_worker(n, w.message, w.request, w.source, stream, y);
+    worker_exchange a;
+    bool finished = false;
+    const on_exit abandon([&] {
+        if (!finished)
+            run_guarded(n, "work", [&] { abandon_work(n, w, a, started_at); });
+    });
+    a = execute_on_worker(n, w.message, w.request, w.source, stream, y);
     // Done before the response is sent, as the response carries the estimate.
     record_gate_outcome(n, w.request.worker, a.outcome,
                         mono_now() - started_at);
@@ -324,6 +348,7 @@
     }
     const auto now = mono_now();
     gate_finish(n.local_gate, w.request, a.result, now - started_at, now);
+    finished = true;
     n.events.write(
         event_id::work_ended, logged_id(n, w),
         "worker=" + worker_name(n, w.request.worker) +
@@ -407,7 +432,7 @@
     beast::flat_buffer buf;
     bool alive = true;
     while (alive) {
-        http::request_parser<http::string_body> parser;
+        request_parser parser;
         parser.body_limit(static_cast<std::uint64_t>(n.settings.max_body));
         stream.expires_after(
             std::chrono::microseconds(connection_idle_timeout));
--- a/src/node/hosted_worker.cpp
+++ b/src/node/hosted_worker.cpp
@@ -1,10 +1,12 @@
 // Probes and check-ins of a hosted backend server; see hosted_worker.hpp.
 #include "node/hosted_worker.hpp"
 
+#include "base/on_exit.hpp"
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
 #include "gate/gate_query.hpp"
 #include "node/exit_server.hpp"
+#include "node/guard_func.hpp"
 #include "node/http_func.hpp"
 
 namespace jasminetray {
@@ -141,17 +143,15 @@
     const tcp::endpoint to(asio::ip::make_address_v4(at->ip), at->port);
     const auto path = health_path_of(
         n, h.candidate ? h.candidate->service : n.settings.hosted.service);
-    asio::spawn(
-        n.ctx,
-        [&n, to, path](const yield& y) {
-            const auto p = probe_worker(n, to, path, y);
-            n.hosted.probing = false;
-            n.events.record(event_id::worker_probed, p.name,
-                            "reached=" + std::to_string(p.reached) +
-                                " healthy=" + std::to_string(p.healthy));
-            apply_probe_result(n, p);
-        },
-        asio::detached);
+    spawn_guarded(n, "health-probe", [&n, to, path](const yield& y) {
+        const on_exit ended([&n] { n.hosted.probing = false; });
+        const auto p = probe_worker(n, to, path, y);
+        n.hosted.probing = false;
+        n.events.record(event_id::worker_probed, p.name,
+                        "reached=" + std::to_string(p.reached) +
+                            " healthy=" + std::to_string(p.healthy));
+        apply_probe_result(n, p);
+    });
 }
 
 /// Closes the gate for an incarnation; its work in flight goes on.
--- a/src/node/http_func.hpp
+++ b/src/node/http_func.hpp
@@ -31,7 +31,7 @@
     beast::flat_buffer buf;
     bool keep = true;
     while (keep) {
-        http::request_parser<http::string_body> parser;
+        request_parser parser;
         parser.body_limit(max_request);
         stream.expires_after(idle_timeout);
         beast::error_code ec;
--- a/src/node/http_type.hpp
+++ b/src/node/http_type.hpp
@@ -4,6 +4,7 @@
 
 #include "base/id_type.hpp"
 #include "base/time_type.hpp"
+#include "http/arriving_body.hpp"
 #include "node/hop_type.hpp"
 
 #include <boost/asio/detached.hpp>
@@ -23,9 +24,10 @@
 namespace http = beast::http;
 using tcp = asio::ip::tcp;
 using yield = asio::yield_context;
-using string_request = http::request<http::string_body>;
-using string_response = http::response<http::string_body>;
-using response_parser = http::response_parser<http::string_body>;
+using string_request = http::request<arriving_body>;
+using string_response = http::response<arriving_body>;
+using request_parser = http::request_parser<arriving_body>;
+using response_parser = http::response_parser<arriving_body>;
 
 /// Header fields of callers' requests and responses.
 namespace caller_field {
--- a/src/node/idempotency_key.cpp
+++ b/src/node/idempotency_key.cpp
@@ -1,7 +1,9 @@
 // Checks idempotency keys and claims them in the table service.
 #include "node/idempotency_key.hpp"
 
+#include "base/on_exit.hpp"
 #include "base/text_func.hpp"
+#include "node/guard_func.hpp"
 #include "node/http_func.hpp"
 
 namespace jasminetray {
@@ -30,7 +32,9 @@
     auto signal = std::make_shared<asio::steady_timer>(n.ctx);
     signal->expires_at(asio::steady_timer::time_point::max());
     auto store = n.store;
-    asio::post(*n.blocking_pool, [=, &ctx = n.ctx] {
+    post_blocking(n, *n.blocking_pool, "key-claim", [=, &ctx = n.ctx] {
+        const on_exit wake(
+            [&] { asio::post(ctx, [signal] { signal->cancel(); }); });
         store_error result{};
         store.write_rows({{{key_table, row}, 0, owner, false}}, result);
         // After a lost answer or a conflict, reads the row to find its owner.
@@ -44,7 +48,6 @@
                                              : store_error::conflict;
         }
         state->error = result;
-        asio::post(ctx, [signal] { signal->cancel(); });
     });
     beast::error_code ec;
     signal->async_wait(y[ec]);
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -39,6 +39,9 @@
                            "Datagrams received by fate.");
     m->check_ins = counter(r, "jasminetray_check_ins_total",
                            "Backend servers' announcements by fate.");
+    m->handler_failures = counter(r, "jasminetray_handler_failures_total",
+                                  "Exceptions that ended the handling of a "
+                                  "request or connection, by part.");
     auto& bytes = prometheus::BuildCounter()
                       .Name("jasminetray_datagram_bytes_total")
                       .Help("Bytes of datagrams by direction.")
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -14,14 +14,15 @@
 struct node_metrics
 {
     prometheus::Registry registry;
-    prometheus::Family<prometheus::Counter>* requests;       ///< by outcome
-    prometheus::Family<prometheus::Counter>* attempts;       ///< by result
-    prometheus::Family<prometheus::Counter>* gate;           ///< by decision
-    prometheus::Family<prometheus::Counter>* ejection_steps; ///< by step
-    prometheus::Family<prometheus::Counter>* datagrams;      ///< by fate
-    prometheus::Family<prometheus::Counter>* check_ins;      ///< by fate
-    prometheus::Counter* bytes_in;                           ///< of datagrams
-    prometheus::Counter* bytes_out;                          ///< of datagrams
+    prometheus::Family<prometheus::Counter>* requests;         ///< by outcome
+    prometheus::Family<prometheus::Counter>* attempts;         ///< by result
+    prometheus::Family<prometheus::Counter>* gate;             ///< by decision
+    prometheus::Family<prometheus::Counter>* ejection_steps;   ///< by step
+    prometheus::Family<prometheus::Counter>* datagrams;        ///< by fate
+    prometheus::Family<prometheus::Counter>* check_ins;        ///< by fate
+    prometheus::Family<prometheus::Counter>* handler_failures; ///< by part
+    prometheus::Counter* bytes_in;                             ///< of datagrams
+    prometheus::Counter* bytes_out;                            ///< of datagrams
     prometheus::Histogram* duration;  ///< seconds, at the entry side
     prometheus::Histogram* gate_wait; ///< seconds, of queued work only
     prometheus::Gauge* in_flight;
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -14,6 +14,7 @@
 #include "node/exit_server.hpp"
 #include "node/experiment_func.hpp"
 #include "node/fleet_update.hpp"
+#include "node/guard_func.hpp"
 #include "node/health_driver.hpp"
 #include "node/hosted_worker.hpp"
 #include "node/quarantine_driver.hpp"
@@ -124,13 +125,14 @@
         if (!ec) {
             beast::error_code ignored;
             s.set_option(tcp::no_delay(true), ignored);
-            asio::spawn(
-                p.ctx,
-                [&p, serve, stream = beast::tcp_stream(std::move(s))](
-                    const yield& y) mutable {
-                    serve(p.state, std::move(stream), y);
-                },
-                asio::detached);
+            run_guarded(p.state, "accept", [&p, &s, serve] {
+                spawn_guarded(
+                    p.state, "connection",
+                    [&p, serve, stream = beast::tcp_stream(std::move(s))](
+                        const yield& y) mutable {
+                        serve(p.state, std::move(stream), y);
+                    });
+            });
         }
         if (a.is_open())
             accept_connections(p, a, serve);
@@ -139,19 +141,21 @@
 
 void receive_datagrams(node_parts& p)
 {
-    p.gossip.async_receive_from(asio::buffer(p.datagram), p.datagram_from,
-                                [&p](beast::error_code ec, std::size_t n) {
-                                    if (ec == asio::error::operation_aborted)
-                                        return;
-                                    const auto& from = p.datagram_from;
-                                    if (!ec && from.address().is_v4()) {
-                                        p.control_plane->handle_datagram(
-                                            std::string(p.datagram.data(), n),
-                                            from.address().to_v4().to_uint(),
-                                            from.port());
-                                    }
-                                    receive_datagrams(p);
-                                });
+    p.gossip.async_receive_from(
+        asio::buffer(p.datagram), p.datagram_from,
+        [&p](beast::error_code ec, std::size_t n) {
+            if (ec == asio::error::operation_aborted)
+                return;
+            const auto& from = p.datagram_from;
+            if (!ec && from.address().is_v4()) {
+                run_guarded(p.state, "datagram", [&] {
+                    p.control_plane->handle_datagram(
+                        std::string(p.datagram.data(), n),
+                        from.address().to_v4().to_uint(), from.port());
+                });
+            }
+            receive_datagrams(p);
+        });
 }
 
 control_callbacks make_callbacks(node_parts& p)
@@ -240,13 +244,15 @@
         if (p.open_revokes >= max_revokes)
             return asio::post(p.ctx, [done] { done(std::nullopt); });
         ++p.open_revokes;
-        asio::post(p.blocking_pool, [&p, to, a, boot, bound, done] {
-            const auto reply = call_revoke(to.ip, to.rpc_port, a, boot, bound);
-            asio::post(p.ctx, [&p, done, reply] {
-                --p.open_revokes;
-                done(reply);
-            });
-        });
+        post_blocking(p.state, p.blocking_pool, "revoke",
+                      [&p, to, a, boot, bound, done] {
+                          const auto reply =
+                              call_revoke(to.ip, to.rpc_port, a, boot, bound);
+                          asio::post(p.ctx, [&p, done, reply] {
+                              --p.open_revokes;
+                              done(reply);
+                          });
+                      });
     };
     return h;
 }
@@ -486,6 +492,27 @@
         p.ctx.stop();
 }
 
+void run_tick(node_parts& p, mono_us now)
+{
+    tick_gate(p.state, now);
+    evaluate_workers(p.state, now);
+    probe_avoided_paths(p.state, now);
+    log_freshness_change(p.state);
+    tick_quarantine(p.state);
+    if (is_hosted(p.settings)) {
+        tick_hosted_worker(p.state, now);
+        publish_load_reports(p.state, now);
+    }
+    if (now >= p.ejections_at) {
+        p.ejections_at = now + ejections_interval;
+        apply_all_ejections(p.state);
+    }
+    if (now >= p.maintenance_at) {
+        p.maintenance_at = now + maintenance_interval;
+        run_maintenance(p, now);
+    }
+}
+
 void tick(node_parts& p)
 {
     p.ticker.expires_after(std::chrono::microseconds(tick_interval));
@@ -493,23 +520,7 @@
         if (ec)
             return;
         const auto now = mono_now();
-        tick_gate(p.state, now);
-        evaluate_workers(p.state, now);
-        probe_avoided_paths(p.state, now);
-        log_freshness_change(p.state);
-        tick_quarantine(p.state);
-        if (is_hosted(p.settings)) {
-            tick_hosted_worker(p.state, now);
-            publish_load_reports(p.state, now);
-        }
-        if (now >= p.ejections_at) {
-            p.ejections_at = now + ejections_interval;
-            apply_all_ejections(p.state);
-        }
-        if (now >= p.maintenance_at) {
-            p.maintenance_at = now + maintenance_interval;
-            run_maintenance(p, now);
-        }
+        run_guarded(p.state, "tick", [&p, now] { run_tick(p, now); });
         stop_when_idle(p, now);
         tick(p);
     });
@@ -540,7 +551,8 @@
         // Records the change, so that the next tick does not reload the file
         // again.
         p.settings_file.changed();
-        reload_settings(p.settings, p.state);
+        run_guarded(p.state, "reload",
+                    [&p] { reload_settings(p.settings, p.state); });
         await_reload_signal(p);
     });
 }
@@ -596,7 +608,7 @@
     p.events.write(event_id::process_started, s.name,
                    "data_centre=" + s.centre);
     write_ready_file(p);
-    p.ctx.run();
+    run_loop(p.state);
     // Exits without joining threads: calls to the store may block for seconds,
     // beyond the platform's grace period, and no state is left to save.
     p.log.flush(log_flush_ms);
--- a/src/node/quarantine_store.cpp
+++ b/src/node/quarantine_store.cpp
@@ -3,6 +3,7 @@
 
 #include "base/random_func.hpp"
 #include "base/text_func.hpp"
+#include "node/guard_func.hpp"
 #include "node/quarantine_driver.hpp"
 #include "quarantine/quarantine_cmd.hpp"
 #include "quarantine/quarantine_row.hpp"
@@ -57,39 +58,42 @@
 
 void read_rows(node_state& n, span_us backoff)
 {
-    asio::post(*n.blocking_pool, [&n, backoff, store = n.store] {
-        store_error error{};
-        const auto list = store.list_rows(quarantine_table, error);
-        asio::post(n.ctx, [&n, backoff, list] {
-            if (list)
-                return apply_rows(n, *list);
-            run_after_backoff(n, backoff, [&n, backoff] {
-                read_rows(n, next_backoff(backoff));
+    post_blocking(
+        n, *n.blocking_pool, "quarantine-read", [&n, backoff, store = n.store] {
+            store_error error{};
+            const auto list = store.list_rows(quarantine_table, error);
+            asio::post(n.ctx, [&n, backoff, list] {
+                if (list)
+                    return apply_rows(n, *list);
+                run_after_backoff(n, backoff, [&n, backoff] {
+                    read_rows(n, next_backoff(backoff));
+                });
             });
         });
-    });
 }
 
 void write_row(node_state& n, const row_write& w, span_us backoff, int attempts)
 {
-    asio::post(*n.blocking_pool, [&n, w, backoff, attempts, store = n.store] {
-        store_error error{};
-        const bool done =
-            store.write_rows({w}, error) || error == store_error::missing;
-        asio::post(n.ctx, [&n, w, backoff, attempts, done, error] {
-            if (done)
-                return;
-            if (attempts >= max_write_attempts) {
-                n.events.write(
-                    event_id::quarantine_not_stored, w.name.key,
-                    "error=" + std::string(name_of(store_error_names, error)));
-                return;
-            }
-            run_after_backoff(n, backoff, [&n, w, backoff, attempts] {
-                write_row(n, w, next_backoff(backoff), attempts + 1);
+    post_blocking(
+        n, *n.blocking_pool, "quarantine-write",
+        [&n, w, backoff, attempts, store = n.store] {
+            store_error error{};
+            const bool done =
+                store.write_rows({w}, error) || error == store_error::missing;
+            asio::post(n.ctx, [&n, w, backoff, attempts, done, error] {
+                if (done)
+                    return;
+                if (attempts >= max_write_attempts) {
+                    n.events.write(event_id::quarantine_not_stored, w.name.key,
+                                   "error=" + std::string(name_of(
+                                                  store_error_names, error)));
+                    return;
+                }
+                run_after_backoff(n, backoff, [&n, w, backoff, attempts] {
+                    write_row(n, w, next_backoff(backoff), attempts + 1);
+                });
             });
         });
-    });
 }
 
 } // namespace
--- a/src/node/worker_request.cpp
+++ b/src/node/worker_request.cpp
@@ -1,9 +1,11 @@
 // Requests to a backend server; see worker_request.hpp.
 #include "node/worker_request.hpp"
 
+#include "base/on_exit.hpp"
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
 #include "node/crash_watch.hpp"
+#include "node/guard_func.hpp"
 #include "node/health_driver.hpp"
 #include "node/http_func.hpp"
 #include "node/worker_notice.hpp"
@@ -268,6 +270,13 @@
     if (r.idempotent)
         watch = watch_caller(entry, *a.link);
     w.busy.insert(a.link.get());
+    const on_exit leave([&n, &a, watch, id] {
+        if (watch)
+            watch->link = nullptr;
+        const auto at = n.workers.find(id);
+        if (at != n.workers.end())
+            at->second.busy.erase(a.link.get());
+    });
     beast::error_code ec;
     const auto sent = http::async_write(a.link->stream, q, y[ec]);
     const bool written = !ec;
@@ -280,8 +289,6 @@
         entry.socket().cancel(ignored);
     }
     const auto it = n.workers.find(id);
-    if (it != n.workers.end())
-        it->second.busy.erase(a.link.get());
     if (!ec)
         return classify_answer(n, expected, r, a);
     const bool caller_left = watch && watch->left;
@@ -318,6 +325,11 @@
     a.evidence_key = ++it->second.next_work_key;
     health_record_sent(it->second.health, {a.evidence_key, a.started_at, source,
                                            a.route_class, r.target, false});
+    bool returned = false;
+    const on_exit abandon([&] {
+        if (!returned)
+            run_guarded(n, "work", [&] { finish_on_worker(n, r, a, false); });
+    });
     a.link = connect_worker(n, it->second, r, y);
     it = n.workers.find(r.worker); // may have been removed meanwhile
     if (it != n.workers.end() && a.link) {
@@ -328,6 +340,7 @@
     }
     if (a.result != work_result::answered)
         finish_on_worker(n, r, a, false);
+    returned = true;
     return a;
 }
 
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -283,6 +283,11 @@
               "The reloaded settings file is invalid; the previous settings "
               "stay in use.",
               "Fix the file; the line has the error."},
+    event_row{event_id::handler_failed, "handler_failed",
+              "An exception ended the handling of one request, connection or "
+              "task; the others go on.",
+              "If it repeats, look for a lack of memory on the VM, and report "
+              "it with the part and the error in the line."},
     event_row{event_id::log_lines_dropped, "log_lines_dropped",
               "Lines of one event were dropped from the log because they "
               "exceeded the rate limit; the event rings still have them.",
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -93,6 +93,9 @@
         self.cold_s = cold_s  # time after the start when work takes longer
         self.shed = []  # as seen, but refused
         self.alive, self.muted = True, False
+        # Called with the handler and the id of a request that has run; may
+        # write the answer itself and return True.
+        self.spoil = None
         self.notices = {}  # header fields of its answers
         self.notices_in_health = True
         self.said = []  # (time, notices) whenever answers named other ones
@@ -163,6 +166,8 @@
                 worker.running += 1
                 worker.work(request, body)
                 worker.running -= 1
+                if worker.spoil and worker.spoil(self, request):
+                    return None
                 text = ("%s by %s" % (request, worker.name)).encode()
                 headers = {"X-Attempt-Id": request, "X-Server-Seal": "s",
                            **load}
