--- a/src/node/entry_team.cpp
+++ b/src/node/entry_team.cpp
@@ -1,6 +1,7 @@
 // Checks of team keys, and grants by the owner nodes of teams.
 #include "node/entry_team.hpp"
 
+#include "base/on_exit.hpp"
 #include "base/random_func.hpp"
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
@@ -142,9 +143,9 @@
     grant_wait w{asio::steady_timer(n.ctx, std::chrono::microseconds(wait)),
                  until};
     n.grant_waits.insert(&w);
+    const on_exit forget([&] { n.grant_waits.erase(&w); });
     beast::error_code ec;
     w.timer.async_wait(y[ec]);
-    n.grant_waits.erase(&w);
     return !ec;
 }
 
