Notice a store that came back from an older copy, by eras

A reader of the store waits for changes after the newest store version it has seen. When the store came back from an older copy, the operator's next change got a version at or below that position: no reader saw it, and each empty answer proved the former configuration to be the newest. A key that the change took away went on working everywhere.

A configuration is now known by the era of the store, its version and the digest of its document; the era precedes the version in order. Readers notice a restore by a store version or clock that two successive answers show to be lower, by the content of the row, or by peers that name another digest for the same version; after a failed call they read the whole table. Proofs count only in their own era. A single late answer begins no era, and a lower version that the operator writes later is ignored as before. Gossip carries the era in a new last field.

--- a/src/config/config_type.hpp
+++ b/src/config/config_type.hpp
@@ -129,6 +129,7 @@
 struct fleet_config
 {
     std::uint64_t version = 0; ///< 0 for none
+    std::uint64_t era = 0;     ///< of the store; precedes the version in order
     std::string fleet;
     double default_team_rate = 0;  ///< for teams without a section; 0 for none
     double default_team_burst = 0; ///< for teams without a section
--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -84,6 +84,7 @@
     config_unclear = 4006,
     freshness_lost = 4007,
     freshness_proven = 4008,
+    store_restored = 4009,
     operator_drain = 5001,
     operator_eject = 5002,
     operator_readmit = 5003,
--- a/src/member/member_cmd.cpp
+++ b/src/member/member_cmd.cpp
@@ -5,6 +5,7 @@
 #include "member/member_query.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace jasminetray {
@@ -179,22 +180,36 @@
 }
 
 void member_observe_config(member_table& t, std::uint64_t version,
-                           std::uint64_t hash)
+                           std::uint64_t hash, std::uint64_t era)
 {
-    if (version <= t.config_version)
+    if (era == t.config_era && version == t.config_version && version != 0 &&
+        hash != t.config_hash)
+        t.changes.push_back({member_change_kind::config_conflict, t.self.id});
+    if (std::tie(era, version) <= std::tie(t.config_era, t.config_version))
         return;
+    // A former era proves nothing about this one.
+    if (era != t.config_era)
+        t.proof = {};
     t.config_version = version;
     t.config_hash = hash;
+    t.config_era = era;
     t.config_rounds = t.policy.rounds;
     t.changes.push_back({member_change_kind::config, t.self.id});
 }
 
-void member_observe_proof(member_table& t, const freshness_proof& proof)
+void member_observe_proof(member_table& t, const freshness_proof& proof,
+                          mono_us uptime)
 {
-    if (proof.at <= t.proof.at)
+    if (proof.era != t.config_era || proof.at <= t.proof.at)
         return;
+    // The clock of a restored store may be ahead of the former one. The
+    // estimate is then wrong by more than clocks drift.
+    const auto bound = store_time_upper_bound(t.clock, uptime);
+    if (bound && proof.at > *bound + us_per_s)
+        t.clock = {};
+    const bool first = t.proof.at == 0;
     t.proof = proof;
-    if (proof.at - t.proof_forwarded_at < t.policy.proof_step)
+    if (!first && proof.at - t.proof_forwarded_at < t.policy.proof_step)
         return;
     t.proof_forwarded_at = proof.at;
     t.config_rounds = t.policy.rounds;
@@ -245,8 +260,8 @@
 {
     std::vector<outgoing> out;
     const outgoing reply_to{ip, port, {}};
-    member_observe_config(t, m.config_version, m.config_hash);
-    member_observe_proof(t, m.proof);
+    member_observe_config(t, m.config_version, m.config_hash, m.config_era);
+    member_observe_proof(t, m.proof, now + t.suspended);
     if (m.reads_store && m.centre == t.self.centre &&
         defers_to_reader(t, m.sender.id))
         t.reader_seen_at = now;
--- a/src/member/member_cmd.hpp
+++ b/src/member/member_cmd.hpp
@@ -14,12 +14,17 @@
 /// its sequence and queues it for sending.
 void member_update_self(member_table& t, const node_record& r);
 
-/// Records a configuration version that exists. Lower versions are ignored.
+/// Records a configuration version that exists. Lower versions of the same era
+/// of the store and former eras are ignored; another document of the same
+/// version is reported.
 void member_observe_config(member_table& t, std::uint64_t version,
-                           std::uint64_t hash);
+                           std::uint64_t hash, std::uint64_t era = 0);
 
-/// Records a freshness proof. Older proofs are ignored.
-void member_observe_proof(member_table& t, const freshness_proof& proof);
+/// Records a freshness proof. Older proofs, and those of another era than the
+/// newest version's, are ignored.
+/// @param uptime clock that includes suspended time
+void member_observe_proof(member_table& t, const freshness_proof& proof,
+                          mono_us uptime);
 
 /// Runs all timers that are due.
 std::vector<outgoing> member_tick(member_table& t, random_state& rng,
--- a/src/member/member_message.cpp
+++ b/src/member/member_message.cpp
@@ -33,6 +33,7 @@
     m.centre = t.self.centre;
     m.config_version = t.config_version;
     m.config_hash = t.config_hash;
+    m.config_era = t.config_era;
     m.reads_store = t.reads_store;
     m.proof = t.proof;
     return m;
--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -156,12 +156,14 @@
     centre_id centre{};               ///< data centre of the sender
     std::uint64_t config_version = 0; ///< highest one known to the sender
     std::uint64_t config_hash = 0;    ///< of that version's manifest
-    bool reads_store = false;         ///< the sender follows the store
-    freshness_proof proof;            ///< newest one known to the sender
-    store_us store_time = 0;          ///< ack: upper bound; 0 when not known
-    std::uint64_t probe = 0;          ///< ping, ack, indirect_ping: its number
-    node_id target{};                 ///< indirect_ping: node to ping
-    node_address target_address;      ///< indirect_ping: its address
+    /// Era of the store that version and proof are of; 0 from former builds.
+    std::uint64_t config_era = 0;
+    bool reads_store = false;    ///< the sender follows the store
+    freshness_proof proof;       ///< newest one known to the sender
+    store_us store_time = 0;     ///< ack: upper bound; 0 when not known
+    std::uint64_t probe = 0;     ///< ping, ack, indirect_ping: its number
+    node_id target{};            ///< indirect_ping: node to ping
+    node_address target_address; ///< indirect_ping: its address
     std::vector<node_record> records;
     std::vector<rumour> rumours;
     std::vector<std::uint64_t> digest; ///< digest_buckets hashes
@@ -270,6 +272,7 @@
     dead,
     identity_conflict, ///< another process uses this node's id
     config,            ///< a higher configuration version was received
+    config_conflict,   ///< another document of the same version exists
     forgotten,         ///< removed after being dead for `forget_after`
 };
 
@@ -292,6 +295,7 @@
     std::array<std::uint64_t, digest_buckets> digest{};
     std::uint64_t config_version = 0; ///< highest one received
     std::uint64_t config_hash = 0;
+    std::uint64_t config_era = 0;    ///< latest one received
     std::size_t config_rounds = 0;   ///< flushes that still carry its number
     freshness_proof proof;           ///< newest one received
     store_us proof_forwarded_at = 0; ///< `at` of the last one forwarded at once
--- a/src/node/config_actor.cpp
+++ b/src/node/config_actor.cpp
@@ -1,6 +1,8 @@
 // Actor that keeps the configuration in force. It learns of new versions from
-// the head row or from peers, fetches them from peers or the store, and never
-// goes back to a lower version.
+// the head row or from peers, fetches them from peers or the store, and goes
+// back to a lower version only when the store itself came back from an older
+// copy: that begins a new era of the store, which precedes the version in
+// order.
 #include "base/text_func.hpp"
 #include "config/config_check.hpp"
 #include "config/config_store.hpp"
@@ -8,6 +10,7 @@
 #include "rpc/peer_rpc.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace jasminetray {
 
@@ -15,6 +18,7 @@
 
 constexpr std::chrono::milliseconds poll_interval(1000);
 constexpr std::chrono::milliseconds catch_up_interval(200);
+constexpr span_us conflict_interval = us_per_s;
 constexpr span_us chunk_timeout = us_per_s / 2;
 /// For fetching a document from one peer. Bounds the delay that an unreachable
 /// peer adds to a configuration change.
@@ -32,8 +36,10 @@
 struct config_actor_state
 {
     std::shared_ptr<control_context> context;
-    std::uint64_t in_force = 0;   ///< version; never decreases
-    version_message newest_known; ///< highest announced; never decreases
+    version_message in_force;      ///< never decreases
+    version_message newest_known;  ///< latest announced; never decreases
+    std::uint64_t row_version = 0; ///< highest one read of the row in this era
+    mono_us conflict_read_at = 0;  ///< last read because of another document
     fetch_sources sources;
     /// Fetch rounds since a document was applied. Not reset by newer versions:
     /// under frequent changes peers drop each version before it is fetched, and
@@ -45,6 +51,11 @@
     std::uint64_t rejected_hash = 0; ///< hash of the last invalid document
 };
 
+bool is_later(const version_message& a, const version_message& b)
+{
+    return std::tie(a.era, a.version) > std::tie(b.era, b.version);
+}
+
 std::uint64_t hash_from_name(const std::string& name)
 {
     const auto dash = name.rfind('-');
@@ -84,13 +95,13 @@
 void activate_config(config_actor_state& k, fleet_config c, std::uint64_t hash)
 {
     auto& x = *k.context;
-    k.in_force = c.version;
+    k.in_force = {c.version, hash, c.era};
     k.rounds = 0;
     x.cache->retain_only(k.referenced_hashes);
     x.events->set_config_version(c.version);
     x.events->write(event_id::config_in_force,
                     "version-" + std::to_string(c.version),
-                    "hash=" + to_hex(hash) +
+                    "hash=" + to_hex(hash) + " era=" + std::to_string(c.era) +
                         " services=" + std::to_string(c.services.size()) +
                         " routes=" + std::to_string(c.routes.size()));
     for (const auto& note : c.warnings)
@@ -100,9 +111,21 @@
         std::make_shared<const fleet_config>(std::move(c)));
 }
 
-/// Activates a document if it is valid and newer; otherwise the configuration
-/// in force stays.
-void apply_document(config_actor_state& k, const std::string& text)
+/// Begins a new era of the store. Nothing of the former one holds: what the
+/// store has now is believed.
+void begin_era(config_actor_state& k, const std::string& detail)
+{
+    const auto era = k.newest_known.era + 1;
+    k.context->events->write(event_id::store_restored,
+                             "era-" + std::to_string(era), detail);
+    k.newest_known = {0, 0, era};
+    k.row_version = 0;
+}
+
+/// Activates a document of an era if it is valid and later; otherwise the
+/// configuration in force stays.
+void apply_document(config_actor_state& k, const std::string& text,
+                    std::uint64_t era)
 {
     auto& x = *k.context;
     const auto hash = text_hash(text);
@@ -116,15 +139,70 @@
                         reason);
         return;
     }
-    if (c->version <= k.in_force)
+    c->era = era;
+    const version_message found{c->version, hash, era};
+    if (!is_later(found, k.in_force))
         return;
     k.referenced_hashes = {hash};
     x.cache->put(hash, text);
-    if (c->version > k.newest_known.version)
-        k.newest_known = {c->version, hash};
+    if (is_later(found, k.newest_known))
+        k.newest_known = found;
     activate_config(k, std::move(*c), hash);
 }
 
+/// Returns whether a row of the store contradicts what is known of this era:
+/// another document has the same version, or an older write of the row is back.
+/// A lower version that was written later is only an operator's mistake.
+bool contradicts(config_actor_state& k, const store_row& row)
+{
+    std::string reason;
+    const auto hash = text_hash(row.value);
+    if (hash == k.newest_known.manifest || hash == k.rejected_hash)
+        return false;
+    const auto c = k.context->options.documents.parse(row.value, reason);
+    return c && (c->version == k.newest_known.version ||
+                 (c->version < k.newest_known.version &&
+                  row.version < k.row_version));
+}
+
+/// Applies a document that was read from the store. One that contradicts what
+/// is known may only be an old answer, so the store is read again: a call that
+/// begins now can't be answered with an older state, unless the store itself
+/// went back.
+void apply_from_store(config_actor_state& k, const store_row& row)
+{
+    auto newest = std::make_optional(row);
+    if (contradicts(k, row)) {
+        const auto& o = k.context->options;
+        store_error error{};
+        newest = o.has_store ? o.store.read_row(o.documents.at, error)
+                             : std::nullopt;
+        if (!newest) // read once more with the next whole read or fetch
+            return;
+        if (contradicts(k, *newest))
+            begin_era(k, "hash=" + to_hex(text_hash(newest->value)) +
+                             " known_version=" +
+                             std::to_string(k.newest_known.version));
+    }
+    k.row_version = std::max(k.row_version, newest->version);
+    apply_document(k, newest->value, k.newest_known.era);
+}
+
+/// Asks the store which document it has, where peers hold another one of the
+/// same version.
+void resolve_conflict(config_actor_state& k)
+{
+    const auto& o = k.context->options;
+    const auto now = mono_now();
+    if (!o.documents.parse || !o.has_store ||
+        now - k.conflict_read_at < conflict_interval)
+        return;
+    k.conflict_read_at = now;
+    store_error error{};
+    if (const auto row = o.store.read_row(o.documents.at, error))
+        apply_from_store(k, *row);
+}
+
 /// Fetches the newest known document from one of `peers`, a different one in
 /// each round.
 bool fetch_from_peer(config_actor_state& k,
@@ -133,11 +211,16 @@
     if (peers.empty())
         return false;
     const auto hash = k.newest_known.manifest;
+    const auto era = k.newest_known.era;
+    if (const auto kept = k.context->cache->get(hash)) {
+        apply_document(k, *kept, era);
+        return true;
+    }
     const auto& p = peers[static_cast<std::size_t>(k.rounds) % peers.size()];
     const auto text = call_chunk(p.ip, p.rpc_port, hash, document_timeout);
     if (!text || text_hash(*text) != hash)
         return false;
-    apply_document(k, *text);
+    apply_document(k, *text, era);
     return true;
 }
 
@@ -155,7 +238,7 @@
             ? x.options.store.read_row(x.options.documents.at, error)
             : std::nullopt;
     if (row)
-        return apply_document(k, row->value);
+        return apply_from_store(k, *row);
     if (!fetch_from_peer(k, k.sources.far)) {
         x.events->write(event_id::config_fetch_failed,
                         "version-" + std::to_string(k.newest_known.version),
@@ -166,7 +249,7 @@
 
 void fetch_newest(config_actor_state& k)
 {
-    if (k.newest_known.version <= k.in_force)
+    if (!is_later(k.newest_known, k.in_force) || k.newest_known.version == 0)
         return;
     auto& x = *k.context;
     if (x.options.documents.parse) {
@@ -204,10 +287,18 @@
     record_store_state(*k.context, k.reachable, head.has_value(), "");
     if (!head || head->version <= k.newest_known.version)
         return;
-    k.newest_known = {head->version, head->manifest};
+    k.newest_known = {head->version, head->manifest, 0};
     self->send(members, k.newest_known);
 }
 
+/// Tells the others of a version that this node found in the store.
+void announce(caf::event_based_actor* self, const config_actor_state& k,
+              const version_message& before, const caf::actor& members)
+{
+    if (is_later(k.newest_known, before) && k.newest_known.version != 0)
+        self->send(members, k.newest_known);
+}
+
 } // namespace
 
 caf::behavior config_actor(caf::event_based_actor* self,
@@ -220,28 +311,37 @@
     self->send(self, tick_atom::value);
     return {
         [=](const document_message& m) {
-            const auto before = k->newest_known.version;
-            apply_document(*k, m.text);
-            if (k->newest_known.version > before)
-                self->send(members, k->newest_known);
+            const auto before = k->newest_known;
+            apply_from_store(*k, m.row);
+            announce(self, *k, before, members);
+        },
+        [=](const store_restored_message& m) { begin_era(*k, m.detail); },
+        [=](const config_conflict_message&) {
+            const auto before = k->newest_known;
+            resolve_conflict(*k);
+            announce(self, *k, before, members);
         },
         [=](const read_until_message& m) {
             // Every document up to that time was applied or rejected, so the
             // version in force is the newest valid one.
-            if (k->in_force != 0)
-                self->send(members, proof_message{{k->in_force, m.at}});
+            const auto& c = k->in_force;
+            if (c.version != 0 && c.era == m.era &&
+                c.era == k->newest_known.era)
+                self->send(members, proof_message{{c.version, m.at, c.era}});
         },
         [=](tick_atom) {
-            const bool due = k->reads_head || k->in_force == 0;
+            const bool due = k->reads_head || k->in_force.version == 0;
             if (due && !documents && context->options.has_store)
                 poll_head(self, *k, members);
+            const auto before = k->newest_known;
             fetch_newest(*k);
+            announce(self, *k, before, members);
             self->delayed_send(self,
                                documents ? catch_up_interval : poll_interval,
                                tick_atom::value);
         },
         [=](const version_message& m) {
-            if (m.version > k->newest_known.version)
+            if (is_later(m, k->newest_known))
                 k->newest_known = m;
             // Documents are left to the next tick: no peer has a document yet
             // that was announced just now.
--- a/src/node/control_type.hpp
+++ b/src/node/control_type.hpp
@@ -34,6 +34,7 @@
 {
     std::uint64_t version = 0;
     std::uint64_t manifest = 0;
+    std::uint64_t era = 0; ///< of the store; precedes the version in order
 };
 
 /// Peers from which the configuration actor fetches.
@@ -67,10 +68,29 @@
     mono_us sent = 0;
 };
 
-/// All changes in the store up to a time were sent in earlier messages.
+/// All changes in the store up to a time were sent in earlier messages, since
+/// the whole table was read in that era of the store.
 struct read_until_message
 {
     store_us at = 0;
+    std::uint64_t era = 0;
+};
+
+/// The store came back from an older copy of itself.
+struct store_restored_message
+{
+    std::string detail;
+};
+
+/// Another document of the newest version exists.
+struct config_conflict_message
+{
+};
+
+/// A new era of the store began; the feed reads the whole table again.
+struct era_message
+{
+    std::uint64_t era = 0;
 };
 
 /// Proof that a configuration version was the newest at a time.
@@ -81,7 +101,7 @@
 
 struct document_message
 {
-    std::string text;
+    store_row row;
 };
 
 /// Starts or stops following the document in the store.
@@ -148,3 +168,6 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::proof_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::document_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::follow_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::store_restored_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::config_conflict_message)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(jasminetray::era_message)
--- a/src/node/entry_team.cpp
+++ b/src/node/entry_team.cpp
@@ -20,6 +20,8 @@
 /// Shorter than grant_timeout, so that the forwarding node can still answer
 /// after the owner node timed out.
 constexpr span_us forwarded_grant_timeout = 40 * us_per_ms;
+/// Of the store's era in the version of a limit. Versions stay below.
+constexpr unsigned era_shift = 48;
 constexpr std::size_t max_owners_asked = 3; ///< before the local share is used
 /// An owner node that timed out is skipped for this long, so that not every
 /// request waits for it.
@@ -66,7 +68,8 @@
     r.team = r.config->team_names[index];
     r.team_hash = text_hash(r.team);
     const auto& t = r.config->teams.at(r.team);
-    r.limit = {r.config->version, t.rate, t.burst};
+    r.limit = {(r.config->era << era_shift) | r.config->version, t.rate,
+               t.burst};
     r.priority = t.priority.value_or(r.route->priority);
 }
 
--- a/src/node/feed_actor.cpp
+++ b/src/node/feed_actor.cpp
@@ -3,6 +3,7 @@
 // feed.
 #include "base/random_func.hpp"
 #include "node/control_type.hpp"
+#include "store/store_history.hpp"
 
 #include <algorithm>
 
@@ -28,6 +29,8 @@
     std::shared_ptr<control_context> context;
     random_state rng;
     std::optional<std::uint64_t> position; ///< last store version read
+    store_history history;
+    std::uint64_t era = 0; ///< of the store, as of the last whole read
     bool reachable = true;
     bool following = true;
     bool ranked = true;
@@ -65,19 +68,31 @@
                        "error=" +
                            std::string(name_of(store_error_names, error)));
     if (!found) {
+        // The store may come back from an older copy and reach this position
+        // again with other changes.
+        k.position.reset();
         k.backoff = reader_backoff(k.backoff, k.ranked);
         return;
     }
     k.backoff = 0;
-    k.position = std::max(found->version, k.position.value_or(0));
+    const auto seen = k.history;
+    const auto change =
+        observe_store(k.history, found->version, found->store_time);
+    if (change == history_change::doubtful)
+        return k.position.reset();
+    if (change == history_change::restored)
+        self->send(config, store_restored_message{
+                               "version=" + std::to_string(found->version) +
+                               " seen=" + std::to_string(seen.version)});
+    k.position = found->version;
     for (const auto& r : found->rows) {
         if (r.key == k.context->options.documents.at.key && !r.removed)
-            self->send(config, document_message{r.row.value});
+            self->send(config, document_message{r.row});
     }
     if (found->store_time &&
         k.context->options.settings.hosted.revocation_bound > 0) {
         self->send(members, store_time_message{*found->store_time, sent});
-        self->send(config, read_until_message{*found->store_time});
+        self->send(config, read_until_message{*found->store_time, k.era});
     }
 }
 
@@ -112,6 +127,10 @@
             read_next(self, *k, config, members);
             schedule_tick(self, *k);
         },
+        [=](const era_message& m) {
+            k->era = m.era;
+            k->position.reset();
+        },
         [=](const follow_message& m) {
             k->following = m.on;
             k->ranked = m.ranked;
--- a/src/node/fleet_update.cpp
+++ b/src/node/fleet_update.cpp
@@ -6,6 +6,7 @@
 #include "node/health_driver.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace jasminetray {
 
@@ -92,11 +93,12 @@
 void apply_config(node_state& n, std::shared_ptr<const fleet_config> c)
 {
     // A slow fetch of an older version may finish after a newer one.
-    if (n.config && c->version <= n.config->version)
+    if (n.config && std::tie(c->era, c->version) <=
+                        std::tie(n.config->era, n.config->version))
         return;
     n.config = std::move(c);
     n.config_at = mono_now();
-    set_version_in_force(n.fresh, n.config->version);
+    set_version_in_force(n.fresh, n.config->version, n.config->era);
     n.metrics.config_unclear->Increment(
         static_cast<double>(n.config->warnings.size()));
     n.service_positions.clear();
--- a/src/node/member_actor.cpp
+++ b/src/node/member_actor.cpp
@@ -24,6 +24,7 @@
     caf::actor feed;       ///< null without a document source
     bool following = true; ///< as last sent to `feed`
     bool ranked = true;    ///< as last sent to `feed`
+    std::uint64_t era = 0; ///< of the store, as last sent to `feed`
     int ticks = 0;
     freshness_proof published_proof; ///< as last reported
     store_clock published_clock;     ///< as last reported
@@ -59,6 +60,7 @@
         break;
     case member_change_kind::updated:
     case member_change_kind::config:
+    case member_change_kind::config_conflict:
         break;
     }
 }
@@ -66,8 +68,12 @@
 void send_version(caf::event_based_actor* self, member_actor_state& k)
 {
     if (k.config)
-        self->send(k.config, version_message{k.table.config_version,
-                                             k.table.config_hash});
+        self->send(k.config,
+                   version_message{k.table.config_version, k.table.config_hash,
+                                   k.table.config_era});
+    if (k.feed && k.table.config_era != k.era)
+        self->send(k.feed, era_message{k.table.config_era});
+    k.era = k.table.config_era;
 }
 
 void publish_changes(caf::event_based_actor* self, member_actor_state& k)
@@ -79,6 +85,11 @@
             send_version(self, k);
             continue;
         }
+        if (c.kind == member_change_kind::config_conflict) {
+            if (k.config)
+                self->send(k.config, config_conflict_message{});
+            continue;
+        }
         const auto it = k.table.members.find(c.about);
         if (c.kind == member_change_kind::forgotten) {
             log_change(k, c, to_hex(static_cast<std::uint64_t>(c.about)));
@@ -124,6 +135,7 @@
 {
     const auto& t = k.table;
     if (t.proof.at == k.published_proof.at &&
+        t.proof.era == k.published_proof.era &&
         t.clock.offset == k.published_clock.offset)
         return;
     k.published_proof = t.proof;
@@ -230,14 +242,14 @@
         [=](const loads_message& m) { send_load_reports(*k, m.loads); },
         [=](const quarantine_messages& m) { send_quarantine_messages(*k, m); },
         [=](const version_message& m) {
-            member_observe_config(k->table, m.version, m.manifest);
+            member_observe_config(k->table, m.version, m.manifest, m.era);
             publish_changes(self, *k);
         },
         [=](const store_time_message& m) {
             update_store_clock(k->table.clock, m.store_time, m.sent);
         },
         [=](const proof_message& m) {
-            member_observe_proof(k->table, m.proof);
+            member_observe_proof(k->table, m.proof, uptime_now());
             publish_proof(*k);
         },
         [=](const contacts_message& m) {
--- a/src/stand_in/store_state.cpp
+++ b/src/stand_in/store_state.cpp
@@ -237,6 +237,14 @@
     s.fault.drop_write_response = *mode == "lose_answer";
     if (*mode == "slow")
         s.fault.slow_ms = static_cast<int>(find_uint(*o, "ms").value_or(0));
+    if (*mode == "copy")
+        s.copy = std::make_shared<store_state>(s);
+    if (*mode == "restore" && s.copy) {
+        s.version = s.copy->version;
+        s.rows = s.copy->rows;
+        s.changes = s.copy->changes;
+        s.discarded_up_to = s.copy->discarded_up_to;
+    }
     if (*mode == "forget")
         discard_history(s);
     set_response(r, http::status::ok, "{}");
--- a/src/stand_in/store_state.hpp
+++ b/src/stand_in/store_state.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <unordered_map>
 
 namespace jasminetray {
@@ -42,6 +43,7 @@
     std::uint64_t discarded_up_to = 0; ///< last version without history
     std::size_t max_page_rows = 500;   ///< per response
     std::unordered_map<std::string, std::string> objects;
+    std::shared_ptr<const store_state> copy; ///< to be restored; may be null
     store_fault fault;
     std::int64_t reads = 0;
     std::int64_t writes = 0;
@@ -56,8 +58,8 @@
 void discard_history(store_state& s);
 
 /// Serves a call of the store protocol or of the test controls: POST /fault
-/// {"mode": none|down|silent|busy|many|slow|lose_answer|forget, "ms": N},
-/// POST /operator {"table", "key", "value"}, GET /stats.
+/// {"mode": none|down|silent|busy|many|slow|lose_answer|forget|copy|restore,
+/// "ms": N}, POST /operator {"table", "key", "value"}, GET /stats.
 stand_in_action serve_store(store_state& s, const stand_in_request& q,
                             stand_in_response& r, asio::io_context& ctx,
                             const asio::yield_context& y);
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -263,6 +263,12 @@
               "The configuration is confirmed to be fresh; requests with team "
               "keys are served.",
               "None."},
+    event_row{
+        event_id::store_restored, "store_restored",
+        "The store came back from an older copy of itself. Its present "
+        "content is used from now on, in a new era.",
+        "Check that the configuration in the store is the wanted one, and "
+        "submit it again if not."},
     event_row{event_id::operator_drain, "operator_drain",
               "An operator drained a node or a backend server.", "None."},
     event_row{event_id::operator_eject, "operator_eject",
--- a/src/team/freshness_cmd.cpp
+++ b/src/team/freshness_cmd.cpp
@@ -2,6 +2,7 @@
 #include "team/freshness_type.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace jasminetray {
 
@@ -13,7 +14,13 @@
 
 bool is_newer_proof(const freshness_proof& a, const freshness_proof& b)
 {
-    return a.at > b.at;
+    return std::tie(a.era, a.at) > std::tie(b.era, b.at);
+}
+
+/// Returns whether the version in force satisfies a proof.
+bool is_satisfied(const freshness& f, const freshness_proof& p)
+{
+    return p.era == f.era && p.version <= f.in_force;
 }
 
 } // namespace
@@ -33,15 +40,26 @@
 
 void apply_proof(freshness& f, const freshness_proof& p)
 {
-    auto& kept = p.version <= f.in_force ? f.proof : f.pending_proof;
+    if (p.era < f.era)
+        return;
+    if (p.era > f.era)
+        f.proof = {};
+    auto& kept = is_satisfied(f, p) ? f.proof : f.pending_proof;
     if (is_newer_proof(p, kept))
         kept = p;
 }
 
-void set_version_in_force(freshness& f, std::uint64_t version)
+void set_version_in_force(freshness& f, std::uint64_t version,
+                          std::uint64_t era)
 {
-    f.in_force = std::max(f.in_force, version);
-    if (f.pending_proof.version <= f.in_force &&
+    if (era > f.era) {
+        f.era = era;
+        f.in_force = version;
+        f.proof = {};
+    } else if (era == f.era) {
+        f.in_force = std::max(f.in_force, version);
+    }
+    if (is_satisfied(f, f.pending_proof) &&
         is_newer_proof(f.pending_proof, f.proof))
         f.proof = f.pending_proof;
 }
--- a/src/team/freshness_type.hpp
+++ b/src/team/freshness_type.hpp
@@ -25,6 +25,8 @@
 {
     std::uint64_t version = 0;
     store_us at = 0; ///< 0 for no proof
+    /// Era of the store that it is of. A proof of a former era proves nothing.
+    std::uint64_t era = 0;
 };
 
 /// Estimate of the store's clock. Invariant: this node's clock is at least
@@ -41,6 +43,7 @@
     std::uint64_t in_force = 0;    ///< version that requests are served by
     freshness_proof proof;         ///< newest one that `in_force` satisfies
     freshness_proof pending_proof; ///< newest one of a later version
+    std::uint64_t era = 0;         ///< of `in_force`
 };
 
 /// Updates the estimate with the store's time in the answer to a call.
@@ -53,8 +56,10 @@
 
 void apply_proof(freshness& f, const freshness_proof& p);
 
-/// Records that a version came into force. Lower versions are ignored.
-void set_version_in_force(freshness& f, std::uint64_t version);
+/// Records that a version came into force. Lower versions of the same era of
+/// the store and former eras are ignored.
+void set_version_in_force(freshness& f, std::uint64_t version,
+                          std::uint64_t era = 0);
 
 /// Returns the maximum time since the configuration in force was the newest;
 /// empty without a proof.
--- a/src/wire/gossip.capnp
+++ b/src/wire/gossip.capnp
@@ -99,4 +99,5 @@
   crashes @24 :List(Crash);
   crashDigest @25 :List(UInt64);
   crashReply @26 :Bool;
+  configEra @27 :UInt64;
 }
--- a/src/wire/gossip.capnp.h
+++ b/src/wire/gossip.capnp.h
@@ -160,7 +160,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da83027a36bd1151, 13, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(da83027a36bd1151, 14, 11)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1063,6 +1063,8 @@
 
   inline bool getCrashReply() const;
 
+  inline  ::uint64_t getConfigEra() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1219,6 +1221,9 @@
   inline bool getCrashReply();
   inline void setCrashReply(bool value);
 
+  inline  ::uint64_t getConfigEra();
+  inline void setConfigEra( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2596,6 +2601,20 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Message::Reader::getConfigEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Message::Builder::getConfigEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void Message::Builder::setConfigEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/wire/wire_func.cpp
+++ b/src/wire/wire_func.cpp
@@ -261,7 +261,8 @@
     m.config_version = r.getConfigVersion();
     m.config_hash = r.getConfigHash();
     m.reads_store = r.getReadsStore();
-    m.proof = {r.getProvenVersion(), r.getProvenAt()};
+    m.config_era = r.getConfigEra();
+    m.proof = {r.getProvenVersion(), r.getProvenAt(), m.config_era};
     m.store_time = r.getStoreTime();
     m.probe = r.getProbe();
     m.target = static_cast<node_id>(r.getTarget());
@@ -305,6 +306,7 @@
     b.setCentre(static_cast<std::uint32_t>(m.centre));
     b.setConfigVersion(m.config_version);
     b.setConfigHash(m.config_hash);
+    b.setConfigEra(m.config_era);
     b.setReadsStore(m.reads_store);
     b.setProvenVersion(m.proof.version);
     b.setProvenAt(m.proof.at);
--- a/test/test_team.cpp
+++ b/test/test_team.cpp
@@ -1,6 +1,8 @@
 // Tests of teams: keys, freshness of the configuration and request allowances.
 #include "base/random_func.hpp"
+#include "member/member_cmd.hpp"
 #include "node/hop_type.hpp"
+#include "store/store_history.hpp"
 #include "team/allowance_type.hpp"
 #include "team/freshness_type.hpp"
 #include "team/key_table.hpp"
@@ -122,6 +124,58 @@
     EXPECT_FALSE(is_proven_fresh(with_known_clock(), bound, start));
 }
 
+// Guards against proofs of a former era of the store: its versions say nothing
+// about those of a store that came back from an older copy.
+TEST(freshness, a_former_era_proves_nothing)
+{
+    auto f = with_known_clock();
+    set_version_in_force(f, 7);
+    apply_proof(f, {7, 50 * us_per_s});
+    apply_proof(f, {3, 49 * us_per_s, 1});
+    EXPECT_FALSE(is_proven_fresh(f, bound, start)) << "version 7 is of era 0";
+    set_version_in_force(f, 3, 1);
+    EXPECT_TRUE(is_proven_fresh(f, bound, start));
+    apply_proof(f, {9, 51 * us_per_s});
+    set_version_in_force(f, 9);
+    EXPECT_EQ(f.in_force, 3U);
+    EXPECT_EQ(f.proof.era, 1U);
+}
+
+// Guards against one late answer that passes for a restored store, and against
+// a restored store that is never noticed.
+TEST(store_history, a_store_that_went_back_twice_is_restored)
+{
+    store_history h;
+    EXPECT_EQ(observe_store(h, 8, 50), history_change::none);
+    EXPECT_EQ(observe_store(h, 6, 51), history_change::doubtful);
+    EXPECT_EQ(observe_store(h, 8, 52), history_change::none);
+    EXPECT_EQ(observe_store(h, 8, 40), history_change::doubtful);
+    EXPECT_EQ(observe_store(h, 8, 41), history_change::restored);
+    EXPECT_EQ(observe_store(h, 9, 42), history_change::none);
+    EXPECT_EQ(observe_store(h, 7, 43), history_change::doubtful);
+    EXPECT_EQ(observe_store(h, 7, std::nullopt), history_change::restored);
+}
+
+// Guards against nodes that don't tell two documents of one version apart.
+TEST(config_eras, the_era_precedes_the_version)
+{
+    auto t = make_member_table({}, {}, {});
+    member_observe_config(t, 7, 0xaa);
+    member_observe_proof(t, {7, 50 * us_per_s}, start);
+    member_take_changes(t);
+    member_observe_config(t, 7, 0xbb);
+    const auto changes = member_take_changes(t);
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes[0].kind, member_change_kind::config_conflict);
+    member_observe_config(t, 3, 0xcc, 1);
+    EXPECT_EQ(t.config_version, 3U);
+    EXPECT_EQ(t.proof.at, 0) << "of the former era";
+    member_observe_proof(t, {9, 90 * us_per_s}, start);
+    member_observe_config(t, 9, 0xdd);
+    EXPECT_EQ(t.config_version, 3U);
+    EXPECT_EQ(t.proof.at, 0);
+}
+
 constexpr std::uint64_t team_id = 77;
 constexpr span_us window = 5 * us_per_s;
 constexpr double overage = 0.1;
