Give each team one owner at a time, and take grants back

A team's owner node froze for 1.2 s, three times in 7.5 s. The next node granted from a bucket of its own, which began full, and the owner went on with its old one, refilled meanwhile. A bucket now belongs to one duty: a node grants from it only once the nodes before it in the team's rank have left, or have seemed dead for a second, and what was left of a former duty is dropped. A node that noticed a pause of its process grants nothing for 1.5 s and then begins with an empty bucket (1036). A node that is asked because the owner doesn't answer grants only a quarter of what the owner leaves of overage and slack. A suspected owner is still asked, as nobody grants in its place yet.

A grant whose request is refused as not run is given back to the node that gave it, once, within a second (kind g on the path of grant requests; 1037 and jasminetray_grants_returned_total). The bucket then holds what it would hold without the grant: nothing is added where it was full meanwhile. A node of a former build closes the connection on the unknown kind; the grant stays spent.

Ruled out: the fallback parts (all entry nodes reached an owner) and the clocks. Left open: a fleet cut in two that takes its other part for dead for longer than a second, and the fallback parts in fleets of a few nodes. A team gets less than its rate while its owner pauses again and again.

--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -40,6 +40,8 @@
     refused_quarantined = 1029,
     retries_borrowed = 1030,
     callers_cut = 1035,
+    grants_held = 1036,
+    grant_returned = 1037,
     worker_ejected = 2001,
     worker_returned = 2002,
     ejection_held_by_floor = 2003,
--- a/src/node/entry_request.hpp
+++ b/src/node/entry_request.hpp
@@ -29,6 +29,14 @@
     bool is_fallback = false; ///< goes to a suspect, which admits it
 };
 
+/// Grant of a team's owner node.
+struct taken_grant
+{
+    node_id owner{};          ///< node that gave it
+    mono_us at = 0;           ///< when it was asked for, which is not later
+    std::uint64_t number = 0; ///< random
+};
+
 /// One request of a caller.
 struct entry_request : std::enable_shared_from_this<entry_request>
 {
@@ -44,10 +52,11 @@
     const service_config* service = nullptr;    ///< within config
     service_id service_key{};
     std::uint32_t route_class = 0;
-    std::string team;            ///< may be empty
-    std::uint64_t team_hash = 0; ///< hash of its name; 0 for none
-    team_limit limit;            ///< of the team; a rate of 0 is no limit
-    int priority = 0;            ///< the team's, else the route's
+    std::string team;                 ///< may be empty
+    std::uint64_t team_hash = 0;      ///< hash of its name; 0 for none
+    team_limit limit;                 ///< of the team; a rate of 0 is no limit
+    std::optional<taken_grant> grant; ///< until given back
+    int priority = 0;                 ///< the team's, else the route's
     string_request message;
     std::optional<fingerprint> message_fingerprint; ///< computed on demand
     request_state machine;
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -362,7 +362,9 @@
     bool keep = false;
     if (delivered != 0)
         keep = deliver_answer(*r, delivered, c, y);
-    else if (r->machine.outcome != final_outcome::disconnected)
+    else if (r->machine.outcome == final_outcome::not_run)
+        return_grant(n, *r);
+    if (delivered == 0 && r->machine.outcome != final_outcome::disconnected)
         keep = send_refusal(n, c, r->id, r->label, final_refusal(*r), y);
     --in_flight_of_service;
     return keep;
@@ -386,10 +388,12 @@
     prepare_message(n, *r);
     if (is_quarantined(n, r->message, r->message_fingerprint))
         return send_refusal(n, c, r->id, r->label, quarantine_refusal(n), y);
-    if (const auto x = acquire_grant(n, *r, y))
-        return send_refusal(n, c, r->id, r->label, *x, y);
-    if (const auto x = apply_idempotency_key(n, *r, y))
-        return send_refusal(n, c, r->id, r->label, *x, y);
+    for (const auto step : {acquire_grant, apply_idempotency_key}) {
+        if (const auto x = step(n, *r, y)) {
+            return_grant(n, *r);
+            return send_refusal(n, c, r->id, r->label, *x, y);
+        }
+    }
     return run_request(r, c, y);
 }
 
--- a/src/node/entry_team.cpp
+++ b/src/node/entry_team.cpp
@@ -9,6 +9,7 @@
 #include "node/peer_request.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace jasminetray {
 
@@ -22,6 +23,9 @@
 constexpr span_us forwarded_grant_timeout = 40 * us_per_ms;
 /// Of the store's era in the version of a limit. Versions stay below.
 constexpr unsigned era_shift = 48;
+constexpr span_us return_timeout = 300 * us_per_ms;
+/// A node that didn't take a grant back is not asked to for this long.
+constexpr span_us no_returns_time = 10 * us_per_s;
 constexpr std::size_t max_owners_asked = 3; ///< before the local share is used
 /// An owner node that timed out is skipped for this long, so that not every
 /// request waits for it.
@@ -92,23 +96,99 @@
     return answer;
 }
 
+std::uint64_t owner_rank(std::uint64_t team, node_id id)
+{
+    return mix_hash(team, static_cast<std::uint64_t>(id));
+}
+
+/// Returns the nodes that precede this one among a team's owners.
+std::vector<prior_owner> prior_owners(const node_state& n, std::uint64_t team)
+{
+    std::vector<prior_owner> prior;
+    const auto own = owner_rank(team, n.self.id);
+    for (const auto& [id, v] : n.view.nodes) {
+        if (id == n.self.id || owner_rank(team, id) < own)
+            continue;
+        const auto former = n.former_owners.find(id);
+        prior_owner o;
+        if (former != n.former_owners.end())
+            o = former->second;
+        o.owns = owns_teams(v);
+        prior.push_back(o);
+    }
+    return prior;
+}
+
+/// Takes a grant at this node: from the team's bucket where this node is its
+/// owner, else from the part of a stand-in.
+allowance_answer grant_here(node_state& n, const allowance_request& a)
+{
+    watch_pauses(n);
+    const auto now = mono_now();
+    auto p = make_allowance_policy(n);
+    p.duty_since = team_duty(prior_owners(n, a.team), n.pauses);
+    if (now < p.duty_since)
+        return take_stand_in_allowance(n.stand_in_allowances, a.team, a.limit,
+                                       p, now);
+    return take_allowance(n.owned_allowances, a.team, a.limit, a.max_wait, p,
+                          now);
+}
+
 /// Requests a grant from the first owner node that answers, which may be this
 /// node.
+/// @param from output: node that answered
 std::optional<allowance_answer>
-request_grant(node_state& n, allowance_request a, const yield& y)
+request_grant(node_state& n, allowance_request a, node_id& from, const yield& y)
 {
     const auto owners = team_owners(n, a.team, max_owners_asked);
     for (const auto id : owners) {
+        from = id;
         if (id == n.self.id)
-            return take_allowance(n.owned_allowances, a.team, a.limit,
-                                  a.max_wait, make_allowance_policy(n),
-                                  mono_now());
+            return grant_here(n, a);
         if (const auto answer = request_grant_from(n, id, a, y))
             return answer;
     }
     return std::nullopt;
 }
 
+bool return_here(node_state& n, const grant_return& g)
+{
+    const auto now = mono_now();
+    const bool given = note_returned(n.returned, g.number, now) &&
+                       return_allowance(n.owned_allowances, g.team, now - g.age,
+                                        make_allowance_policy(n), now);
+    n.events.record(event_id::grant_returned, to_hex(g.team),
+                    "age_ms=" + std::to_string(g.age / us_per_ms) +
+                        " added=" + (given ? "1" : "0"));
+    increment_counter(*n.metrics.grants_returned, "outcome",
+                      given ? "added" : "late");
+    return given;
+}
+
+/// Sends a grant back to another node. Lost ones stay spent.
+void send_return(node_state& n, const taken_grant& grant, std::uint64_t team,
+                 const yield& y)
+{
+    const auto it = n.view.nodes.find(grant.owner);
+    if (it == n.view.nodes.end())
+        return;
+    const auto text = [&] {
+        return to_text(grant_return{team, mono_now() - grant.at, grant.number});
+    };
+    const auto deadline =
+        std::min(mono_now() + return_timeout, grant.at + max_return_age);
+    const auto answer =
+        send_peer_request(n, grant.owner, it->second.record.address,
+                          allowance_path, text, deadline, y);
+    if (answer)
+        return;
+    // A node of a former build closes the connection.
+    n.no_returns_until[grant.owner] = mono_now() + no_returns_time;
+    n.events.write(event_id::grant_returned, to_hex(team),
+                   "failed=" + to_hex(static_cast<std::uint64_t>(grant.owner)));
+    increment_counter(*n.metrics.grants_returned, "outcome", "failed");
+}
+
 /// @param index output: index of the key's team, unless refused
 std::optional<refusal> check_key(const node_state& n, const fleet_config& c,
                                  const http::fields& m, std::uint32_t& index)
@@ -153,6 +233,20 @@
 
 } // namespace
 
+bool owns_teams(const view_node& v)
+{
+    return v.state == liveness::alive && !v.record.leaving;
+}
+
+void watch_pauses(node_state& n)
+{
+    if (!observe_pause(n.pauses, uptime_now(), mono_now()))
+        return;
+    n.events.write(
+        event_id::grants_held, n.settings.name,
+        "ms=" + std::to_string((n.pauses.hold_until - mono_now()) / us_per_ms));
+}
+
 std::vector<node_id> team_owners(const node_state& n, std::uint64_t team,
                                  std::size_t max_count)
 {
@@ -163,9 +257,12 @@
         const bool eligible =
             unresponsive == n.unresponsive_owners.end() ||
             mono_now() - unresponsive->second > unresponsive_time;
-        if (v.state == liveness::alive && !v.record.leaving && eligible)
-            ranks.emplace_back(mix_hash(team, static_cast<std::uint64_t>(id)),
-                               id);
+        // A suspected owner is asked too: it may grant still, and another node
+        // doesn't yet.
+        const bool may_own = v.state != liveness::dead && !v.record.leaving;
+        const bool holds = id == n.self.id && mono_now() < n.pauses.hold_until;
+        if (may_own && eligible && !holds)
+            ranks.emplace_back(owner_rank(team, id), id);
     }
     const auto count = std::min(max_count, ranks.size());
     std::partial_sort(ranks.begin(),
@@ -181,7 +278,7 @@
 {
     return {n.settings.hosted.allowance_overage,
             n.settings.hosted.allowance_slack,
-            std::max<std::size_t>(1, n.max_nodes), n.members_changed_at};
+            std::max<std::size_t>(1, n.max_nodes), n.members_changed_at, 0};
 }
 
 bool can_verify_keys(const node_state& n)
@@ -244,17 +341,20 @@
         r.message.set(to_beast_view(n.dialect.team), r.team);
 }
 
-std::optional<refusal> acquire_grant(node_state& n, const entry_request& r,
+std::optional<refusal> acquire_grant(node_state& n, entry_request& r,
                                      const yield& y)
 {
     if (r.limit.rate <= 0)
         return std::nullopt;
+    taken_grant grant{{}, mono_now(), random_next(n.rng)};
     auto answer =
         n.settings.experiment.is_enabled(mechanism::allowance_owners)
             ? request_grant(n, {r.team_hash, r.limit, max_token_wait(r), false},
-                            y)
+                            grant.owner, y)
             : std::nullopt;
     const bool no_owner = !answer;
+    if (answer && answer->granted)
+        r.grant = grant;
     if (no_owner)
         answer =
             take_fallback_allowance(n.fallback_allowances, r.team_hash, r.limit,
@@ -272,6 +372,27 @@
     return refused;
 }
 
+void return_grant(node_state& n, entry_request& r)
+{
+    const auto grant = std::exchange(r.grant, std::nullopt);
+    const auto now = mono_now();
+    if (!grant || now - grant->at >= max_return_age)
+        return;
+    if (grant->owner == n.self.id) {
+        return_here(n, {r.team_hash, now - grant->at, grant->number});
+        return;
+    }
+    const auto refused = n.no_returns_until.find(grant->owner);
+    if (refused != n.no_returns_until.end() && now < refused->second)
+        return;
+    asio::spawn(
+        n.ctx,
+        [&n, grant = *grant, team = r.team_hash](const yield& y) {
+            send_return(n, grant, team, y);
+        },
+        asio::detached);
+}
+
 void refuse_late_grants(node_state& n)
 {
     for (auto* w : n.grant_waits) {
@@ -283,9 +404,13 @@
 bool serve_grant_request(node_state& n, const string_request& m,
                          beast::tcp_stream& to, const yield& y)
 {
-    auto ask = parse_allowance_request(header_value(m, hop_header));
+    const auto text = header_value(m, hop_header);
+    if (const auto g = parse_grant_return(text))
+        return send_peer_reply(to, return_here(n, *g) ? "y" : "n", y);
+    auto ask = parse_allowance_request(text);
     if (!ask)
         return false;
+    watch_pauses(n);
     std::optional<allowance_answer> answer;
     // A node that cannot reach the owner asks the next one. Forwarding to the
     // owner keeps a single count of the team.
@@ -295,9 +420,7 @@
         answer = request_grant_from(n, owners.front(), *ask, y);
     }
     if (!answer)
-        answer =
-            take_allowance(n.owned_allowances, ask->team, ask->limit,
-                           ask->max_wait, make_allowance_policy(n), mono_now());
+        answer = grant_here(n, *ask);
     return send_peer_reply(to, to_text(*answer), y);
 }
 
--- a/src/node/entry_team.hpp
+++ b/src/node/entry_team.hpp
@@ -23,7 +23,7 @@
 /// Obtains a grant from the team's owner node, and waits for the team's next
 /// token where the grant says so.
 /// @return a refusal, or nothing when the request may pass
-std::optional<refusal> acquire_grant(node_state& n, const entry_request& r,
+std::optional<refusal> acquire_grant(node_state& n, entry_request& r,
                                      const yield& y);
 
 /// Refuses the requests whose token comes too late for a node that stops.
@@ -34,8 +34,18 @@
 bool serve_grant_request(node_state& n, const string_request& m,
                          beast::tcp_stream& to, const yield& y);
 
-/// Returns live nodes by rendezvous hashing, without those that timed out
-/// lately; the first is the team's owner.
+/// Returns whether a node can own teams.
+bool owns_teams(const view_node& v);
+
+/// Records that the process runs. After a pause, grants of this node wait until
+/// the others know again that it is alive.
+void watch_pauses(node_state& n);
+
+/// Gives the request's grant back to the node that gave it, once and soon.
+void return_grant(node_state& n, entry_request& r);
+
+/// Returns nodes that aren't dead by rendezvous hashing, without those that
+/// timed out lately; the first is asked for the team's grants.
 /// @param team hash of its name
 /// @param max_count maximum number of nodes
 std::vector<node_id> team_owners(const node_state& n, std::uint64_t team,
--- a/src/node/fleet_update.cpp
+++ b/src/node/fleet_update.cpp
@@ -3,6 +3,7 @@
 
 #include "base/text_func.hpp"
 #include "member/member_query.hpp"
+#include "node/entry_team.hpp"
 #include "node/health_driver.hpp"
 
 #include <algorithm>
@@ -68,6 +69,7 @@
     for (const auto& x : updates) {
         if (x.removed) {
             view_remove(n.view, x.record.id, now);
+            n.former_owners.erase(x.record.id);
             continue;
         }
         const auto it = n.view.nodes.find(x.record.id);
@@ -76,6 +78,11 @@
                 (x.state == liveness::dead) ||
             it->second.record.leaving != x.record.leaving)
             n.members_changed_at = now;
+        if (it != n.view.nodes.end() && owns_teams(it->second) &&
+            (x.state != liveness::alive || x.record.leaving)) {
+            const bool left = x.state == liveness::alive;
+            n.former_owners[x.record.id] = {false, left, now};
+        }
         log_worker_changes(n, x.record);
         view_update(n.view, x.record, x.state, now);
     }
--- a/src/node/hop_func.cpp
+++ b/src/node/hop_func.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t loan_parts = 3;
 constexpr std::size_t allowance_request_parts = 6;
 constexpr std::size_t allowance_answer_parts = 2;
+constexpr std::size_t grant_return_parts = 4;
 constexpr std::uint64_t idempotent_bit = 1;
 constexpr std::uint64_t probe_bit = 2;
 constexpr std::uint64_t fallback_bit = 4;
@@ -208,6 +209,28 @@
     return out;
 }
 
+std::string to_text(const grant_return& g)
+{
+    std::string out(1, 'g');
+    append_number(out, g.team);
+    append_duration(out, (g.age + us_per_ms - 1) / us_per_ms);
+    append_number(out, g.number);
+    return out;
+}
+
+std::optional<grant_return> parse_grant_return(const std::string& text)
+{
+    const auto parts = split(text, ',');
+    if (parts.size() != grant_return_parts || parts.front() != "g")
+        return std::nullopt;
+    number_reader in{parts, 1};
+    grant_return g;
+    g.team = in.number();
+    g.age = in.duration() * us_per_ms;
+    g.number = in.number();
+    return in.valid ? std::make_optional(g) : std::nullopt;
+}
+
 std::optional<shorten_notice> parse_shorten_notice(const std::string& text)
 {
     const auto parts = split(text, ',');
--- a/src/node/hop_type.hpp
+++ b/src/node/hop_type.hpp
@@ -85,6 +85,16 @@
     bool forwarded = false; ///< a node that is not the owner forwarded it
 };
 
+/// Gives a grant back to the node that gave it, for a request that didn't run.
+/// It is sent like an allowance request, with a kind that nodes of former
+/// builds refuse.
+struct grant_return
+{
+    std::uint64_t team = 0;   ///< hash of its name
+    span_us age = 0;          ///< of the grant at most; sent in milliseconds
+    std::uint64_t number = 0; ///< of the grant; it is given back once
+};
+
 /// Maximum number of attempts in one shorten_notice; keeps the header within
 /// the 8 KB limit of the HTTP library.
 inline constexpr std::size_t max_shortened_attempts = 64;
@@ -115,6 +125,7 @@
 std::string to_text(const retry_loan& l);
 std::string to_text(const allowance_request& a);
 std::string to_text(const allowance_answer& a);
+std::string to_text(const grant_return& g);
 
 /// Decode the output of to_text(); nothing when malformed.
 std::optional<hop_request> parse_hop_request(const std::string& text);
@@ -124,5 +135,6 @@
 std::optional<allowance_request>
 parse_allowance_request(const std::string& text);
 std::optional<allowance_answer> parse_allowance_answer(const std::string& text);
+std::optional<grant_return> parse_grant_return(const std::string& text);
 
 } // namespace jasminetray
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -39,6 +39,9 @@
                            "Datagrams received by fate.");
     m->check_ins = counter(r, "jasminetray_check_ins_total",
                            "Backend servers' announcements by fate.");
+    m->grants_returned =
+        counter(r, "jasminetray_grants_returned_total",
+                "Team grants given back for requests that didn't run.");
     auto& bytes = prometheus::BuildCounter()
                       .Name("jasminetray_datagram_bytes_total")
                       .Help("Bytes of datagrams by direction.")
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -20,8 +20,10 @@
     prometheus::Family<prometheus::Counter>* ejection_steps; ///< by step
     prometheus::Family<prometheus::Counter>* datagrams;      ///< by fate
     prometheus::Family<prometheus::Counter>* check_ins;      ///< by fate
-    prometheus::Counter* bytes_in;                           ///< of datagrams
-    prometheus::Counter* bytes_out;                          ///< of datagrams
+    /// By outcome: added to the team's bucket, late, or failed.
+    prometheus::Family<prometheus::Counter>* grants_returned;
+    prometheus::Counter* bytes_in;    ///< of datagrams
+    prometheus::Counter* bytes_out;   ///< of datagrams
     prometheus::Histogram* duration;  ///< seconds, at the entry side
     prometheus::Histogram* gate_wait; ///< seconds, of queued work only
     prometheus::Gauge* in_flight;
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -455,6 +455,7 @@
         reload_settings(p.settings, n);
     evict_idle_allowances(n.local_allowances, local_limit_policy(), now);
     evict_idle_allowances(n.owned_allowances, make_allowance_policy(n), now);
+    evict_idle_allowances(n.stand_in_allowances, make_allowance_policy(n), now);
     evict_idle_allowances(n.fallback_allowances, make_allowance_policy(n), now);
     quarantine_expire(n.quarantine, uptime_now());
     expire_notices(n.view.notices, now);
@@ -500,6 +501,7 @@
         if (ec)
             return;
         const auto now = mono_now();
+        watch_pauses(p.state);
         tick_gate(p.state, now);
         evaluate_workers(p.state, now);
         probe_avoided_paths(p.state, now);
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -180,6 +180,15 @@
     bool config_proven = true; ///< fresh enough, as last logged
     mono_us members_changed_at = 0;
     allowance_table owned_allowances; ///< of teams owned by this node
+    /// Of teams whose owner node didn't answer the node that asked this one.
+    allowance_table stand_in_allowances;
+    pause_watch pauses;
+    /// When nodes last ceased to own teams, and whether they were leaving.
+    std::unordered_map<node_id, prior_owner> former_owners;
+    returned_grants returned;
+    /// Nodes of a former build, which don't take grants back, until when they
+    /// are not asked to.
+    std::unordered_map<node_id, mono_us> no_returns_until;
     /// Owner nodes that did not answer a grant request, and when.
     std::unordered_map<node_id, mono_us> unresponsive_owners;
     allowance_table fallback_allowances; ///< of teams without a reachable owner
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -105,6 +105,14 @@
               "The time of a node to stop was over while callers still waited "
               "for answers; their connections were closed.",
               "Compare [limits] stop_ms with the platform's grace period."},
+    event_row{event_id::grants_held, "grants_held",
+              "A node noticed that its process had paused, and leaves the "
+              "limits of its teams to the next node for a while.",
+              "None; many of them mean that the VM gets too little CPU time."},
+    event_row{event_id::grant_returned, "grant_returned",
+              "A grant was given back because its request was refused as not "
+              "run, or could not be given back (failed=).",
+              "None; failed= is usual while nodes of a former build run."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "The evidence against a backend server exceeded its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
