--- a/src/node/fleet_update.cpp
+++ b/src/node/fleet_update.cpp
@@ -3,9 +3,11 @@
 
 #include "base/text_func.hpp"
 #include "member/member_query.hpp"
+#include "node/entry_team.hpp"
 #include "node/health_driver.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace jasminetray {
 
@@ -90,6 +92,7 @@
     for (const auto& x : updates) {
         if (x.removed) {
             view_remove(n.view, x.record.id, now);
+            n.former_owners.erase(x.record.id);
             continue;
         }
         const auto it = n.view.nodes.find(x.record.id);
@@ -98,6 +101,11 @@
                 (x.state == liveness::dead) ||
             it->second.record.leaving != x.record.leaving)
             n.members_changed_at = now;
+        if (it != n.view.nodes.end() && owns_teams(it->second) &&
+            (x.state != liveness::alive || x.record.leaving)) {
+            const bool left = x.state == liveness::alive;
+            n.former_owners[x.record.id] = {false, left, now};
+        }
         log_worker_changes(n, x.record);
         view_update(n.view, x.record, x.state, now);
     }
@@ -115,11 +123,12 @@
 void apply_config(node_state& n, std::shared_ptr<const fleet_config> c)
 {
     // A slow fetch of an older version may finish after a newer one.
-    if (n.config && c->version <= n.config->version)
+    if (n.config && std::tie(c->era, c->version) <=
+                        std::tie(n.config->era, n.config->version))
         return;
     n.config = std::move(c);
     n.config_at = mono_now();
-    set_version_in_force(n.fresh, n.config->version);
+    set_version_in_force(n.fresh, n.config->version, n.config->era);
     n.metrics.config_unclear->Increment(
         static_cast<double>(n.config->warnings.size()));
     n.service_positions.clear();
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -47,6 +47,9 @@
     m->handler_failures = counter(r, "jasminetray_handler_failures_total",
                                   "Exceptions that ended the handling of a "
                                   "request or connection, by part.");
+    m->grants_returned =
+        counter(r, "jasminetray_grants_returned_total",
+                "Team grants given back for requests that didn't run.");
     auto& bytes = prometheus::BuildCounter()
                       .Name("jasminetray_datagram_bytes_total")
                       .Help("Bytes of datagrams by direction.")
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -35,9 +35,11 @@
     prometheus::Family<prometheus::Counter>* datagrams;        ///< by fate
     prometheus::Family<prometheus::Counter>* check_ins;        ///< by fate
     prometheus::Family<prometheus::Counter>* handler_failures; ///< by part
-    bounded_counter carried_bytes;                             ///< by route
-    prometheus::Counter* bytes_in;                             ///< of datagrams
-    prometheus::Counter* bytes_out;                            ///< of datagrams
+    /// By outcome: added to the team's bucket, late, or failed.
+    prometheus::Family<prometheus::Counter>* grants_returned;
+    bounded_counter carried_bytes;    ///< by route
+    prometheus::Counter* bytes_in;    ///< of datagrams
+    prometheus::Counter* bytes_out;   ///< of datagrams
     prometheus::Histogram* duration;  ///< seconds, at the entry side
     prometheus::Histogram* gate_wait; ///< seconds, of queued work only
     prometheus::Gauge* in_flight;
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -109,6 +109,14 @@
               "The cost of bytes between data centres in force has changed.",
               "None; `source` says whether the setting or the configuration "
               "decided."},
+    event_row{event_id::grants_held, "grants_held",
+              "A node noticed that its process had paused, and leaves the "
+              "limits of its teams to the next node for a while.",
+              "None; many of them mean that the VM gets too little CPU time."},
+    event_row{event_id::grant_returned, "grant_returned",
+              "A grant was given back because its request was refused as not "
+              "run, or could not be given back (failed=).",
+              "None; failed= is usual while nodes of a former build run."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "The evidence against a backend server exceeded its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
@@ -267,6 +275,12 @@
               "The configuration is confirmed to be fresh; requests with team "
               "keys are served.",
               "None."},
+    event_row{
+        event_id::store_restored, "store_restored",
+        "The store came back from an older copy of itself. Its present "
+        "content is used from now on, in a new era.",
+        "Check that the configuration in the store is the wanted one, and "
+        "submit it again if not."},
     event_row{event_id::operator_drain, "operator_drain",
               "An operator drained a node or a backend server.", "None."},
     event_row{event_id::operator_eject, "operator_eject",
