Learn and count an answer's bytes only once it is complete

The length of a streamed answer was learned and counted before it was passed on, so that one that broke off counted whole. A length is bounded at 1 GB, so that one absurd answer does not outweigh the others of its route.

--- a/src/balance/carried_bytes.cpp
+++ b/src/balance/carried_bytes.cpp
@@ -6,6 +6,12 @@
 
 namespace jasminetray {
 
+namespace {
+
+constexpr double max_answer_bytes = 1e9;
+
+} // namespace
+
 double byte_cost_in_force(std::optional<double> setting, bool has_large_answers)
 {
     return setting.value_or(has_large_answers ? default_byte_cost : 0);
@@ -32,7 +38,7 @@
     const double kept =
         std::exp2(-age / static_cast<double>(c.policy.half_life));
     x.weight = x.weight * kept + 1;
-    x.sum = x.sum * kept + bytes;
+    x.sum = x.sum * kept + std::clamp(bytes, 0.0, max_answer_bytes);
     x.at = now;
 }
 
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -157,23 +157,28 @@
     c.stream.socket().cancel(ec);
 }
 
-/// Learns the size of an answer, and counts the part of it that is streamed. An
-/// answer without a length counts as far as it is held.
-void note_answer_bytes(entry_request& r, const entry_attempt& t)
+/// Returns the bytes of an answer's body. One without a length counts as far as
+/// it is held.
+std::size_t body_bytes(const response_parser& parser)
+{
+    const auto held = parser.get().body().size();
+    const auto length = parser.content_length();
+    return parser.is_done() || !length
+               ? held
+               : std::max(held, static_cast<std::size_t>(*length));
+}
+
+/// Learns the size of a complete answer.
+void note_answer_bytes(entry_request& r, const entry_attempt& t,
+                       std::size_t bytes)
 {
-    auto& n = r.n;
-    const auto held = t.parser->get().body().size();
-    const auto length = t.parser->content_length();
-    const auto bytes = t.parser->is_done() || !length
-                           ? held
-                           : std::max(held, static_cast<std::size_t>(*length));
-    count_carried_bytes(r, t, bytes - held);
     constexpr unsigned first_failure = 300; // says nothing about answers
-    if (n.placing.byte_cost > 0 &&
-        t.parser->get().result_int() < first_failure &&
-        r.message.method() != http::verb::head)
-        add_answer_bytes(n.answer_sizes, text_hash(r.route->name),
-                         static_cast<double>(bytes), mono_now());
+    if (r.n.placing.byte_cost <= 0 ||
+        t.parser->get().result_int() >= first_failure ||
+        r.message.method() == http::verb::head)
+        return;
+    add_answer_bytes(r.n.answer_sizes, text_hash(r.route->name),
+                     static_cast<double>(bytes), mono_now());
 }
 
 /// @return whether the connection can be reused
@@ -183,7 +188,7 @@
     auto& n = r.n;
     auto& t = r.attempts[number - 1];
     auto& answer = t.parser->get();
-    note_answer_bytes(r, t);
+    const auto bytes = body_bytes(*t.parser);
     strip_hop_fields(answer);
     if (!n.dialect.preserve_request_id)
         answer.erase(to_beast_view(n.dialect.request));
@@ -197,12 +202,17 @@
                         " attempts=" + std::to_string(r.attempts.size()) +
                         " us=" + std::to_string(mono_now() - r.received_at));
     if (!t.parser->is_done()) {
+        const auto held = answer.body().size();
         if (relay_answer(*t.connection, *t.parser, answer.base(), c.stream,
-                         write_timeout, y))
+                         write_timeout, y)) {
+            count_carried_bytes(r, t, bytes - held);
+            note_answer_bytes(r, t, bytes);
             return c.keep_alive;
+        }
         n.events.write(event_id::answer_cut, r.label, "");
         return false; // the caller detects truncation by the close
     }
+    note_answer_bytes(r, t, bytes);
     string_response m(answer.base(), std::move(answer.body()));
     m.version(11);
     if (r.message.method() != http::verb::head)
--- a/test/test_carried_bytes.cpp
+++ b/test/test_carried_bytes.cpp
@@ -15,7 +15,6 @@
 constexpr double lookup_bytes = 400;
 constexpr double download_bytes = 90000;
 constexpr std::uint64_t lookup = 1;
-constexpr std::uint64_t download = 2;
 
 TEST(carried_bytes, mean_follows_changed_answers)
 {
@@ -34,6 +33,18 @@
                 1);
 }
 
+// Guards against one answer with an absurd length that outweighs all others.
+TEST(carried_bytes, length_of_an_answer_is_bounded)
+{
+    constexpr double max_answer = 1e9;
+    carried_bytes c;
+    add_answer_bytes(c, lookup, 1e18, start);
+    EXPECT_LE(expected_bytes(c, lookup, false, 0),
+              max_answer + c.policy.head_bytes);
+    add_answer_bytes(c, lookup, -5, start);
+    EXPECT_GE(expected_bytes(c, lookup, false, 0), c.policy.head_bytes);
+}
+
 // Guards against memory that grows with each route that a configuration ever
 // had, and against forgetting one that is in use.
 TEST(carried_bytes, least_recently_used_route_is_evicted)
@@ -189,7 +200,7 @@
         const double phase =
             2 * pi * static_cast<double>(now - start) / period +
             pi * static_cast<double>(centre);
-        return mean_load * (servers / 2) * slots * us_per_s / mean_work *
+        return mean_load * servers / 2 * slots * us_per_s / mean_work *
                (1 + swing * std::sin(phase));
     }
 
