--- a/src/node/entry_team.cpp
+++ b/src/node/entry_team.cpp
@@ -6,6 +6,7 @@
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
 #include "limit/limit_type.hpp"
+#include "node/guard_func.hpp"
 #include "node/http_func.hpp"
 #include "node/peer_request.hpp"
 
@@ -386,12 +387,10 @@
     const auto refused = n.no_returns_until.find(grant->owner);
     if (refused != n.no_returns_until.end() && now < refused->second)
         return;
-    asio::spawn(
-        n.ctx,
-        [&n, grant = *grant, team = r.team_hash](const yield& y) {
-            send_return(n, grant, team, y);
-        },
-        asio::detached);
+    spawn_guarded(n, "grant-return",
+                  [&n, grant = *grant, team = r.team_hash](const yield& y) {
+                      send_return(n, grant, team, y);
+                  });
 }
 
 void refuse_late_grants(node_state& n)
