Order queues between teams by their pressure; let waiting work move

Cause: a gate orders its queue by priority, target and arrival. It knows neither whose a request is nor what the team uses elsewhere, so that one team at several times its usual takes the slots of all. And work that was admitted in time stays in a queue that got slow, beside idle backend servers.

The owner of a team counts its grants over 2 s and names the share of the rate that they use with each grant, to nodes that ask for it. The entry node passes it on in the hop header, and the gate orders the request as if it had arrived up to 4 s later ([gate] fair_queues). A gate refuses queued work as `moved` when it would be late there and a free slot is known elsewhere; the entry node offers it again without counting the try or a retry, once ([gate] move_waiting).

Wire: a former build reads 31 bits of the priority, so the pressure lies above them. It refuses an answer of three parts to a request for a grant, so the pressure is sent only where bit 63 of the longest wait asked for it; that bit was always masked.

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -322,6 +322,7 @@
     case attempt_event_kind::not_run:
     case attempt_event_kind::unsent:
         mark_not_run(r, t, e.reached);
+        t.placed = !e.moved;
         return retry_or_settle(r, budget, now, out, on);
     case attempt_event_kind::unknown:
         t.phase = attempt_phase::unknown;
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -51,6 +51,9 @@
     std::string reason;      ///< for the body of a refusal
     /// not_run: refused by the backend server itself and not by its gate.
     bool reached = false;
+    /// not_run: left a queue because another backend server has room. The try
+    /// doesn't count.
+    bool moved = false;
 };
 
 enum class attempt_action_kind : std::uint8_t
--- a/src/config/mechanism_type.hpp
+++ b/src/config/mechanism_type.hpp
@@ -35,14 +35,16 @@
     start_limits,        ///< keep the limits that backend servers name
     leaving_answers,     ///< drain backend servers that answer as leaving
     cold_starts,         ///< place less work on cold backend servers
+    fair_queues,         ///< share slots between teams
+    move_waiting,        ///< offer late queued work to other gates
 };
 
-inline constexpr std::array<std::string_view, 18> mechanism_names = {
+inline constexpr std::array<std::string_view, 20> mechanism_names = {
     "doubt",           "quick-probe",     "last-resort", "late-forecast",
     "short-first",     "placing",         "probe-work",  "refusal-memory",
     "load-news",       "retries",         "path-guard",  "verdicts",
     "survival",        "allowance-homes", "quarantine",  "start-limits",
-    "leaving-answers", "cold-starts"};
+    "leaving-answers", "cold-starts",     "fair-queues", "move-waiting"};
 
 using mechanism_set = std::bitset<mechanism_names.size()>;
 
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -34,6 +34,13 @@
     span_us grace = 0;            ///< from SIGTERM to the kill; 0 if unknown
 };
 
+/// Decisions about queued work; off unless switched on.
+struct gate_settings
+{
+    bool fair_queues = false;  ///< share slots between teams
+    bool move_waiting = false; ///< offer late queued work to other gates
+};
+
 struct quarantine_settings
 {
     int crashes = 3; ///< crashes until a request is refused
@@ -73,6 +80,7 @@
     int log_lines_per_second = 20000; ///< per event
     std::string safeguards_off;       ///< for tests; names separated by commas
     hosted_settings hosted;
+    gate_settings gate;
     quarantine_settings quarantine;
     experiment_settings experiment;
 };
--- a/src/gate/gate_cmd.hpp
+++ b/src/gate/gate_cmd.hpp
@@ -74,6 +74,10 @@
 std::vector<gate_decision> gate_report_overdue(gate& g, worker_id w,
                                                mono_us now);
 
+/// Sets the free slots at the other backend servers of a service, for
+/// gate_advance().
+void gate_set_room_elsewhere(gate& g, worker_id w, double slots, mono_us now);
+
 /// Removes queued work whose caller has disconnected. It will never run.
 /// @return false when the work is not in the queue
 bool gate_cancel_queued(gate& g, const gate_request& r, mono_us now);
--- a/src/gate/gate_queue.cpp
+++ b/src/gate/gate_queue.cpp
@@ -66,10 +66,22 @@
 
 } // namespace
 
-gate_waiting make_waiting(const gate_request& r, std::uint64_t serial)
+gate_waiting make_waiting(const gate_request& r, const gate_limits& l,
+                          std::uint64_t serial, mono_us now)
 {
-    return {r.attempt, r.idempotent,  r.priority, r.deadline,      r.due,
-            r.target,  r.route_class, serial,     r.entry_stopping};
+    gate_waiting x;
+    x.attempt = r.attempt;
+    x.idempotent = r.idempotent;
+    x.priority = r.priority;
+    x.deadline = r.deadline;
+    x.due = r.due;
+    x.target = r.target;
+    x.route_class = r.route_class;
+    x.serial = serial;
+    x.entry_stopping = r.entry_stopping;
+    x.may_move = r.may_move;
+    x.rank = l.fair.on ? now + fair_queue_delay(l.fair, r.pressure) : 0;
+    return x;
 }
 
 span_us mean_duration_of(const gate_worker& w, std::uint32_t route_class)
@@ -96,6 +108,8 @@
     const bool late_b = is_late(w, b, now);
     if (late_a != late_b)
         return late_b;
+    if (a.rank != b.rank)
+        return a.rank < b.rank;
     return a.serial < b.serial;
 }
 
@@ -121,6 +135,12 @@
     w.on_time_load_at = now;
 }
 
+mono_us expected_start(const gate_worker& w, const queue_wait& wait,
+                       mono_us now)
+{
+    return now + expected_wait(w, wait, 1);
+}
+
 bool is_servable(const gate_worker& w, const gate_limits& l,
                  const gate_waiting& x, const queue_wait& wait, mono_us now)
 {
--- a/src/gate/gate_queue.hpp
+++ b/src/gate/gate_queue.hpp
@@ -7,9 +7,10 @@
 
 namespace jasminetray {
 
-/// Returns the queue entry of a request.
+/// Returns the queue entry of a request that arrives now.
 /// @param serial order of arrival
-gate_waiting make_waiting(const gate_request& r, std::uint64_t serial);
+gate_waiting make_waiting(const gate_request& r, const gate_limits& l,
+                          std::uint64_t serial, mono_us now);
 
 /// Returns the mean duration of a route class at a backend server, or of all
 /// its work when the class is unknown.
@@ -19,8 +20,9 @@
 bool is_late(const gate_worker& w, const gate_waiting& x, mono_us now);
 
 /// Orders the queue by priority, then by target, then on-time before late work,
-/// then by arrival. Short targets go first because the requests that make such
-/// lookups hold slots elsewhere.
+/// then by arrival,
+/// later for teams that press. Short targets go first because the requests that
+/// make such lookups hold slots elsewhere.
 bool comes_before(const gate_worker& w, const gate_limits& l,
                   const gate_waiting& a, const gate_waiting& b, mono_us now);
 
@@ -40,6 +42,10 @@
     span_us start = 0; ///< until the limit of starts allows it
 };
 
+/// Returns when queued work is expected to start.
+mono_us expected_start(const gate_worker& w, const queue_wait& wait,
+                       mono_us now);
+
 /// Returns whether work is expected to start in time, or to finish before its
 /// deadline with the capacity left over by on-time work.
 bool is_servable(const gate_worker& w, const gate_limits& l,
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -5,6 +5,8 @@
 #include "base/id_type.hpp"
 #include "base/names_type.hpp"
 #include "base/time_type.hpp"
+#include "gate/fair_queue.hpp"
+#include "gate/move_waiting.hpp"
 #include "gate/start_limit.hpp"
 #include "outlier/estimate_type.hpp"
 
@@ -32,15 +34,19 @@
     suspected,      ///< its backend server is probably unhealthy
     quarantined,    ///< the request crashes the processes that run it
     rate_limited,   ///< its backend server accepts no more requests in time
+    moved,          ///< would be late here; another backend server has room
 };
 
 /// Sent to entry nodes.
 inline constexpr std::string_view rate_limited_reason = "rate-limited";
 
-inline constexpr std::array<std::string_view, 13> gate_error_names = {
-    "none",      "wrong-boot",   "stale-stamp",      "revoked",    "duplicate",
-    "draining",  "records-full", "deadline-short",   "queue-full", "no-worker",
-    "suspected", "quarantined",  rate_limited_reason};
+/// The entry node offers such work elsewhere without counting the try.
+inline constexpr std::string_view moved_reason = "moved";
+
+inline constexpr std::array<std::string_view, 14> gate_error_names = {
+    "none",      "wrong-boot",   "stale-stamp",       "revoked",    "duplicate",
+    "draining",  "records-full", "deadline-short",    "queue-full", "no-worker",
+    "suspected", "quarantined",  rate_limited_reason, moved_reason};
 
 /// State of a recorded non-idempotent attempt.
 enum class gate_state : std::uint8_t
@@ -86,6 +92,8 @@
     mono_us due = mono_never; ///< soft deadline of the response
     span_us target = 0;       ///< from the caller's first byte to `due`
     std::uint32_t route_class = 0;
+    double pressure = 0;   ///< share of its rate that its team used
+    bool may_move = false; ///< its entry node can offer it elsewhere
 };
 
 enum class admission : std::uint8_t
@@ -133,6 +141,8 @@
     bool short_first = true; ///< sorts the queue by target
     early_success_policy early_success;
     start_limit_policy starts;
+    fair_queue_policy fair;
+    move_policy move;
     /// Decay time of the on-time load: longer than a unit of work, shorter
     /// than a burst.
     span_us on_time_load_window = 2 * us_per_s;
@@ -168,6 +178,8 @@
     std::uint32_t route_class = 0;
     std::uint64_t serial = 0; ///< order of arrival
     bool entry_stopping = false;
+    bool may_move = false;
+    mono_us rank = 0; ///< its place among teams; 0 if they don't share
 };
 
 /// Statistics of a route class at a backend server.
@@ -197,6 +209,7 @@
     mono_us on_time_load_at = 0;     ///< last update of on_time_load
     std::vector<gate_waiting> queue; ///< invariant: size <= gate_limits::queue
     start_limit starts;              ///< its limit of starts per second
+    room_elsewhere elsewhere;        ///< at its service's other servers
 };
 
 /// Admission control of one process. Not thread-safe.
--- /dev/null
+++ b/src/gate/move_waiting.cpp
@@ -0,0 +1,24 @@
+// Decision to move queued work; see move_waiting.hpp.
+#include "gate/move_waiting.hpp"
+
+namespace jasminetray {
+
+bool should_move(const move_policy& p, const room_elsewhere& r,
+                 const move_candidate& x, mono_us now)
+{
+    if (!p.on || x.due == mono_never)
+        return false;
+    const bool known = r.at != 0 && now - r.at <= p.room_ttl;
+    if (!known || r.slots < 1 || now - r.moved_at < p.interval)
+        return false;
+    return x.begin_here + x.work > x.due &&
+           now + p.offer_time + x.work <= x.due;
+}
+
+void note_move(room_elsewhere& r, mono_us now)
+{
+    r.slots -= 1;
+    r.moved_at = now;
+}
+
+} // namespace jasminetray
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -1,5 +1,6 @@
 // Network I/O of attempts: connections, pings, messages and answers.
 #include "attempt/attempt_func.hpp"
+#include "balance/room_query.hpp"
 #include "base/text_func.hpp"
 #include "node/entry_request.hpp"
 #include "node/http_func.hpp"
@@ -20,6 +21,7 @@
     attempt_event_kind kind{};
     std::string reason;
     bool reached = false; ///< not-run: a backend server rejected it
+    bool moved = false;   ///< not-run: another backend server has room
 };
 
 void update_stamp(node_state& n, node_id exit, const hop_answer& a)
@@ -142,6 +144,10 @@
     // can't, and a late answer is better than none.
     h.entry_stopping = r.machine.deadline >= n.last_answer_at &&
                        attempt_is_proven_not_run(r.machine, count);
+    const auto& limits = n.local_gate.limits;
+    if (limits.fair.on)
+        h.pressure = r.pressure;
+    h.may_move = t.may_move;
     h.priority = r.priority;
     h.route_class = r.route_class;
     h.centre = static_cast<std::uint32_t>(n.self.centre);
@@ -227,7 +233,7 @@
     case hop_outcome::not_run:
         return {a.reason == quarantined_reason ? attempt_event_kind::quarantined
                                                : attempt_event_kind::not_run,
-                a.reason, a.reached};
+                a.reason, a.reached, t.may_move && a.reason == moved_reason};
     case hop_outcome::unknown:
         break;
     }
@@ -353,6 +359,18 @@
     return std::nullopt;
 }
 
+/// Returns whether a gate may move the attempt: another gate can be tried, and
+/// no suspect or pinned backend server was chosen.
+bool may_move(const entry_request& r, const entry_attempt& t)
+{
+    constexpr std::uint32_t max_moves = 1; // so that work isn't passed round
+    const auto it = r.n.view.services.find(r.service_key);
+    return r.n.local_gate.limits.move.on && r.moves < max_moves &&
+           !t.is_fallback && !r.pinned_worker &&
+           it != r.n.view.services.end() &&
+           has_untried_candidate(it->second.candidates, r.tried_workers);
+}
+
 /// Selects the backend server of an attempt.
 /// @return false when no candidate is left
 bool select_target(entry_request& r, entry_attempt& t, std::uint32_t count)
@@ -370,6 +388,7 @@
     t.address = node->second.record.address;
     ++x.in_flight;
     r.tried_workers.push_back(x.id);
+    t.may_move = may_move(r, t);
     r.n.events.write(
         count == 1 ? event_id::request_routed : event_id::request_retried,
         r.label,
@@ -475,9 +494,10 @@
         [r, &t, count, new_connection](const yield& y) {
             const auto result = run_attempt(*r, t, count, new_connection, y);
             finish_attempt(*r, t, result);
+            r->moves += result.moved ? 1 : 0;
             if (!t.cancelled)
-                r->queue_event(
-                    {result.kind, count, result.reason, result.reached});
+                r->queue_event({result.kind, count, result.reason,
+                                result.reached, result.moved});
         },
         asio::detached);
 }
--- a/src/node/entry_request.hpp
+++ b/src/node/entry_request.hpp
@@ -27,6 +27,7 @@
     bool cancelled = false;
     bool may_probe = false;   ///< may go to a suspect backend server
     bool is_fallback = false; ///< goes to a suspect, which admits it
+    bool may_move = false;    ///< its gate was told that it may be moved
 };
 
 /// One request of a caller.
@@ -47,6 +48,7 @@
     std::string team;            ///< may be empty
     std::uint64_t team_hash = 0; ///< hash of its name; 0 for none
     team_limit limit;            ///< of the team; a rate of 0 is no limit
+    double pressure = 0;         ///< of the team, from its owner; 0: unknown
     int priority = 0;            ///< the team's, else the route's
     string_request message;
     std::optional<fingerprint> message_fingerprint; ///< computed on demand
@@ -56,6 +58,7 @@
     asio::steady_timer signal;          ///< cancelled when an event is queued
     std::deque<entry_attempt> attempts; ///< by number - 1; addresses are stable
     std::vector<worker_id> tried_workers;
+    std::uint32_t moves = 0;                ///< times that a gate moved it
     std::optional<worker_id> pinned_worker; ///< only server allowed, by key
     bool watching_caller = false; ///< the caller's socket is polled for closing
 
--- a/src/node/entry_team.cpp
+++ b/src/node/entry_team.cpp
@@ -232,21 +232,23 @@
         r.message.set(to_beast_view(n.dialect.team), r.team);
 }
 
-std::optional<refusal> acquire_grant(node_state& n, const entry_request& r,
+std::optional<refusal> acquire_grant(node_state& n, entry_request& r,
                                      const yield& y)
 {
     if (r.limit.rate <= 0)
         return std::nullopt;
-    auto answer =
-        n.settings.experiment.is_enabled(mechanism::allowance_owners)
-            ? request_grant(n, {r.team_hash, r.limit, max_token_wait(r), false},
-                            y)
-            : std::nullopt;
+    auto answer = n.settings.experiment.is_enabled(mechanism::allowance_owners)
+                      ? request_grant(n,
+                                      {r.team_hash, r.limit, max_token_wait(r),
+                                       false, n.local_gate.limits.fair.on},
+                                      y)
+                      : std::nullopt;
     const bool no_owner = !answer;
     if (no_owner)
         answer =
             take_fallback_allowance(n.fallback_allowances, r.team_hash, r.limit,
                                     make_allowance_policy(n), mono_now());
+    r.pressure = answer->pressure;
     if (answer->granted) {
         wait_for(n, answer->wait, y);
         return std::nullopt;
@@ -276,7 +278,7 @@
         answer =
             take_allowance(n.owned_allowances, ask->team, ask->limit,
                            ask->max_wait, make_allowance_policy(n), mono_now());
-    return send_peer_reply(to, to_text(*answer), y);
+    return send_peer_reply(to, to_text(*answer, ask->wants_pressure), y);
 }
 
 } // namespace jasminetray
--- a/src/node/entry_team.hpp
+++ b/src/node/entry_team.hpp
@@ -21,9 +21,9 @@
 void set_team_header(const node_state& n, entry_request& r);
 
 /// Obtains a grant from the team's owner node, and waits for the team's next
-/// token where the grant says so.
+/// token where the grant says so. Sets the team's pressure.
 /// @return a refusal, or nothing when the request may pass
-std::optional<refusal> acquire_grant(node_state& n, const entry_request& r,
+std::optional<refusal> acquire_grant(node_state& n, entry_request& r,
                                      const yield& y);
 
 /// Answers another node's grant request.
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -1,6 +1,7 @@
 // Implementation of the exit side; see exit_server.hpp.
 #include "node/exit_server.hpp"
 
+#include "balance/room_query.hpp"
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
 #include "gate/gate_query.hpp"
@@ -69,6 +70,8 @@
         w.request.due = now + h->target - h->elapsed;
     w.source = source_index_of(n, h->centre);
     w.request.route_class = h->route_class;
+    w.request.pressure = h->pressure;
+    w.request.may_move = h->may_move;
     w.message = std::move(message);
     return w;
 }
@@ -175,7 +178,8 @@
 {
     const auto now = mono_now();
     const auto waited = now - since;
-    n.metrics.gate_wait->Observe(static_cast<double>(waited) / us_per_s);
+    observe_gate_wait(n.metrics, w.request.priority,
+                      static_cast<double>(waited) / us_per_s);
     const auto text =
         "worker=" + worker_name(n, w.request.worker) +
         " waited_ms=" + std::to_string(waited / us_per_ms) +
@@ -184,6 +188,10 @@
         (refused == gate_error::none
              ? "started"
              : std::string(name_of(gate_error_names, refused))) +
+        " priority=" + std::to_string(w.request.priority) +
+        (n.local_gate.limits.fair.on
+             ? " pressure=" + std::to_string(percent_of(w.request.pressure))
+             : "") +
         (w.request.entry_stopping ? " leaving=1" : "");
     // Short waits are frequent under load; they get no log line.
     if (waited < min_logged_wait && refused == gate_error::none)
@@ -192,6 +200,25 @@
         n.events.write(event_id::work_waited, logged_id(n, w), text);
 }
 
+void log_move(node_state& n, const exit_request& w, span_us waited)
+{
+    const auto it = n.local_gate.workers.find(w.request.worker);
+    if (it == n.local_gate.workers.end())
+        return;
+    const auto& g = it->second;
+    const auto now = mono_now();
+    n.events.write(
+        event_id::work_moved, logged_id(n, w),
+        "worker=" + worker_name(n, w.request.worker) +
+            " waited_ms=" + std::to_string(waited / us_per_ms) +
+            " due_ms=" + std::to_string((w.request.due - now) / us_per_ms) +
+            " usual_ms=" + std::to_string(g.mean_duration / us_per_ms) +
+            " waiting=" + std::to_string(g.queue.size()) +
+            " limit=" + std::to_string(static_cast<int>(g.limit)) +
+            " free_elsewhere=" + std::to_string(g.elsewhere.slots) +
+            " age_ms=" + std::to_string((now - g.elsewhere.at) / us_per_ms));
+}
+
 /// Refuses quarantined work. Non-idempotent work is revoked too, so that a
 /// delayed copy can't run after the quarantine has ended.
 gate_error refuse_quarantined(node_state& n, const exit_request& w)
@@ -231,6 +258,8 @@
         return gate_error::none;
     error = wait_for_slot(n, w, stream, y);
     log_queue_wait(n, w, since, error);
+    if (error == gate_error::moved)
+        log_move(n, w, mono_now() - since);
     if (error == gate_error::none &&
         is_quarantined(n, w.message, w.fingerprint_cache))
         return withdraw_quarantined(n, w);
@@ -390,6 +419,23 @@
                         reason, false, y);
 }
 
+/// Counts the free slots elsewhere, if work waits that could use them.
+void update_room_elsewhere(node_state& n, worker_id id)
+{
+    const auto it = n.workers.find(id);
+    const auto queue = n.local_gate.workers.find(id);
+    if (!n.local_gate.limits.move.on || it == n.workers.end() ||
+        queue == n.local_gate.workers.end() || queue->second.queue.empty())
+        return;
+    const auto view = n.view.services.find(service_of(it->second.service));
+    if (view == n.view.services.end())
+        return;
+    const auto now = mono_now();
+    gate_set_room_elsewhere(
+        n.local_gate, id,
+        free_slots_elsewhere(view->second.candidates, n.balance, id, now), now);
+}
+
 bool send_ping_reply(node_state& n, beast::tcp_stream& to, const yield& y)
 {
     hop_answer a;
@@ -432,6 +478,7 @@
 
 void advance_gate(node_state& n, worker_id w)
 {
+    update_room_elsewhere(n, w);
     deliver_gate_decisions(n, gate_advance(n.local_gate, w, mono_now()));
 }
 
--- a/src/node/experiment_func.cpp
+++ b/src/node/experiment_func.cpp
@@ -19,6 +19,8 @@
     n.balance.estimate.on = estimation;
     gate.late_forecast = e.is_enabled(mechanism::late_forecast);
     gate.short_first = e.is_enabled(mechanism::short_first);
+    gate.fair.on = gate.fair.on && e.is_enabled(mechanism::fair_queues);
+    gate.move.on = gate.move.on && e.is_enabled(mechanism::move_waiting);
     n.placing.on = estimation && e.is_enabled(mechanism::placement);
     gate.starts.on = e.is_enabled(mechanism::start_limits);
     gate.early_success.enabled = e.is_enabled(mechanism::early_success);
--- a/src/node/hop_func.cpp
+++ b/src/node/hop_func.cpp
@@ -19,13 +19,20 @@
 constexpr std::size_t shorten_parts = 2; // plus one per attempt
 constexpr std::size_t loan_parts = 3;
 constexpr std::size_t allowance_request_parts = 6;
-constexpr std::size_t allowance_answer_parts = 2;
+constexpr std::size_t allowance_answer_parts = 2; // plus one with a pressure
 constexpr std::uint64_t idempotent_bit = 1;
 constexpr std::uint64_t probe_bit = 2;
 constexpr std::uint64_t fallback_bit = 4;
 constexpr std::uint64_t stopping_bit = 8;
 constexpr std::uint64_t limit_bit = 16;
 constexpr std::uint64_t leaving_bit = 32;
+constexpr std::uint64_t may_move_bit = 128;
+/// Of the longest wait in a request for a grant; beyond the values of a
+/// duration, so that earlier builds drop it.
+constexpr std::uint64_t wants_pressure_bit = 1ULL << 63U;
+/// In the number of the priority. Earlier builds read its low half only.
+constexpr unsigned pressure_shift = 32;
+constexpr std::uint64_t pressure_mask = 0xff;
 // The numbers of a notice follow the flags, in the same number.
 constexpr unsigned limit_rate_shift = 8;
 constexpr unsigned notice_age_shift = 32;
@@ -86,6 +93,18 @@
     return l;
 }
 
+std::uint64_t pressure_steps(double pressure)
+{
+    const double n = std::clamp(pressure / pressure_unit, 0.0,
+                                static_cast<double>(pressure_mask));
+    return static_cast<std::uint64_t>(std::llround(n));
+}
+
+double pressure_of(std::uint64_t steps)
+{
+    return static_cast<double>(steps & pressure_mask) * pressure_unit;
+}
+
 /// A backend server that leaves gets no requests, so its limit isn't needed.
 std::uint64_t notice_bits(const hop_request& r)
 {
@@ -136,8 +155,9 @@
                            (r.may_probe ? probe_bit : 0) |
                            (r.is_fallback ? fallback_bit : 0) |
                            (r.entry_stopping ? stopping_bit : 0) |
-                           notice_bits(r));
-    append_number(out, static_cast<std::uint64_t>(r.priority));
+                           (r.may_move ? may_move_bit : 0) | notice_bits(r));
+    append_number(out, static_cast<std::uint64_t>(r.priority) |
+                           pressure_steps(r.pressure) << pressure_shift);
     append_number(out, r.route_class);
     append_number(out, r.centre);
     append_duration(out, r.remaining);
@@ -197,14 +217,18 @@
                            std::llround(limit_scale * a.limit.rate)));
     append_number(out, static_cast<std::uint64_t>(
                            std::llround(limit_scale * a.limit.burst)));
-    append_duration(out, a.max_wait / us_per_ms);
+    const auto wait = std::max<span_us>(0, a.max_wait / us_per_ms);
+    append_number(out, static_cast<std::uint64_t>(wait) |
+                           (a.wants_pressure ? wants_pressure_bit : 0));
     return out;
 }
 
-std::string to_text(const allowance_answer& a)
+std::string to_text(const allowance_answer& a, bool with_pressure)
 {
     std::string out(1, a.granted ? 'y' : 'n');
     append_duration(out, a.wait / us_per_ms);
+    if (with_pressure)
+        append_number(out, pressure_steps(a.pressure));
     return out;
 }
 
@@ -251,7 +275,9 @@
     a.limit.version = in.number();
     a.limit.rate = static_cast<double>(in.number()) / limit_scale;
     a.limit.burst = static_cast<double>(in.number()) / limit_scale;
-    a.max_wait = in.duration() * us_per_ms;
+    const auto wait = in.number();
+    a.max_wait = static_cast<span_us>(wait & INT64_MAX) * us_per_ms;
+    a.wants_pressure = (wait & wants_pressure_bit) != 0;
     if (!in.valid || (!a.forwarded && parts.front() != "a"))
         return std::nullopt;
     return a;
@@ -260,12 +286,16 @@
 std::optional<allowance_answer> parse_allowance_answer(const std::string& text)
 {
     const auto parts = split(text, ',');
-    if (parts.size() != allowance_answer_parts)
+    if (parts.size() != allowance_answer_parts &&
+        parts.size() != allowance_answer_parts + 1)
         return std::nullopt;
     number_reader in{parts, 1};
     allowance_answer a;
     a.granted = parts.front() == "y";
     a.wait = in.duration() * us_per_ms;
+    // A pressure that can't be read is absent; the grant holds.
+    if (in.valid && in.next < parts.size())
+        a.pressure = pressure_of(parse_hex(parts[in.next]).value_or(0));
     if (!in.valid || (!a.granted && parts.front() != "n"))
         return std::nullopt;
     return a;
@@ -288,10 +318,13 @@
     r.may_probe = (bits & probe_bit) != 0;
     r.is_fallback = (bits & fallback_bit) != 0;
     r.entry_stopping = (bits & stopping_bit) != 0;
+    r.may_move = (bits & may_move_bit) != 0;
     r.limit = limit_of(bits);
     if ((bits & leaving_bit) != 0)
         r.leaving_age = age_of(bits);
-    r.priority = static_cast<int>(in.number() & INT32_MAX);
+    const auto rank = in.number();
+    r.priority = static_cast<int>(rank & INT32_MAX);
+    r.pressure = pressure_of(rank >> pressure_shift);
     r.route_class = static_cast<std::uint32_t>(in.number());
     r.centre = static_cast<std::uint32_t>(in.number());
     r.remaining = in.duration();
--- a/src/node/hop_type.hpp
+++ b/src/node/hop_type.hpp
@@ -33,6 +33,7 @@
     bool may_probe = false;      ///< a failure would be retried elsewhere
     bool is_fallback = false;    ///< all other gates refused it
     bool entry_stopping = false; ///< the entry node stops at the deadline
+    bool may_move = false;       ///< another gate may be tried if it waits
     /// Limit of starts that the entry node remembers, for a gate that started
     /// after it was named. Earlier builds ignore it.
     std::optional<reported_limit> limit;
@@ -41,6 +42,9 @@
     /// Earlier builds ignore it.
     std::optional<span_us> leaving_age;
     int priority = 5;
+    /// Share of its rate that the team used; sent in steps of pressure_unit.
+    /// Earlier builds ignore it.
+    double pressure = 0;
     std::uint32_t route_class = 0; ///< hash of the route's name
     std::uint32_t centre = 0;      ///< hash of the entry node's data centre
     span_us remaining = 0;         ///< until the deadline
@@ -83,6 +87,8 @@
     team_limit limit;
     span_us max_wait = 0;   ///< longest wait for a token
     bool forwarded = false; ///< a node that is not the owner forwarded it
+    /// The answer should name the team's pressure. Earlier builds ignore it.
+    bool wants_pressure = false;
 };
 
 /// Maximum number of attempts in one shorten_notice; keeps the header within
@@ -114,7 +120,9 @@
 std::string to_text(const shorten_notice& s);
 std::string to_text(const retry_loan& l);
 std::string to_text(const allowance_request& a);
-std::string to_text(const allowance_answer& a);
+/// @param with_pressure only for a node that asked for it: earlier builds take
+///        an answer with a third part for malformed
+std::string to_text(const allowance_answer& a, bool with_pressure = false);
 
 /// Decode the output of to_text(); nothing when malformed.
 std::optional<hop_request> parse_hop_request(const std::string& text);
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -1,6 +1,7 @@
 // Registration and output of metrics; see node_metrics.hpp.
 #include "node/node_metrics.hpp"
 
+#include <algorithm>
 #include <prometheus/text_serializer.h>
 #include <sstream>
 
@@ -55,10 +56,8 @@
     m->gate_wait =
         &prometheus::BuildHistogram()
              .Name("jasminetray_gate_wait_seconds")
-             .Help("Wait for a slot of work that had to wait.")
-             .Register(r)
-             .Add({}, prometheus::Histogram::BucketBoundaries{
-                          0.01, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10});
+             .Help("Wait for a slot of work that had to wait, by priority.")
+             .Register(r);
     m->in_flight = gauge(r, "jasminetray_requests_in_flight",
                          "Requests of callers without a final answer.");
     m->members = gauge(r, "jasminetray_members", "Nodes known and not dead.");
@@ -96,6 +95,16 @@
     family.Add({{label, value}}).Increment();
 }
 
+void observe_gate_wait(node_metrics& m, int priority, double seconds)
+{
+    const auto label = std::to_string(std::clamp(priority, 0, 9));
+    m.gate_wait
+        ->Add({{"priority", label}},
+              prometheus::Histogram::BucketBoundaries{0.01, 0.05, 0.1, 0.25,
+                                                      0.5, 1, 2.5, 5, 10})
+        .Observe(seconds);
+}
+
 std::string metrics_text(const node_metrics& m)
 {
     std::ostringstream out;
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -22,8 +22,9 @@
     prometheus::Family<prometheus::Counter>* check_ins;      ///< by fate
     prometheus::Counter* bytes_in;                           ///< of datagrams
     prometheus::Counter* bytes_out;                          ///< of datagrams
-    prometheus::Histogram* duration;  ///< seconds, at the entry side
-    prometheus::Histogram* gate_wait; ///< seconds, of queued work only
+    prometheus::Histogram* duration; ///< seconds, at the entry side
+    /// Seconds, of queued work only, by priority.
+    prometheus::Family<prometheus::Histogram>* gate_wait;
     prometheus::Gauge* in_flight;
     prometheus::Gauge* members;
     prometheus::Gauge* config_version;
@@ -44,6 +45,10 @@
 void increment_counter(prometheus::Family<prometheus::Counter>& family,
                        const std::string& label, const std::string& value);
 
+/// Records the wait of queued work.
+/// @param priority 0 to 9; others count as the nearest
+void observe_gate_wait(node_metrics& m, int priority, double seconds);
+
 /// Returns all metrics in the Prometheus text format.
 std::string metrics_text(const node_metrics& m);
 
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -317,6 +317,8 @@
     beast::error_code ec;
     n.local_gate.boot = static_cast<boot_id>(random_nonzero());
     n.local_gate.limits.stamp_bound = s.stamp_bound;
+    n.local_gate.limits.fair.on = s.gate.fair_queues;
+    n.local_gate.limits.move.on = s.gate.move_waiting;
     n.rng.value = random_nonzero();
     // Starts at a random number, so that request ids stay unique over restarts
     // without stored state.
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -101,6 +101,11 @@
         "A stopping node asked other nodes for retry tokens because its own "
         "share of the allowance was spent.",
         "None; few granted tokens mean that the fleet's allowance is used up."},
+    event_row{event_id::work_moved, "work_moved",
+              "Queued work that would be late left for another backend server; "
+              "the line has what the gate expected and the free slots that it "
+              "knew of.",
+              "None; many of one gate point at a slow backend server."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "The evidence against a backend server exceeded its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -34,6 +34,13 @@
     return !s.empty();
 }
 
+/// Parses "on" or "off".
+inline bool set_switch(bool& member, std::string_view s)
+{
+    member = s == "on";
+    return member || s == "off";
+}
+
 inline bool set_ip(std::string& member, std::string_view s)
 {
     member = s;
@@ -420,6 +427,23 @@
          },
          "0 to 1000000",
          "log lines per event; further lines are dropped and counted"}},
+    settings_row{"gate",
+                 {"fair_queues",
+                  [](node_settings& s, std::string_view v) {
+                      return set_switch(s.gate.fair_queues, v);
+                  },
+                  "on, off",
+                  "queues share slots between teams that have keys; off: by "
+                  "arrival"}},
+    settings_row{"gate",
+                 {"move_waiting",
+                  [](node_settings& s, std::string_view v) {
+                      return set_switch(s.gate.move_waiting, v);
+                  },
+                  "on, off",
+                  "queued work that would be late is offered to a backend "
+                  "server with room; off: it stays until it is served or "
+                  "refused"}},
     settings_row{"quarantine",
                  {"crashes",
                   [](node_settings& s, std::string_view v) {
--- a/src/team/allowance_cmd.cpp
+++ b/src/team/allowance_cmd.cpp
@@ -2,6 +2,7 @@
 #include "team/allowance_type.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace jasminetray {
 
@@ -45,6 +46,8 @@
 {
     c.tokens = std::min(capacity,
                         c.tokens + c.limit.rate * seconds(now - c.refilled_at));
+    c.used *=
+        std::exp(-seconds(now - c.refilled_at) / seconds(pressure_window));
     c.refilled_at = now;
 }
 
@@ -60,7 +63,7 @@
         evict_idle_allowances(b, p, now);
     if (b.teams.size() >= b.max_teams)
         return nullptr;
-    return &b.teams.emplace(team, team_bucket{limit, first, now, 0})
+    return &b.teams.emplace(team, team_bucket{limit, first, now, 0, 0})
                 .first->second;
 }
 
@@ -82,15 +85,21 @@
     return c.next_retry - now;
 }
 
+double pressure_of(const team_bucket& c)
+{
+    return c.used / (c.limit.rate * seconds(pressure_window));
+}
+
 allowance_answer take_token(team_bucket& c, double capacity, span_us max_wait,
                             mono_us now)
 {
     refill(c, capacity, now);
     const auto wait = time_to_token(c);
     if (wait > max_wait)
-        return {false, next_retry(c, now)};
+        return {false, next_retry(c, now), pressure_of(c)};
     c.tokens -= 1;
-    return {true, wait};
+    c.used += 1;
+    return {true, wait, pressure_of(c)};
 }
 
 } // namespace
@@ -100,12 +109,12 @@
                                 const allowance_policy& p, mono_us now)
 {
     if (limit.rate <= 0)
-        return {true, 0};
+        return {true, 0, 0};
     const auto wide = with_overage(limit, p);
     auto* c =
         find_or_add_bucket(b, team, wide, initial_tokens(wide, p, now), p, now);
     if (c == nullptr)
-        return {false, us_per_s};
+        return {false, us_per_s, 0};
     if (limit.version > c->limit.version)
         c->limit = wide;
     return take_token(*c, max_tokens(c->limit, p), max_wait, now);
@@ -116,16 +125,19 @@
                                          const allowance_policy& p, mono_us now)
 {
     if (limit.rate <= 0)
-        return {true, 0};
+        return {true, 0, 0};
     const auto nodes = static_cast<double>(std::max<std::size_t>(1, p.nodes));
     team_limit part = limit;
     part.rate = fallback_share * limit.rate / nodes;
     part.burst = fallback_share * (limit.burst + p.slack) / nodes;
     auto* c = find_or_add_bucket(b, team, part, part.burst, p, now);
     if (c == nullptr)
-        return {false, us_per_s};
+        return {false, us_per_s, 0};
     c->limit = part;
-    return take_token(*c, std::max(1.0, part.burst), 0, now);
+    auto answer = take_token(*c, std::max(1.0, part.burst), 0, now);
+    // Use of one node's part says nothing about the team as a whole.
+    answer.pressure = 0;
+    return answer;
 }
 
 void evict_idle_allowances(allowance_table& b, const allowance_policy& p,
--- a/src/team/allowance_type.hpp
+++ b/src/team/allowance_type.hpp
@@ -28,6 +28,11 @@
     mono_us changed_at = 0; ///< last change of the membership, and so of owners
 };
 
+/// Steps in which a pressure is sent.
+inline constexpr double pressure_unit = 1.0 / 64;
+/// Window over which a team's use of its rate is averaged.
+inline constexpr span_us pressure_window = 2 * us_per_s;
+
 /// Token bucket of one team at its owner node.
 struct team_bucket
 {
@@ -35,6 +40,7 @@
     double tokens = 0;       ///< below 0 when grants were given in advance
     mono_us refilled_at = 0; ///< when `tokens` was last updated
     mono_us next_retry = 0;  ///< when the next refused caller is to retry
+    double used = 0; ///< grants, decayed by pressure_window; at refilled_at
 };
 
 /// Buckets of the teams with recent requests. Invariant: at most max_teams.
@@ -49,6 +55,9 @@
     bool granted = false;
     span_us wait = 0; ///< granted: delay before the request may proceed;
                       ///< refused: delay after which the caller may retry
+    /// Share of its rate that the team used lately. 0 if the owner did not say:
+    /// such a team counts as one that keeps to its rate.
+    double pressure = 0;
 };
 
 /// Takes a grant for one request at the team's owner node.
--- a/test/test_hop.cpp
+++ b/test/test_hop.cpp
@@ -22,7 +22,9 @@
         r.idempotent = *rc::gen::arbitrary<bool>();
         r.may_probe = *rc::gen::arbitrary<bool>();
         r.entry_stopping = *rc::gen::arbitrary<bool>();
+        r.may_move = *rc::gen::arbitrary<bool>();
         r.priority = *rc::gen::inRange(0, 1000);
+        r.pressure = *rc::gen::inRange(0, 256) * pressure_unit;
         r.centre = *rc::gen::arbitrary<std::uint32_t>();
         r.remaining = *rc::gen::inRange<span_us>(0, 60 * us_per_s);
         r.elapsed = *rc::gen::inRange<span_us>(0, 60 * us_per_s);
@@ -42,7 +44,9 @@
         RC_ASSERT(back->idempotent == r.idempotent);
         RC_ASSERT(back->may_probe == r.may_probe);
         RC_ASSERT(back->entry_stopping == r.entry_stopping);
+        RC_ASSERT(back->may_move == r.may_move);
         RC_ASSERT(back->priority == r.priority);
+        RC_ASSERT(back->pressure == r.pressure);
         RC_ASSERT(back->centre == r.centre);
         RC_ASSERT(back->remaining == r.remaining);
         RC_ASSERT(back->elapsed == r.elapsed);
@@ -95,6 +99,41 @@
     EXPECT_FALSE(back->limit.has_value());
 }
 
+// Guards against a former build that takes a pressure for a priority, or the
+// flag of a move for a limit.
+TEST(hop, former_build_reads_the_same_priority_and_no_limit)
+{
+    hop_request r;
+    r.attempt = {{node_id{1}, 2}, 1};
+    r.idempotent = true;
+    const auto parts = split(to_text(r), ',');
+    r.pressure = 100; // sent as the highest
+    r.may_move = true;
+    const auto with_both = split(to_text(r), ',');
+    ASSERT_EQ(with_both.size(), parts.size());
+    constexpr std::size_t flags = 2; // parts
+    constexpr std::size_t priority = 3;
+    EXPECT_EQ(*parse_hex(with_both[flags]) & 63U, *parse_hex(parts[flags]));
+    EXPECT_EQ(*parse_hex(with_both[priority]) & INT32_MAX,
+              *parse_hex(parts[priority]) & INT32_MAX);
+    const auto back = parse_hop_request(to_text(r));
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->pressure, 255 * pressure_unit);
+    EXPECT_FALSE(back->limit || back->leaving_age);
+}
+
+// Guards against a team that presses, or work that moves, by the text of a
+// former build.
+TEST(hop, text_of_a_former_build_has_no_pressure_and_no_move)
+{
+    const auto r = parse_hop_request(to_text(attempt_id{{node_id{1}, 2}, 1}) +
+                                     ",9,1,5,abc,def,f4240,64,1e8480");
+    ASSERT_TRUE(r);
+    EXPECT_EQ(r->priority, 5);
+    EXPECT_EQ(r->pressure, 0);
+    EXPECT_FALSE(r->may_move);
+}
+
 TEST(hop, answer_round_trip)
 {
     hop_answer a;
--- a/test/test_team.cpp
+++ b/test/test_team.cpp
@@ -1,5 +1,6 @@
 // Tests of teams: keys, freshness of the configuration and request allowances.
 #include "base/random_func.hpp"
+#include "base/text_func.hpp"
 #include "node/hop_type.hpp"
 #include "team/allowance_type.hpp"
 #include "team/freshness_type.hpp"
@@ -274,6 +275,12 @@
     ASSERT_TRUE(r);
     EXPECT_FALSE(r->granted);
     EXPECT_EQ(r->wait, 40000);
+    // Only a node that asks gets the third part; a former build refuses it.
+    EXPECT_EQ(to_text(allowance_answer{true, 0, 0.5}), "y,0");
+    const auto p =
+        parse_allowance_answer(to_text(allowance_answer{true, 0, 0.5}, true));
+    ASSERT_TRUE(p);
+    EXPECT_EQ(p->pressure, 0.5);
     for (const auto* wrong :
          {"", "a", "a,1", "z,1,2,3,4,5", "y", "q,1", "y,g"}) {
         EXPECT_FALSE(parse_allowance_request(wrong)) << wrong;
@@ -281,5 +288,58 @@
     }
 }
 
+// Guards against a former owner that takes the wish for a pressure for a long
+// wait, and grants tokens far ahead.
+TEST(allowance_of_teams, former_owner_reads_the_same_wait)
+{
+    allowance_request a{7, {1, 10, 10}, 70000, false};
+    const auto plain = split(to_text(a), ',');
+    a.wants_pressure = true;
+    const auto wishing = split(to_text(a), ',');
+    ASSERT_EQ(wishing.size(), plain.size());
+    EXPECT_EQ(*parse_hex(wishing.back()) & INT64_MAX, *parse_hex(plain.back()));
+    const auto back = parse_allowance_request(to_text(a));
+    ASSERT_TRUE(back);
+    EXPECT_TRUE(back->wants_pressure);
+    EXPECT_EQ(back->max_wait, 70000);
+    EXPECT_FALSE(parse_allowance_request(
+                     to_text(allowance_request{7, {1, 10, 10}, 70000, false}))
+                     ->wants_pressure);
+}
+
+// Guards against a pressure that can't be read costing the team its grant.
+TEST(allowance_of_teams, malformed_pressure_is_absent)
+{
+    const auto a = parse_allowance_answer("y,0,zz");
+    ASSERT_TRUE(a);
+    EXPECT_TRUE(a->granted);
+    EXPECT_EQ(a->pressure, 0);
+}
+
+// Guards against an invented pressure: of a team at its usual rate, of an owner
+// that has just taken over, or of a node that counts alone.
+TEST(allowance_of_teams, pressure_is_the_used_share_of_the_rate)
+{
+    allowance_table owner;
+    const allowance_policy p{0, 0, 1, start - 60 * us_per_s};
+    const team_limit l{1, 10, 100};
+    double pressure = 0;
+    for (int k = 0; k < 100; ++k)
+        pressure =
+            take_allowance(owner, team_id, l, 0, p, start + k * us_per_s / 5)
+                .pressure;
+    EXPECT_NEAR(pressure, 0.5, 0.05);
+    for (int k = 0; k < 200; ++k)
+        pressure = take_allowance(owner, team_id, l, 0, p,
+                                  start + 20 * us_per_s + k * us_per_s / 20)
+                       .pressure;
+    EXPECT_NEAR(pressure, 2, 0.2);
+    allowance_table next_owner;
+    EXPECT_LT(take_allowance(next_owner, team_id, l, 0, p, start).pressure,
+              0.1);
+    allowance_table alone;
+    EXPECT_EQ(take_fallback_allowance(alone, team_id, l, p, start).pressure, 0);
+}
+
 } // namespace
 } // namespace jasminetray
