--- a/src/config/mechanism_type.hpp
+++ b/src/config/mechanism_type.hpp
@@ -36,14 +36,17 @@
     leaving_answers,     ///< drain backend servers that answer as leaving
     cold_starts,         ///< place less work on cold backend servers
     carried_bytes,       ///< weigh what crosses data centres by its size
+    fair_queues,         ///< share slots between teams
+    move_waiting,        ///< offer late queued work to other gates
 };
 
-inline constexpr std::array<std::string_view, 19> mechanism_names = {
-    "doubt",           "quick-probe",     "last-resort",  "late-forecast",
-    "short-first",     "placing",         "probe-work",   "refusal-memory",
-    "load-news",       "retries",         "path-guard",   "verdicts",
-    "survival",        "allowance-homes", "quarantine",   "start-limits",
-    "leaving-answers", "cold-starts",     "carried-bytes"};
+inline constexpr std::array<std::string_view, 21> mechanism_names = {
+    "doubt",           "quick-probe",     "last-resort",   "late-forecast",
+    "short-first",     "placing",         "probe-work",    "refusal-memory",
+    "load-news",       "retries",         "path-guard",    "verdicts",
+    "survival",        "allowance-homes", "quarantine",    "start-limits",
+    "leaving-answers", "cold-starts",     "carried-bytes", "fair-queues",
+    "move-waiting"};
 
 using mechanism_set = std::bitset<mechanism_names.size()>;
 
--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -43,6 +43,7 @@
     grants_held = 1036,
     grant_returned = 1037,
     byte_cost_changed = 1038,
+    work_moved = 1045,
     worker_ejected = 2001,
     worker_returned = 2002,
     ejection_held_by_floor = 2003,
--- a/src/node/entry_request.hpp
+++ b/src/node/entry_request.hpp
@@ -28,6 +28,7 @@
     bool may_probe = false;   ///< may go to a suspect backend server
     bool is_fallback = false; ///< goes to a suspect, which admits it
     bool far = false;         ///< in another data centre
+    bool may_move = false;    ///< its gate was told that it may be moved
 };
 
 /// Grant of a team's owner node.
@@ -57,7 +58,8 @@
     std::uint64_t team_hash = 0;      ///< hash of its name; 0 for none
     team_limit limit;                 ///< of the team; a rate of 0 is no limit
     std::optional<taken_grant> grant; ///< until given back
-    int priority = 0;                 ///< the team's, else the route's
+    double pressure = 0; ///< of the team, from its owner; 0: unknown
+    int priority = 0;    ///< the team's, else the route's
     string_request message;
     std::optional<fingerprint> message_fingerprint; ///< computed on demand
     request_state machine;
@@ -66,6 +68,7 @@
     asio::steady_timer signal;          ///< cancelled when an event is queued
     std::deque<entry_attempt> attempts; ///< by number - 1; addresses are stable
     std::vector<worker_id> tried_workers;
+    std::uint32_t moves = 0;                ///< times that a gate moved it
     std::optional<worker_id> pinned_worker; ///< only server allowed, by key
     bool watching_caller = false; ///< the caller's socket is polled for closing
 
--- a/src/node/entry_team.cpp
+++ b/src/node/entry_team.cpp
@@ -349,11 +349,12 @@
     if (r.limit.rate <= 0)
         return std::nullopt;
     taken_grant grant{{}, mono_now(), random_next(n.rng)};
-    auto answer =
-        n.settings.experiment.is_enabled(mechanism::allowance_owners)
-            ? request_grant(n, {r.team_hash, r.limit, max_token_wait(r), false},
-                            grant.owner, y)
-            : std::nullopt;
+    auto answer = n.settings.experiment.is_enabled(mechanism::allowance_owners)
+                      ? request_grant(n,
+                                      {r.team_hash, r.limit, max_token_wait(r),
+                                       false, n.local_gate.limits.fair.on},
+                                      grant.owner, y)
+                      : std::nullopt;
     const bool no_owner = !answer;
     if (answer && answer->granted)
         r.grant = grant;
@@ -361,6 +362,7 @@
         answer =
             take_fallback_allowance(n.fallback_allowances, r.team_hash, r.limit,
                                     make_allowance_policy(n), mono_now());
+    r.pressure = answer->pressure;
     if (answer->granted) {
         if (wait_for_token(n, answer->wait, y))
             return std::nullopt;
@@ -421,7 +423,7 @@
     }
     if (!answer)
         answer = grant_here(n, *ask);
-    return send_peer_reply(to, to_text(*answer), y);
+    return send_peer_reply(to, to_text(*answer, ask->wants_pressure), y);
 }
 
 } // namespace jasminetray
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -37,11 +37,12 @@
     prometheus::Family<prometheus::Counter>* handler_failures; ///< by part
     /// By outcome: added to the team's bucket, late, or failed.
     prometheus::Family<prometheus::Counter>* grants_returned;
-    bounded_counter carried_bytes;    ///< by route
-    prometheus::Counter* bytes_in;    ///< of datagrams
-    prometheus::Counter* bytes_out;   ///< of datagrams
-    prometheus::Histogram* duration;  ///< seconds, at the entry side
-    prometheus::Histogram* gate_wait; ///< seconds, of queued work only
+    bounded_counter carried_bytes;   ///< by route
+    prometheus::Counter* bytes_in;   ///< of datagrams
+    prometheus::Counter* bytes_out;  ///< of datagrams
+    prometheus::Histogram* duration; ///< seconds, at the entry side
+    /// Seconds, of queued work only, by priority.
+    prometheus::Family<prometheus::Histogram>* gate_wait;
     prometheus::Gauge* in_flight;
     prometheus::Gauge* members;
     prometheus::Gauge* config_version;
@@ -64,6 +65,10 @@
 
 void increment_bounded(bounded_counter& c, const std::string& value, double by);
 
+/// Records the wait of queued work.
+/// @param priority 0 to 9; others count as the nearest
+void observe_gate_wait(node_metrics& m, int priority, double seconds);
+
 /// Returns all metrics in the Prometheus text format.
 std::string metrics_text(const node_metrics& m);
 
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -117,6 +117,11 @@
               "A grant was given back because its request was refused as not "
               "run, or could not be given back (failed=).",
               "None; failed= is usual while nodes of a former build run."},
+    event_row{event_id::work_moved, "work_moved",
+              "Queued work that would be late left for another backend server; "
+              "the line has what the gate expected and the free slots that it "
+              "knew of.",
+              "None; many of one gate point at a slow backend server."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "The evidence against a backend server exceeded its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
--- a/src/team/allowance_type.hpp
+++ b/src/team/allowance_type.hpp
@@ -53,6 +53,11 @@
     mono_us hold_until = 0; ///< no grants before, by the monotonic clock
 };
 
+/// Steps in which a pressure is sent.
+inline constexpr double pressure_unit = 1.0 / 64;
+/// Window over which a team's use of its rate is averaged.
+inline constexpr span_us pressure_window = 2 * us_per_s;
+
 /// Token bucket of one team at its owner node.
 struct team_bucket
 {
@@ -66,6 +71,7 @@
     std::array<float, 12> peaks{};
     std::array<std::uint16_t, 12> grants{}; ///< not given back, by the same
     std::int64_t peak_step = 0;
+    double used = 0; ///< grants, decayed by pressure_window; at refilled_at
 };
 
 /// Buckets of the teams with recent requests. Invariant: at most max_teams.
@@ -88,6 +94,9 @@
     bool granted = false;
     span_us wait = 0; ///< granted: delay before the request may proceed;
                       ///< refused: delay after which the caller may retry
+    /// Share of its rate that the team used lately. 0 if the owner did not say:
+    /// such a team counts as one that keeps to its rate.
+    double pressure = 0;
 };
 
 /// Takes a grant for one request at the team's owner node.
