Let silence end a large answer only at the request's own limits

Cause. relay_answer() had one bound for a silent source and for a reader that takes nothing. At the entry side it was 10 s, so that an answer of more than 64 KiB whose backend server paused longer was cut, with up to 25 s left. The exit side had the time left of the request.

The timer of writes no longer runs during reads. The reader's connection is watched meanwhile, so that a caller who leaves ends the work.

--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr span_us write_timeout = 10 * us_per_s;
+constexpr span_us late_silence = us_per_s; // in an answer past its deadline
 constexpr span_us overload_retry_after = 100 * us_per_ms;
 /// Gates that a request is offered to. Gates queue work themselves, so that
 /// repeated offers would only cost traffic between data centres.
@@ -182,8 +183,11 @@
                         " us=" + std::to_string(mono_now() - r.received_at));
     if (!t.parser->is_done()) {
         c.answer_begun = true;
+        // The exit node, nearer to the source, ends a silent answer first.
+        const relay_limits limits{r.machine.deadline + us_per_s, late_silence,
+                                  write_timeout, true};
         if (relay_answer(*t.connection, *t.parser, answer.base(), c.stream,
-                         write_timeout, y))
+                         limits, y))
             return c.keep_alive;
         n.events.write(event_id::answer_cut, r.label, "");
         return false; // the caller detects truncation by the close
--- a/src/node/http_func.cpp
+++ b/src/node/http_func.cpp
@@ -1,6 +1,8 @@
 // HTTP helpers on top of Boost.Beast.
 #include "node/http_func.hpp"
 
+#include "base/on_exit.hpp"
+
 #include <algorithm>
 #include <array>
 #include <netinet/tcp.h>
@@ -17,11 +19,12 @@
 
 /// Sends the buffered part of the body and clears it.
 bool send_buffered(response_parser& parser, beast::tcp_stream& to, bool chunked,
-                   const yield& y)
+                   span_us timeout, const yield& y)
 {
     auto& body = parser.get().body();
     if (body.empty())
         return true;
+    to.expires_after(std::chrono::microseconds(timeout));
     beast::error_code ec;
     if (chunked)
         asio::async_write(to, http::make_chunk(asio::buffer(body)), y[ec]);
@@ -31,6 +34,25 @@
     return !ec;
 }
 
+/// Cancels the source of an answer when its reader has closed.
+struct reader_watch
+{
+    http_connection* from = nullptr; ///< null when the answer has ended
+};
+
+std::shared_ptr<reader_watch> watch_reader(beast::tcp_stream& to,
+                                           http_connection& from)
+{
+    auto watch = std::make_shared<reader_watch>();
+    watch->from = &from;
+    to.socket().async_wait(
+        tcp::socket::wait_read, [watch, &to](beast::error_code ec) {
+            if (!ec && watch->from && peer_closed(to.socket()))
+                watch->from->stream.cancel();
+        });
+    return watch;
+}
+
 } // namespace
 
 void set_path_timeouts(tcp::socket& s, bool on)
@@ -105,8 +127,16 @@
 
 bool relay_answer(http_connection& from, response_parser& parser,
                   http::response_header<> head, beast::tcp_stream& to,
-                  span_us idle_timeout, const yield& y)
+                  const relay_limits& limits, const yield& y)
 {
+    const auto watch = limits.watch_reader ? watch_reader(to, from) : nullptr;
+    const on_exit unwatch([&] {
+        beast::error_code ignored;
+        if (watch) {
+            watch->from = nullptr;
+            to.socket().cancel(ignored);
+        }
+    });
     const auto length = parser.content_length();
     http::response<http::empty_body> start(std::move(head));
     start.version(11);
@@ -116,17 +146,20 @@
         start.chunked(true);
     http::response_serializer<http::empty_body> serializer(start);
     beast::error_code ec;
-    to.expires_after(std::chrono::microseconds(idle_timeout));
+    to.expires_after(std::chrono::microseconds(limits.write_timeout));
     http::async_write_header(to, serializer, y[ec]);
-    while (!ec && send_buffered(parser, to, !length, y)) {
+    while (!ec && send_buffered(parser, to, !length, limits.write_timeout, y)) {
         if (parser.is_done())
             break;
-        from.stream.expires_after(std::chrono::microseconds(idle_timeout));
-        to.expires_after(std::chrono::microseconds(idle_timeout));
+        const auto silence =
+            std::max(limits.deadline - mono_now(), limits.late_silence);
+        from.stream.expires_after(std::chrono::microseconds(silence));
+        to.expires_never();
         http::async_read_some(from.stream, from.buf, parser, y[ec]);
     }
     if (ec || !parser.is_done() || !parser.get().body().empty())
         return false;
+    to.expires_after(std::chrono::microseconds(limits.write_timeout));
     if (!length)
         asio::async_write(to, http::make_chunk_last(), y[ec]);
     return !ec;
--- a/src/node/http_func.hpp
+++ b/src/node/http_func.hpp
@@ -77,12 +77,25 @@
                                 response_parser& parser, std::size_t max_body,
                                 const yield& y);
 
+/// Time limits of an answer that is streamed.
+struct relay_limits
+{
+    /// The source may be silent until the request's own limit, and for
+    /// `late_silence` between bytes after it.
+    mono_us deadline = 0;
+    span_us late_silence = 0;
+    /// For a reader that takes nothing of what is ready for it. Unlike a silent
+    /// source it is no work in progress, and it holds memory and a slot.
+    span_us write_timeout = 0;
+    bool watch_reader = false; ///< stop when the reader closes its connection
+};
+
 /// Streams an incomplete answer from `from` to `to`, with backpressure.
 /// @param head header to send; framing fields are set here
 /// @return true when all was sent; else both connections must be closed
 bool relay_answer(http_connection& from, response_parser& parser,
                   http::response_header<> head, beast::tcp_stream& to,
-                  span_us idle_timeout, const yield& y);
+                  const relay_limits& limits, const yield& y);
 
 /// Returns whether the peer of a readable socket has closed or reset it.
 bool peer_closed(tcp::socket& s);
