Give both sides of a node the same bounds of heads

The entry side took heads up to the configuration's limit; the exit side, and both sides for answers, had the 8 KiB of the HTTP library.

The entry side alone applies the configuration's limit (431). The exit side takes the most that a configuration may name and the nodes' own fields: its own version may differ for a moment.

--- a/src/config/config_type.hpp
+++ b/src/config/config_type.hpp
@@ -116,6 +116,9 @@
     std::vector<std::string> keys = {};
 };
 
+/// Heads of requests are at most this long, whatever the configuration names.
+constexpr std::int64_t max_head_bytes = 1 << 20;
+
 /// Size limits of requests and timeouts of callers' connections.
 struct caller_limits
 {
--- a/src/node/caller_read.cpp
+++ b/src/node/caller_read.cpp
@@ -185,7 +185,7 @@
         return r;
     request_parser parser;
     parser.header_limit(static_cast<std::uint32_t>(
-        std::min<std::int64_t>(limits.header_bytes, INT32_MAX)));
+        std::min(limits.header_bytes, max_head_bytes)));
     parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
     stream.expires_never();
     beast::error_code ec;
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -265,6 +265,7 @@
     if (!ec) {
         t.parser = std::make_unique<response_parser>();
         t.parser->body_limit(boost::none);
+        t.parser->header_limit(max_hop_answer_head);
         if (r.message.method() == http::verb::head)
             t.parser->skip(true);
         ec =
--- a/src/node/entry_refusal.cpp
+++ b/src/node/entry_refusal.cpp
@@ -88,6 +88,10 @@
     if (x.outcome == final_outcome::unknown) {
         x.status = http::status::gateway_timeout;
         x.event = event_id::refused_unknown;
+        if (x.reason == answer_head_reason) {
+            x.status = http::status::bad_gateway;
+            x.event = event_id::answer_head_too_large;
+        }
         return x;
     }
     x.retry_after = default_retry_after;
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -440,6 +440,7 @@
     bool alive = true;
     while (alive) {
         request_parser parser;
+        parser.header_limit(max_hop_head);
         parser.body_limit(static_cast<std::uint64_t>(n.settings.max_body));
         stream.expires_after(
             std::chrono::microseconds(connection_idle_timeout));
--- a/src/node/http_type.hpp
+++ b/src/node/http_type.hpp
@@ -51,6 +51,19 @@
 /// Path for grant requests to a team's owner node.
 inline constexpr char allowance_path[] = "/.jasminetray/leave";
 
+/// Heads of requests between nodes. The entry side enforces the configuration's
+/// limit, which may differ for a moment from node to node, so that the exit
+/// side allows for the largest one and for the fields that nodes add.
+inline constexpr std::uint32_t max_hop_head = (1 << 20) + 8192; // bytes
+
+/// Reason of work whose answer has a larger head than max_answer_head.
+inline constexpr char answer_head_reason[] = "answer-head-too-large";
+
+/// Heads of backend servers' answers, and the same with the nodes' fields.
+inline constexpr std::uint32_t max_answer_head = 65536; // bytes
+inline constexpr std::uint32_t max_hop_answer_head =
+    max_answer_head + 4096; // bytes
+
 /// A connection that carries one request at a time.
 struct http_connection
 {
--- a/src/node/worker_request.cpp
+++ b/src/node/worker_request.cpp
@@ -239,6 +239,7 @@
     for (int k = 0; k < max_duplicate_answers; ++k) {
         a.parser = std::make_unique<response_parser>();
         a.parser->body_limit(boost::none);
+        a.parser->header_limit(max_answer_head);
         a.parser->skip(head_only);
         ec =
             read_buffered(*a.link, *a.parser,
@@ -297,6 +298,15 @@
                : written   ? "worker-silent"
                            : "worker-write";
     a.closed_by_worker = !caller_left && ec != beast::error::timeout;
+    if (ec == http::error::header_limit) {
+        // The backend server works, but its answer can't be passed on.
+        a.closed_by_worker = false;
+        a.reason = answer_head_reason;
+        n.events.write(event_id::answer_head_too_large, expected.echo,
+                       "worker=" + expected.worker +
+                           " limit=" + std::to_string(max_answer_head));
+        return;
+    }
     if (a.result == work_result::lost && (caller_left || a.closed_by_worker))
         record_lost_work(n, id, message, a.closed_by_worker);
     if (it != n.workers.end() && !caller_left)
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -101,6 +101,10 @@
         "A stopping node asked other nodes for retry tokens because its own "
         "share of the allowance was spent.",
         "None; few granted tokens mean that the fleet's allowance is used up."},
+    event_row{event_id::answer_head_too_large, "answer_head_too_large",
+              "The head of a backend server's answer exceeds the limit; the "
+              "caller got 502, and the work may have run.",
+              "Shorten the answer's header fields."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "The evidence against a backend server exceeded its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
