Believe a refusal only where it is proven to be of this request

A refusal without an id counted as the answer to whatever request was open on the connection. A late extra one on a kept connection made the next request count as not run; it ran there and at another backend server.

Looking for unread bytes before a connection is used: the refusal arrives after that.

For work that may not run twice a refusal counts with this request's id, on a connection without an earlier request, or as a 421 of a process with another name; others are skipped (event 1031) and the answer is awaited within the request's limits.

--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -39,6 +39,7 @@
     request_shortened = 1028,
     refused_quarantined = 1029,
     retries_borrowed = 1030,
+    refusal_unproven = 1031,
     answer_head_too_large = 1032,
     worker_ejected = 2001,
     worker_returned = 2002,
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -363,6 +363,7 @@
         s.attempt.unknown_when_unproven =
             s.attempt.unknown_when_unproven && name != "unknown";
         s.check_echo = s.check_echo && name != "echo";
+        s.prove_refusal = s.prove_refusal && name != "refusal";
         s.close_incomplete = s.close_incomplete && name != "unclean";
     }
 }
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -58,6 +58,7 @@
     /// coroutine of its request removes.
     std::set<http_connection*> busy;
     std::uint64_t next_work_key = 0;
+    bool sends_bare_refusals = false; ///< see is_bare_refusal()
     int published_severity = 0;
     /// Cold start by its check-ins, or as assumed before the first one, and the
     /// time in its published record; 0 for none.
@@ -141,6 +142,7 @@
     gate_safeguards gate;
     attempt_safeguards attempt;
     bool check_echo = true;       ///< an answer must carry its request's id
+    bool prove_refusal = true;    ///< see answer_safeguards
     bool close_incomplete = true; ///< no reuse after an incomplete exchange
 };
 
--- a/src/node/worker_request.cpp
+++ b/src/node/worker_request.cpp
@@ -8,6 +8,7 @@
 #include "node/guard_func.hpp"
 #include "node/health_driver.hpp"
 #include "node/http_func.hpp"
+#include "node/worker_answer_func.hpp"
 #include "node/worker_notice.hpp"
 #include "outlier/outlier_cmd.hpp"
 #include "outlier/outlier_math.hpp"
@@ -36,7 +37,12 @@
     const auto now = mono_now();
     const auto since =
         now - (r.idempotent ? max_idle_age : n.settings.idle_ping_after);
-    if (auto link = take_idle_connection(w.idle, since))
+    // A refusal without id proves itself only on a new connection; without
+    // proof, non-idempotent work could not be sent again.
+    const auto* c = n.config ? find_service(*n.config, w.service) : nullptr;
+    const bool has_ids = c == nullptr || c->echo_required;
+    const bool may_reuse = r.idempotent || (has_ids && !w.sends_bare_refusals);
+    if (auto link = may_reuse ? take_idle_connection(w.idle, since) : nullptr)
         return link;
     auto link = std::make_unique<http_connection>(n.ctx);
     const auto at = w.at;
@@ -113,55 +119,30 @@
                                                   : outcome_kind::neutral;
 }
 
-/// What an answer is checked against. A copy, as the backend server may be
-/// removed from the node's list before its answer arrives.
-struct expected_answer
-{
-    std::string worker; ///< name, for the log
-    std::string echo;   ///< request id that the answer must carry
-    bool echo_required = true;
-};
-
 expected_answer make_expected_answer(const node_state& n, const local_worker& w,
-                                     const string_request& sent)
+                                     const string_request& sent,
+                                     const gate_request& r)
 {
     expected_answer f;
+    f.id = w.id;
     f.worker = w.name;
+    f.repeatable = r.idempotent;
     f.echo = header_value(sent, to_beast_view(n.dialect.request));
     const auto* c = n.config ? find_service(*n.config, w.service) : nullptr;
     f.echo_required = c == nullptr || c->echo_required;
     return f;
 }
 
-bool echo_matches(const node_state& n, const expected_answer& f,
-                  const response_parser& p)
-{
-    if (!n.safeguards.check_echo)
-        return true;
-    const auto echo = header_value(p.get(), to_beast_view(n.dialect.request));
-    return echo.empty() ? !f.echo_required : echo == f.echo;
-}
-
 /// Status of a process that another one's request has reached.
 constexpr unsigned misdirected = 421;
 
-/// Returns whether the backend server reports that it did not run the work. A
-/// refusal may lack the request id, but must not carry another one.
-bool reports_not_run(const node_state& n, const expected_answer& f,
-                     const http::response_header<>& head)
+answer_kind classify_head(const node_state& n, const expected_answer& f,
+                          const worker_exchange& a)
 {
-    const auto echo = header_value(head, to_beast_view(n.dialect.request));
-    if (!echo.empty() && echo != f.echo)
-        return false;
-    const auto status = head.result_int();
-    constexpr unsigned too_many = 429;
-    constexpr unsigned unavailable = 503;
-    if (!n.dialect.expected_worker.empty() && status == misdirected)
-        return true;
-    const auto not_run_value =
-        header_value(head, to_beast_view(n.dialect.not_run));
-    return not_run_value == "1" &&
-           (status == unavailable || status == too_many);
+    const answer_position at{!a.link->used, a.link->buf.size() > 0};
+    return classify_answer(
+        n.dialect, f, at, a.parser->get(),
+        {n.safeguards.check_echo, n.safeguards.prove_refusal});
 }
 
 /// Guards against answers that an intermediary made or recoded.
@@ -188,23 +169,31 @@
 /// server that hangs is detected by its overdue requests.
 constexpr unsigned gateway_timeout = 504;
 
-void classify_answer(node_state& n, const expected_answer& f,
-                     const gate_request& r, worker_exchange& a)
+void record_answer(node_state& n, const expected_answer& f,
+                   const gate_request& r, worker_exchange& a)
 {
     const auto& head = a.parser->get();
     const auto status = head.result_int();
+    const auto kind = classify_head(n, f, a);
     // An answer with 421 is another process's.
-    if (status != misdirected && echo_matches(n, f, *a.parser))
+    if (status != misdirected &&
+        (kind == answer_kind::own || kind == answer_kind::not_run))
         apply_worker_notice(n, r.worker, read_worker_notice(n.dialect, head),
                             limit_source::answer, a.started_at);
-    if (reports_not_run(n, f, head)) {
+    if (kind == answer_kind::not_run) {
         a.result = work_result::shed;
         a.reason = "shed";
         return;
     }
+    if (kind == answer_kind::unproven_refusal) {
+        a.result = work_result::lost;
+        a.reason = "refusal-unproven";
+        n.events.write(event_id::refusal_unproven, f.echo,
+                       "worker=" + f.worker + " stray=0");
+        return;
+    }
     const bool success = status / 100 == 2;
-    if (!echo_matches(n, f, *a.parser) ||
-        (success && !has_origin_proof(n, head))) {
+    if (kind != answer_kind::own || (success && !has_origin_proof(n, head))) {
         // Not this request's own answer. It must not reach the caller, nor may
         // later answers on this connection.
         a.result = work_result::lost;
@@ -228,8 +217,28 @@
         a.outcome = outcome_kind::success;
 }
 
-/// Reads an answer up to the number of bytes that are held in memory. On a
-/// reused connection, duplicate answers to earlier requests are skipped.
+/// Returns whether an answer is skipped, as the current request's follows it.
+bool is_stray(const node_state& n, const expected_answer& f,
+              const worker_exchange& a)
+{
+    if (!a.parser->is_done() || !a.parser->keep_alive())
+        return false;
+    const auto kind = classify_head(n, f, a);
+    return kind == answer_kind::unproven_refusal ||
+           (kind == answer_kind::other && a.link->used);
+}
+
+void note_bare_refusal(node_state& n, const expected_answer& f,
+                       const http::response_header<>& head)
+{
+    const auto it = n.workers.find(f.id);
+    if (it != n.workers.end() && is_bare_refusal(n.dialect, head))
+        it->second.sends_bare_refusals = true;
+}
+
+/// Reads an answer up to the number of bytes that are held in memory. Answers
+/// that belong to earlier requests or to none are skipped; the current
+/// request's own limits bound the wait for its answer.
 beast::error_code read_answer(node_state& n, const expected_answer& f,
                               worker_exchange& a, bool head_only,
                               const yield& y)
@@ -244,14 +253,14 @@
         ec =
             read_buffered(*a.link, *a.parser,
                           static_cast<std::size_t>(n.settings.max_buffered), y);
-        const bool duplicate = !ec && a.link->used && a.parser->is_done() &&
-                               a.parser->keep_alive() &&
-                               !reports_not_run(n, f, a.parser->get()) &&
-                               !echo_matches(n, f, *a.parser);
-        if (!duplicate)
+        if (!ec)
+            note_bare_refusal(n, f, a.parser->get());
+        if (ec || !is_stray(n, f, a))
             break;
-        n.events.write(event_id::echo_mismatch, f.echo,
-                       "worker=" + f.worker + " stray=1");
+        const bool refusal = is_refusal(n.dialect, a.parser->get());
+        n.events.write(refusal ? event_id::refusal_unproven
+                               : event_id::echo_mismatch,
+                       f.echo, "worker=" + f.worker + " stray=1");
     }
     return ec;
 }
@@ -262,7 +271,7 @@
                           const yield& y)
 {
     auto q = make_worker_message(n, w, message, r, mono_now());
-    const auto expected = make_expected_answer(n, w, q);
+    const auto expected = make_expected_answer(n, w, q, r);
     const auto id = w.id;
     const auto left = std::max<span_us>(1, r.deadline - mono_now());
     a.link->stream.expires_after(
@@ -291,7 +300,7 @@
     }
     const auto it = n.workers.find(id);
     if (!ec)
-        return classify_answer(n, expected, r, a);
+        return record_answer(n, expected, r, a);
     const bool caller_left = watch && watch->left;
     a.result = !written && sent == 0 ? work_result::unsent : work_result::lost;
     a.reason = caller_left ? "caller-left"
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -101,6 +101,11 @@
         "A stopping node asked other nodes for retry tokens because its own "
         "share of the allowance was spent.",
         "None; few granted tokens mean that the fleet's allowance is used up."},
+    event_row{event_id::refusal_unproven, "refusal_unproven",
+              "A refusal without a request id on a reused connection was "
+              "skipped: it may belong to an earlier request, and the current "
+              "one may run.",
+              "Let the backend server echo request ids in its refusals."},
     event_row{event_id::answer_head_too_large, "answer_head_too_large",
               "The head of a backend server's answer exceeds the limit; the "
               "caller got 502, and the work may have run.",
