--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -39,6 +39,8 @@
     request_shortened = 1028,
     refused_quarantined = 1029,
     retries_borrowed = 1030,
+    refusal_unproven = 1031,
+    answer_head_too_large = 1032,
     callers_cut = 1035,
     grants_held = 1036,
     grant_returned = 1037,
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -101,14 +101,19 @@
         "A stopping node asked other nodes for retry tokens because its own "
         "share of the allowance was spent.",
         "None; few granted tokens mean that the fleet's allowance is used up."},
+    event_row{event_id::refusal_unproven, "refusal_unproven",
+              "A refusal without a request id on a reused connection was "
+              "skipped: it may belong to an earlier request, and the current "
+              "one may run.",
+              "Let the backend server echo request ids in its refusals."},
+    event_row{event_id::answer_head_too_large, "answer_head_too_large",
+              "The head of a backend server's answer exceeds the limit; the "
+              "caller got 502, and the work may have run.",
+              "Shorten the answer's header fields."},
     event_row{event_id::callers_cut, "callers_cut",
               "The time of a node to stop was over while callers still waited "
               "for answers; their connections were closed.",
               "Compare [limits] stop_ms with the platform's grace period."},
-    event_row{event_id::byte_cost_changed, "byte_cost_changed",
-              "The cost of bytes between data centres in force has changed.",
-              "None; `source` says whether the setting or the configuration "
-              "decided."},
     event_row{event_id::grants_held, "grants_held",
               "A node noticed that its process had paused, and leaves the "
               "limits of its teams to the next node for a while.",
@@ -117,6 +122,10 @@
               "A grant was given back because its request was refused as not "
               "run, or could not be given back (failed=).",
               "None; failed= is usual while nodes of a former build run."},
+    event_row{event_id::byte_cost_changed, "byte_cost_changed",
+              "The cost of bytes between data centres in force has changed.",
+              "None; `source` says whether the setting or the configuration "
+              "decided."},
     event_row{event_id::work_moved, "work_moved",
               "Queued work that would be late left for another backend server; "
               "the line has what the gate expected and the free slots that it "
