Let the stand-in's refusals carry the request's id, as genuine ones do

A refusal without an id on a kept connection proves nothing any more, so that the check "the first check-in ends no charge" got a 504 from a stand-in that refused that way. The check is as strict as before; refusals without an id have tests of their own (platform_bytes_refusal, worker_answer).

--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -161,7 +161,8 @@
                            self.path, body)
                 if worker.mode == "shed":
                     worker.shed.append(arrived)
-                    return self.reply(503, {"X-Not-Executed": "1"})
+                    return self.reply(503, {"X-Not-Executed": "1",
+                                            "X-Attempt-Id": request})
                 worker.seen.append(arrived)
                 if worker.mode == "fail":
                     return self.reply(500, {"X-Attempt-Id": request,
