Tests of settings write files of their own process

Two tests of the settings wrote the same file in the temporary directory, and ctest runs them side by side, each in a process: one read what the other had written. The name now holds the process id, also where the watched file is tested.

Ruled out: the parser; alone the tests never failed.

--- a/test/test_config.cpp
+++ b/test/test_config.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
+#include <unistd.h>
 
 namespace jasminetray {
 namespace {
@@ -184,11 +185,18 @@
     EXPECT_NE(reason.find("damaged"), std::string::npos);
 }
 
+/// A file of this process alone: tests run in processes side by side.
+std::string make_temp_name()
+{
+    return testing::TempDir() + "/settings-" + std::to_string(getpid()) +
+           ".ini";
+}
+
 /// Reads a settings file with a single line in a section.
 std::optional<node_settings> read_setting(const std::string& section,
                                           const std::string& line)
 {
-    const auto file = testing::TempDir() + "/one.ini";
+    const auto file = make_temp_name();
     std::ofstream(file) << "[" << section << "]\n" << line << "\n";
     config_error error;
     return read_settings(file, error);
@@ -226,7 +234,7 @@
               0.0);
     for (const std::string bad : {"-0.1", "10.1", "nan", "inf", "1 KB", ""})
         EXPECT_FALSE(read_setting("placement", "byte_cost = " + bad)) << bad;
-    const auto file = testing::TempDir() + "/byte_cost.ini";
+    const auto file = make_temp_name();
     std::ofstream(file) << "[placement]\nbyte_cost = -1\n";
     config_error error;
     EXPECT_FALSE(read_settings(file, error));
@@ -238,7 +246,7 @@
 
 TEST(settings, errors_include_file_and_line)
 {
-    const auto file = testing::TempDir() + "/settings.ini";
+    const auto file = make_temp_name();
     std::ofstream(file) << "[node]\nname = a\nentry_port = 99999\n";
     config_error error;
     EXPECT_FALSE(read_settings(file, error));
--- a/test/test_pages.cpp
+++ b/test/test_pages.cpp
@@ -86,7 +86,8 @@
 // missing while it is being replaced does not count as a change.
 TEST(settings, file_change_is_detected)
 {
-    const auto path = ::testing::TempDir() + "jasminetray-watched.ini";
+    const auto path = ::testing::TempDir() + "jasminetray-watched-" +
+                      std::to_string(getpid()) + ".ini";
     std::ofstream(path) << "[node]\nname = a\n";
     watched_file file(path);
     EXPECT_FALSE(file.changed());
