A quarantined copy is "not run" only if no former copy was admitted

The exit side refused quarantined work as "not run" whatever the revoke replied. A second copy of an attempt that had started was so reported as not run, though its first copy ran; one of queued work took the first copy out of the queue without telling its coroutine, which then waited for a decision that nobody makes.

The gate now answers: duplicate (unknown to the caller) if a former copy was admitted, and then leaves that copy alone; quarantined otherwise, recorded so that a late copy can't start. Connections don't repeat bytes, so callers should not have met it; the gate must not rely on that.

fuzz_path knows quarantines now.

--- a/src/gate/gate_admit.cpp
+++ b/src/gate/gate_admit.cpp
@@ -150,4 +150,17 @@
     return start ? admission::started : admission::queued;
 }
 
+gate_error gate_refuse_quarantined(gate& g, const gate_request& r, mono_us now,
+                                   const gate_safeguards& on)
+{
+    if (r.idempotent)
+        return gate_error::quarantined;
+    // The former copy remains: its slot or its place in the queue has a
+    // coroutine that waits for it.
+    if (check_known_attempt(g, r, on) == gate_error::duplicate)
+        return gate_error::duplicate;
+    gate_revoke(g, r.attempt, r.boot, now, on);
+    return gate_error::quarantined;
+}
+
 } // namespace jasminetray
--- a/src/gate/gate_cmd.hpp
+++ b/src/gate/gate_cmd.hpp
@@ -32,6 +32,12 @@
                                     gate_error& error,
                                     const gate_safeguards& on = {});
 
+/// Refuses work whose request is quarantined and records that, so that a
+/// delayed copy can't run after the quarantine has ended.
+/// @return duplicate if a former copy was admitted, which may have run or wait
+gate_error gate_refuse_quarantined(gate& g, const gate_request& r, mono_us now,
+                                   const gate_safeguards& on = {});
+
 struct gate_decision
 {
     attempt_id attempt;
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -227,16 +227,6 @@
             " age_ms=" + std::to_string((now - g.elsewhere.at) / us_per_ms));
 }
 
-/// Refuses quarantined work. Non-idempotent work is revoked too, so that a
-/// delayed copy can't run after the quarantine has ended.
-gate_error refuse_quarantined(node_state& n, const exit_request& w)
-{
-    if (!w.request.idempotent)
-        gate_revoke(n.local_gate, w.request.attempt, w.request.boot, mono_now(),
-                    n.safeguards.gate);
-    return gate_error::quarantined;
-}
-
 /// Releases the slot of work that was quarantined while it was queued.
 gate_error withdraw_quarantined(node_state& n, const exit_request& w)
 {
@@ -257,7 +247,8 @@
     // Matched by content: a resubmitted request has another id and would crash
     // the next process too.
     if (is_quarantined(n, w.message, w.fingerprint_cache))
-        return refuse_quarantined(n, w);
+        return gate_refuse_quarantined(n.local_gate, w.request, since,
+                                       n.safeguards.gate);
     const auto a = gate_admit(command_mode::apply, n.local_gate, w.request,
                               since, error, n.safeguards.gate);
     if (!a)
--- a/test/fake_path.cpp
+++ b/test/fake_path.cpp
@@ -28,6 +28,14 @@
     gate_set_worker(x.exit_gate, only_worker, 2, 0);
 }
 
+attempt_event_kind reply_to_refused(gate_error refused)
+{
+    return refused == gate_error::duplicate ? attempt_event_kind::unknown
+           : refused == gate_error::quarantined
+               ? attempt_event_kind::quarantined
+               : attempt_event_kind::not_run;
+}
+
 } // namespace
 
 fake_path::fake_path(const path_safeguards& safeguards) : on(safeguards)
@@ -210,17 +218,18 @@
     r.idempotent = requests[p.attempt.request.seq].idempotent;
     r.worker = only_worker;
     r.deadline = clock_of(p.exit) + us_per_s;
-    gate_error last{};
-    const auto a = gate_admit(command_mode::apply, x.exit_gate, r,
-                              clock_of(p.exit), last, on.gate);
-    if (!a) {
-        return reply(p.exit, p.attempt, x.exit_gate.boot,
-                     last == gate_error::duplicate
-                         ? attempt_event_kind::unknown
-                         : attempt_event_kind::not_run);
+    const auto at = clock_of(p.exit);
+    gate_error refused{};
+    if (x.quarantines) {
+        refused = gate_refuse_quarantined(x.exit_gate, r, at, on.gate);
+    } else {
+        const auto a = gate_admit(command_mode::apply, x.exit_gate, r, at,
+                                  refused, on.gate);
+        if (a && *a == admission::started)
+            start(p.exit, r);
     }
-    if (*a == admission::started)
-        start(p.exit, r);
+    if (refused != gate_error::none)
+        reply(p.exit, p.attempt, x.exit_gate.boot, reply_to_refused(refused));
 }
 
 void fake_path::start(std::size_t exit, const gate_request& r)
@@ -280,11 +289,16 @@
             r.boot = x.exit_gate.boot;
             r.worker = only_worker;
             r.idempotent = requests[d.attempt.request.seq].idempotent;
-            if (d.start)
+            if (d.start && !x.quarantines) {
                 start(n, r);
-            else
-                reply(n, d.attempt, x.exit_gate.boot,
-                      attempt_event_kind::not_run);
+                continue;
+            }
+            if (d.start)
+                gate_finish(x.exit_gate, r, work_result::unsent, 0,
+                            clock_of(n));
+            reply(n, d.attempt, x.exit_gate.boot,
+                  reply_to_refused(d.start ? gate_error::quarantined
+                                           : d.refusal));
         }
     }
 }
@@ -374,6 +388,11 @@
     x.exit_gate.draining = !x.exit_gate.draining;
 }
 
+void fake_path::quarantine(std::size_t exit, bool knows)
+{
+    exits[exit % fake_exits].quarantines = knows;
+}
+
 std::string fake_path::violated_property() const
 {
     for (const auto& [seq, r] : requests) {
--- a/test/fake_path.hpp
+++ b/test/fake_path.hpp
@@ -56,7 +56,8 @@
     mono_us clock_offset = 0; ///< of its clock to simulated time
     mono_us stamp_offset = 0; ///< clock_offset at the newest stamp
     bool paused = false;
-    bool mute = false; ///< drops everything that it sends
+    bool mute = false;        ///< drops everything that it sends
+    bool quarantines = false; ///< knows all requests as quarantined
 };
 
 struct fake_request
@@ -91,6 +92,7 @@
     void pause(std::size_t exit, bool paused);
     void mute(std::size_t exit, bool mute);
     void drain(std::size_t exit);
+    void quarantine(std::size_t exit, bool knows);
 
     /// Returns the first violated property, or an empty string.
     std::string violated_property() const;
--- a/test/fuzz_path.cpp
+++ b/test/fuzz_path.cpp
@@ -37,7 +37,8 @@
                                                {1, 8},
                                                {1, 9},
                                                {1, 10},
-                                               {1, 11}});
+                                               {1, 11},
+                                               {1, 12}});
     std::size_t n = *rc::gen::inRange<std::size_t>(0, 8);
     std::size_t m = *rc::gen::inRange<std::size_t>(0, 8);
     bool flag = *rc::gen::arbitrary<bool>();
@@ -82,8 +83,10 @@
             return p.pause(n, flag);
         case 10:
             return p.mute(n, flag);
-        default:
+        case 11:
             return p.drain(n);
+        default:
+            return p.quarantine(n, flag);
         }
     }
 
--- a/test/test_core.cpp
+++ b/test/test_core.cpp
@@ -95,6 +95,28 @@
               revoke_reply::ended);
 }
 
+// Guards against "not run" for a late copy of work that runs or waits here, and
+// against one that runs after the quarantine.
+TEST(gate, quarantine_refuses_as_not_run_only_what_never_runs)
+{
+    auto g = make_gate(1);
+    const auto running = work(1, us_per_s);
+    const auto queued = work(2, us_per_s);
+    const auto fresh = work(3, us_per_s);
+    for (const auto& r : {running, queued})
+        EXPECT_EQ(admission_error(g, r, us_per_s), gate_error::none);
+    for (const auto& r : {running, queued})
+        EXPECT_EQ(gate_refuse_quarantined(g, r, us_per_s),
+                  gate_error::duplicate);
+    EXPECT_EQ(g.workers[w1].queue.size(), 1U);
+    EXPECT_EQ(gate_refuse_quarantined(g, fresh, us_per_s),
+              gate_error::quarantined);
+    EXPECT_EQ(admission_error(g, fresh, us_per_s), gate_error::revoked);
+    gate_finish(g, running, work_result::lost, 10, us_per_s);
+    EXPECT_EQ(gate_refuse_quarantined(g, running, us_per_s),
+              gate_error::duplicate);
+}
+
 TEST(gate, check_mode_changes_nothing)
 {
     auto g = make_gate(1);
