A lack of memory ends a request or a call, not the node

Cause, from stacks of std::terminate and of all throws before it: the pool for blocking calls handed its call to run_guarded by value. The copy holds a std::function, allocates outside of the guard, and the pool's thread ends the process.

The peer RPC server starts again after a failure. Beside that a reserve of memory, [limits] memory_reserve, 16 MB, 0 for none: bodies, their copies and new connections may not use it, everything else may; while more than half is used, new requests beside others get 503 with Retry-After before their body is read (event 6007).

The reserve is what keeps the class away; where it is used up, a node can still end.

--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -82,6 +82,7 @@
     int max_buffered = 65536;             ///< bytes of a buffered response
     int max_body = 1048576;               ///< bytes of a request body
     int max_attempts = 3;
+    int memory_reserve = 16777216;    ///< bytes; 0 for none
     int max_in_flight = 4096;         ///< requests at the entry side
     int service_in_flight = 1024;     ///< the same, per service
     int log_lines_per_second = 20000; ///< per event
--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -102,6 +102,7 @@
     settings_reloaded = 6004,
     settings_refused = 6005,
     handler_failed = 6006,
+    memory_low = 6007,
 };
 
 /// Subject area of an event. Each family has its own ring, so that a flood of
--- a/src/event/log_writer.cpp
+++ b/src/event/log_writer.cpp
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <chrono>
 #include <condition_variable>
+#include <exception>
 #include <mutex>
 #include <poll.h>
 #include <string>
@@ -58,20 +59,41 @@
 
     void run();
     std::string take_buffer();
+    bool append(const std::string& text) noexcept;
 };
 
+/// @return false if there is no room or no memory for a line
+bool log_writer::state::append(const std::string& text) noexcept
+{
+    if (buffer.size() + text.size() > max_bytes)
+        return false;
+    const bool first = buffer.empty();
+    try {
+        buffer += text;
+    } catch (const std::exception&) {
+        return false;
+    }
+    if (first)
+        changed.notify_all();
+    return true;
+}
+
 /// Returns the buffered lines, followed by a line with the number of lines
 /// dropped since the last call if there are any.
 std::string log_writer::state::take_buffer()
 {
     std::string text;
     text.swap(buffer);
-    if (dropped_lines > reported) {
+    if (dropped_lines == reported)
+        return text;
+    try {
         text += std::to_string(event_number(event_id::log_lines_dropped)) +
                 " log_lines_dropped event=all count=" +
                 std::to_string(dropped_lines - reported) +
                 " reason=output-blocked\n";
         reported = dropped_lines;
+    } catch (const std::exception&) {
+        // No memory; said with a later line.
     }
     return text;
 }
@@ -117,17 +139,18 @@
                       const google::LogMessageTime& time, const char* message,
                       std::size_t size)
 {
-    auto text = ToString(severity, base_filename, line, time, message, size);
-    text += '\n';
+    std::string text;
+    bool dropped = false;
+    // The library calls this from a destructor, which must not throw.
+    try {
+        text = ToString(severity, base_filename, line, time, message, size);
+        text += '\n';
+    } catch (const std::exception&) {
+        dropped = true;
+    }
     const std::lock_guard lock(state_->mutex);
-    if (state_->buffer.size() + text.size() > state_->max_bytes) {
+    if (dropped || !state_->append(text))
         ++state_->dropped_lines;
-        return;
-    }
-    const bool first = state_->buffer.empty();
-    state_->buffer += text;
-    if (first)
-        state_->changed.notify_all();
 }
 
 void log_writer::flush(int timeout_ms)
--- a/src/http/arriving_body.hpp
+++ b/src/http/arriving_body.hpp
@@ -1,6 +1,8 @@
 // Body of an HTTP message that takes memory only for bytes that have arrived.
 #pragma once
 
+#include "base/memory_reserve.hpp"
+
 #include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -36,6 +38,7 @@
         std::size_t put(const Buffers& buffers, boost::beast::error_code& ec)
         {
             const auto n = boost::beast::buffer_bytes(buffers);
+            const no_memory_reserve scope;
             try {
                 grow(body_.size() + n);
                 for (const auto b : boost::beast::buffers_range_ref(buffers))
--- a/src/node/caller_read.cpp
+++ b/src/node/caller_read.cpp
@@ -1,6 +1,7 @@
 // Reads and checks requests of callers.
 #include "node/caller_read.hpp"
 
+#include "base/memory_reserve.hpp"
 #include "base/text_func.hpp"
 #include "node/entry_team.hpp"
 #include "node/http_func.hpp"
@@ -20,6 +21,17 @@
     return x;
 }
 
+/// Returns the refusal of a request that nothing was passed on of. Its
+/// connection is closed, as the body is unread.
+refusal no_memory_refusal()
+{
+    refusal x;
+    x.event = event_id::refused_overload;
+    x.reason = "no-memory";
+    x.retry_after = us_per_s;
+    return x;
+}
+
 /// Returns the refusal for a read error; nothing when the caller disconnected.
 std::optional<refusal> read_error_refusal(const beast::error_code& ec)
 {
@@ -28,13 +40,8 @@
                            "head-too-large");
     if (ec == http::error::body_limit)
         return bad_request(http::status::payload_too_large, "body-too-large");
-    // Nothing was passed on; the connection is closed, as the body is unread.
-    if (ec == boost::system::errc::not_enough_memory) {
-        refusal x;
-        x.event = event_id::refused_overload;
-        x.reason = "no-memory";
-        return x;
-    }
+    if (ec == boost::system::errc::not_enough_memory)
+        return no_memory_refusal();
     const auto& parser_category =
         http::make_error_code(http::error::bad_method).category();
     if (ec.category() == parser_category && ec != http::error::end_of_stream &&
@@ -151,6 +158,8 @@
         return bad_request(http::status::request_timeout, "slow-head");
     if (!ec && !has_valid_framing(parser.get()))
         return bad_request(http::status::bad_request, "unknown-coding");
+    if (!ec && lacks_memory_for(find_memory_reserve(), n.in_flight))
+        return no_memory_refusal();
     if (!ec && is_body_long(parser)) {
         if (auto refused = check_request_head(n, parser.get()))
             return refused;
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -129,7 +129,7 @@
                                 std::uint32_t count)
 {
     const auto& n = r.n;
-    string_request q = r.message;
+    auto q = copy_message(r.message);
     strip_hop_fields(q);
     q.version(11);
     q.keep_alive(true);
--- a/src/node/http_func.hpp
+++ b/src/node/http_func.hpp
@@ -1,6 +1,7 @@
 // HTTP helpers on top of Boost.Beast, for the entry and exit side.
 #pragma once
 
+#include "base/memory_reserve.hpp"
 #include "node/http_type.hpp"
 
 #include <optional>
@@ -21,6 +22,13 @@
     return {s.data(), s.size()};
 }
 
+/// Copies a message. Its body has any size, so it may not use the reserve.
+inline string_request copy_message(const string_request& m)
+{
+    const no_memory_reserve scope;
+    return m;
+}
+
 /// Serves small requests on a connection until it closes.
 /// @param answer returns the response to a request
 template <typename Answer>
--- a/src/node/idempotency_key.cpp
+++ b/src/node/idempotency_key.cpp
@@ -28,13 +28,12 @@
     if (n.blocking_pool == nullptr || n.open_key_claims >= max_claims)
         return store_error::unreachable;
     ++n.open_key_claims;
+    const on_exit leave([&n] { --n.open_key_claims; });
     auto state = std::make_shared<claim_state>();
     auto signal = std::make_shared<asio::steady_timer>(n.ctx);
     signal->expires_at(asio::steady_timer::time_point::max());
     auto store = n.store;
-    post_blocking(n, *n.blocking_pool, "key-claim", [=, &ctx = n.ctx] {
-        const on_exit wake(
-            [&] { asio::post(ctx, [signal] { signal->cancel(); }); });
+    const auto claim = [=] {
         store_error result{};
         store.write_rows({{{key_table, row}, 0, owner, false}}, result);
         // After a lost answer or a conflict, reads the row to find its owner.
@@ -48,10 +47,13 @@
                                              : store_error::conflict;
         }
         state->error = result;
+    };
+    post_blocking(n, *n.blocking_pool, "key-claim", [&n, claim, signal] {
+        run_guarded(n, "key-claim", claim);
+        post_reply(n, "key-claim", [signal] { signal->cancel(); });
     });
     beast::error_code ec;
     signal->async_wait(y[ec]);
-    --n.open_key_claims;
     first = state->first;
     return state->error;
 }
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -95,6 +95,8 @@
               "Most starts at a backend server of this VM within 4 s.");
     m->gate_records = gauge(r, "jasminetray_gate_records",
                             "Attempts that the gate remembers.");
+    m->memory_reserve = gauge(r, "jasminetray_memory_reserve_bytes",
+                              "Memory set aside that is not in use.");
     m->dropped_lines = gauge(r, "jasminetray_log_lines_dropped",
                              "Log lines left out by the rate limit.");
     return m;
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -54,6 +54,7 @@
     prometheus::Gauge* limited_workers; ///< that named a limit of starts
     prometheus::Gauge* start_rate;      ///< lowest limit; 0 without one
     prometheus::Gauge* window_starts;   ///< most starts at one backend server
+    prometheus::Gauge* memory_reserve;  ///< bytes held
     prometheus::Gauge* dropped_lines;
 };
 
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -4,6 +4,7 @@
 #include "base/text_func.hpp"
 #include "event/log_writer.hpp"
 #include "gate/gate_query.hpp"
+#include "node/accept.hpp"
 #include "node/admin_api.hpp"
 #include "node/admin_server.hpp"
 #include "node/announce.hpp"
@@ -44,7 +45,6 @@
 namespace {
 
 using udp = asio::ip::udp;
-using serve_function = void (*)(node_state&, beast::tcp_stream, const yield&);
 
 constexpr span_us tick_interval = 20 * us_per_ms;
 constexpr span_us maintenance_interval = us_per_s;
@@ -118,28 +118,6 @@
     return !ec;
 }
 
-void accept_connections(node_parts& p, tcp::acceptor& a, serve_function serve)
-{
-    a.async_accept([&p, &a, serve](beast::error_code ec, tcp::socket s) {
-        if (ec == asio::error::operation_aborted)
-            return;
-        if (!ec) {
-            beast::error_code ignored;
-            s.set_option(tcp::no_delay(true), ignored);
-            run_guarded(p.state, "accept", [&p, &s, serve] {
-                spawn_guarded(
-                    p.state, "connection",
-                    [&p, serve, stream = beast::tcp_stream(std::move(s))](
-                        const yield& y) mutable {
-                        serve(p.state, std::move(stream), y);
-                    });
-            });
-        }
-        if (a.is_open())
-            accept_connections(p, a, serve);
-    });
-}
-
 void receive_datagrams(node_parts& p)
 {
     p.gossip.async_receive_from(
@@ -244,16 +222,24 @@
                     span_us bound, auto done) {
         if (p.open_revokes >= max_revokes)
             return asio::post(p.ctx, [done] { done(std::nullopt); });
+        // A copy of the pointer can't throw, one of the function can. The
+        // request is released on its own thread.
+        const auto held = std::make_shared<decltype(done)>(std::move(done));
+        post_blocking(
+            p.state, p.blocking_pool, "revoke", [&p, to, a, boot, bound, held] {
+                std::optional<revoke_reply> reply;
+                run_guarded(p.state, "revoke", [&] {
+                    if (!can_allocate(peer_call_bytes))
+                        throw std::bad_alloc();
+                    reply = call_revoke(to.ip, to.rpc_port, a, boot, bound);
+                });
+                post_reply(p.state, "revoke", [&p, held, reply] {
+                    --p.open_revokes;
+                    const auto call = std::move(*held);
+                    call(reply);
+                });
+            });
         ++p.open_revokes;
-        post_blocking(p.state, p.blocking_pool, "revoke",
-                      [&p, to, a, boot, bound, done] {
-                          const auto reply =
-                              call_revoke(to.ip, to.rpc_port, a, boot, bound);
-                          asio::post(p.ctx, [&p, done, reply] {
-                              --p.open_revokes;
-                              done(reply);
-                          });
-                      });
     };
     return h;
 }
@@ -275,6 +261,9 @@
 peer_handlers make_handlers(node_parts& p)
 {
     peer_handlers h;
+    h.failed = [&p](const char* why) {
+        run_guarded(p.state, "rpc", [why] { throw std::runtime_error(why); });
+    };
     h.revoke = [&p](const attempt_id& a, boot_id boot) {
         return run_on_request_thread<revoke_reply>(
             p, [&p, a, boot] { return handle_revoke(p.state, a, boot); });
@@ -506,6 +495,7 @@
 void run_tick(node_parts& p, mono_us now)
 {
     watch_pauses(p.state);
+    watch_memory(p.state);
     tick_gate(p.state, now);
     evaluate_workers(p.state, now);
     probe_avoided_paths(p.state, now);
@@ -590,6 +580,7 @@
 {
     // Keeps the node running when the reader of its log disconnects.
     std::signal(SIGPIPE, SIG_IGN);
+    start_memory_reserve(static_cast<std::size_t>(s.memory_reserve));
     node_parts p(s);
     std::string reason;
     if (!open_sockets(p, reason)) {
@@ -601,14 +592,17 @@
     start_control(p);
     p.state.control = make_hooks(p);
     publish_self(p.state);
-    accept_connections(p, p.entry, serve_caller);
-    accept_connections(p, p.exit, serve_exit_connection);
-    accept_connections(p, p.admin, serve_admin);
+    accept_connections(p.state, p.entry, serve_caller, listener_use::callers);
+    accept_connections(p.state, p.exit, serve_exit_connection,
+                       listener_use::nodes);
+    accept_connections(p.state, p.admin, serve_admin, listener_use::control);
     if (is_hosted(s)) {
         p.state.dialect = make_platform_dialect();
         apply_hosted_policies(p.state);
-        accept_connections(p, p.hosted_control, serve_platform_connection);
-        accept_connections(p, p.hosted_ready, serve_platform_connection);
+        accept_connections(p.state, p.hosted_control, serve_platform_connection,
+                           listener_use::control);
+        accept_connections(p.state, p.hosted_ready, serve_platform_connection,
+                           listener_use::control);
     }
     receive_datagrams(p);
     load_quarantine_rows(p.state);
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -176,6 +176,7 @@
     std::uint64_t next_request = 1;
     mono_us started_at = 0;
     bool stopping = false;
+    bool memory_low = false;             ///< as last logged
     mono_us refuse_at = mono_never;      ///< shutdown: new requests are refused
     mono_us last_answer_at = mono_never; ///< shutdown: deadline of all answers
     std::set<entry_request*> open_requests;
--- a/src/node/worker_request.cpp
+++ b/src/node/worker_request.cpp
@@ -61,7 +61,7 @@
                                    const gate_request& r, mono_us now)
 {
     const auto& d = n.dialect;
-    string_request q = from;
+    auto q = copy_message(from);
     strip_hop_fields(q);
     q.version(11);
     q.keep_alive(true);
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -1,26 +1,29 @@
 // Cap'n Proto RPC server and client calls of a node.
 #include "rpc/peer_rpc.hpp"
 
+#include "base/memory_reserve.hpp"
 #include "wire/peer.capnp.h"
 
-#include <atomic>
 #include <capnp/ez-rpc.h>
+#include <chrono>
 #include <future>
 #include <kj/async-io.h>
 #include <kj/exception.h>
 #include <kj/timer.h>
+#include <mutex>
 
 namespace jasminetray {
 
 namespace {
 
 constexpr std::uint8_t no_revoke_reply = 255;
+constexpr std::chrono::milliseconds restart_delay(100);
 
 class peer_service_impl final : public wire::Peer::Server
 {
 public:
-    explicit peer_service_impl(peer_handlers handlers)
-        : handlers_(std::move(handlers))
+    explicit peer_service_impl(const peer_handlers& handlers)
+        : handlers_(handlers)
     {
     }
 
@@ -57,7 +60,7 @@
     }
 
 private:
-    peer_handlers handlers_;
+    const peer_handlers& handlers_;
 };
 
 std::string to_dotted_decimal(std::uint32_t ip)
@@ -66,12 +69,15 @@
            "." + std::to_string(ip >> 8 & 255) + "." + std::to_string(ip & 255);
 }
 
-/// Runs one call on a new connection. Returns nothing on error or timeout.
+/// Runs one call on a new connection. Returns nothing on error or timeout. The
+/// library ends the process if an allocation fails while it sends.
 template <typename Result, typename Call>
 std::optional<Result> run_call(std::uint32_t ip, std::uint16_t port,
                                span_us timeout, Call call)
 {
     std::optional<Result> result;
+    if (!can_allocate(peer_call_bytes))
+        return result;
     // EzRpcClient throws when the connection fails.
     const auto failed = kj::runCatchingExceptions([&] {
         capnp::EzRpcClient client(to_dotted_decimal(ip), port);
@@ -91,9 +97,55 @@
 {
     std::thread thread;
     std::uint16_t port = 0;
+    std::mutex mutex; ///< of the members below
+    bool stopping = false;
     kj::Own<kj::CrossThreadPromiseFulfiller<void>> stop;
+
+    bool serve(const peer_handlers& handlers, const std::string& ip,
+               std::promise<std::string>* started);
 };
 
+/// Serves calls until the server is stopped or its loop fails.
+/// @param started set once it listens, or by the reason why it doesn't; may be
+///        null
+/// @return whether it is to be started again
+bool peer_server::server_state::serve(const peer_handlers& handlers,
+                                      const std::string& ip,
+                                      std::promise<std::string>* started)
+{
+    bool listened = false;
+    const auto failed = kj::runCatchingExceptions([&] {
+        capnp::EzRpcServer rpc_server(kj::heap<peer_service_impl>(handlers), ip,
+                                      port);
+        auto& scope = rpc_server.getWaitScope();
+        const auto bound =
+            static_cast<std::uint16_t>(rpc_server.getPort().wait(scope));
+        auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
+        {
+            const std::lock_guard lock(mutex);
+            if (stopping)
+                return;
+            stop = kj::mv(pair.fulfiller);
+        }
+        listened = true;
+        if (started != nullptr) {
+            port = bound; // and the same after a failure
+            started->set_value("");
+        }
+        pair.promise.wait(scope);
+    });
+    KJ_IF_MAYBE (exception, failed) {
+        if (!listened && started != nullptr) {
+            started->set_value(exception->getDescription().cStr());
+            return false;
+        }
+        // Anything may have failed for lack of memory, which passes.
+        handlers.failed(exception->getDescription().cStr());
+        return true;
+    }
+    return false;
+}
+
 peer_server::peer_server() : state_(std::make_unique<server_state>())
 {
 }
@@ -106,26 +158,15 @@
     std::unique_ptr<peer_server> server(new peer_server);
     std::promise<std::string> started;
     auto* state = server->state_.get();
-    state->thread = std::thread([&started, ip, port, state,
-                                 handlers = std::move(handlers)]() mutable {
-        bool start_reported = false;
-        const auto failed = kj::runCatchingExceptions([&] {
-            capnp::EzRpcServer rpc_server(
-                kj::heap<peer_service_impl>(std::move(handlers)), ip, port);
-            auto& scope = rpc_server.getWaitScope();
-            state->port =
-                static_cast<std::uint16_t>(rpc_server.getPort().wait(scope));
-            auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
-            state->stop = kj::mv(pair.fulfiller);
-            start_reported = true;
-            started.set_value("");
-            pair.promise.wait(scope);
+    state->port = port;
+    state->thread =
+        std::thread([&started, ip, state, handlers = std::move(handlers)] {
+            bool failed = state->serve(handlers, ip, &started);
+            while (failed) {
+                std::this_thread::sleep_for(restart_delay);
+                failed = state->serve(handlers, ip, nullptr);
+            }
         });
-        KJ_IF_MAYBE (exception, failed) {
-            if (!start_reported)
-                started.set_value(exception->getDescription().cStr());
-        }
-    });
     error = started.get_future().get();
     if (!error.empty())
         return nullptr;
@@ -134,8 +175,12 @@
 
 peer_server::~peer_server()
 {
-    if (state_->stop.get() != nullptr)
-        state_->stop->fulfill();
+    {
+        const std::lock_guard lock(state_->mutex);
+        state_->stopping = true;
+        if (state_->stop.get() != nullptr)
+            state_->stop->fulfill();
+    }
     if (state_->thread.joinable())
         state_->thread.join();
 }
--- a/src/rpc/peer_rpc.hpp
+++ b/src/rpc/peer_rpc.hpp
@@ -21,9 +21,15 @@
         revoke;
     std::function<std::optional<std::string>(std::uint64_t hash)> chunk;
     std::function<std::string(const std::string& json)> query;
+    /// The event loop has failed and starts again.
+    std::function<void(const char* why)> failed = [](const char*) {};
 };
 
-/// RPC server with its own event loop thread. The destructor stops it.
+/// Memory that must be free for a call to other nodes.
+constexpr std::size_t peer_call_bytes = 128 * 1024;
+
+/// RPC server with its own event loop thread, which starts again after a
+/// failure. The destructor stops it.
 class peer_server
 {
 public:
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -324,6 +324,12 @@
               "task; the others go on.",
               "If it repeats, look for a lack of memory on the VM, and report "
               "it with the part and the error in the line."},
+    event_row{event_id::memory_low, "memory_low",
+              "More than half of the reserve of memory is used (began=) or no "
+              "longer (ended=); meanwhile a node that has other requests "
+              "refuses new ones with 503, reason=no-memory.",
+              "Give the process more memory, or lower [limits] most_in_flight "
+              "or most_body."},
     event_row{event_id::log_lines_dropped, "log_lines_dropped",
               "Lines of one event were dropped from the log because they "
               "exceeded the rate limit; the event rings still have them.",
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -295,6 +295,14 @@
              return set_int(s.max_attempts, v, 1, 8);
          },
          "1 to 8", "maximum attempts per request"}},
+    settings_row{"limits",
+                 {"memory_reserve",
+                  [](node_settings& s, std::string_view v) {
+                      return set_int(s.memory_reserve, v, 0, 268435456);
+                  },
+                  "0 to 268435456",
+                  "bytes set aside at the start for a lack of memory; 0: none, "
+                  "and a failed allocation may end the process"}},
     settings_row{
         "limits",
         {"most_in_flight",
--- a/test/platform_bytes.py
+++ b/test/platform_bytes.py
@@ -114,6 +114,10 @@
             t.join()
     expect(all_run(h) and ask_or_closed(h, "n0", "/read/") == 200,
            "so do many at once: %s" % {x: many.count(x) for x in set(many)})
+    expect("closed" not in many, "each of them is answered")
+    expect(wait_for(lambda: h.f.ctl("fleet", "show", "--node=127.0.0.1:%d" %
+                                    h.nodes["n0"]["rpc"])[0] == 0),
+           "calls of other nodes are answered")
     log = log_of(h, "n0")
     expect("reason=no-memory" in log and " handler_failed " in log,
            "both kinds of failure are logged")
