A fuzzer of a backend server's bytes; known failures played again

fuzz_answer writes what a backend server may send on a connection: lengths that never arrive, chunks, garbage, foreign heads, refusals with and without id, and what is left over from earlier requests, in fragments and cut. The production parser and classify_answer read it; the backend server's own view of what ran is the oracle, and memory may not exceed twice what arrived.

The loop that reads answers from sockets is not in it.

--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -16,6 +16,7 @@
     "fuzz_incarnation": ("starts", "fresh", "left", "rivals", "undated",
                          "numbers"),
     "fuzz_freshness": ("uptime", "sent", "version"),
+    "fuzz_answer": ("echo", "refusal"),
 }
 SAFEGUARD_SEQUENCES = 400000
 
