Hedges by what they are worth, with a reserve for retries after failures

Hedges and retries after failures drew on one allowance of second attempts. While half of a service's backend servers shed it is nearly spent, although hedges of slow reads rarely answer first.

Each entry node learns by route what its hedges were worth, and leaves the more of the allowance to failures the fewer win; it waits with a hedge as long as the route's answers usually take. Off by default ([retry] hedge_policy).

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -69,6 +69,20 @@
     return take_retry(budget, now);
 }
 
+/// Takes a retry for a hedge. The work of a stopping node is cut off without
+/// one, so that it needs no reserve for failures.
+bool take_request_hedge(request_state& r, retry_budget& budget, mono_us now)
+{
+    if (r.unused_retries > 0) {
+        --r.unused_retries;
+        return true;
+    }
+    const auto share = r.stop_expected == 0 ? r.hedges : hedge_share{};
+    const bool taken = take_hedge(budget, share, now);
+    r.denied_hedges += taken ? 0 : 1;
+    return taken;
+}
+
 /// Records that an attempt did not run.
 void mark_not_run(request_state& r, attempt_state& t, bool reached)
 {
@@ -141,7 +155,8 @@
 /// Returns when an open attempt is overdue.
 mono_us overdue_time(const request_state& r, const attempt_state& t)
 {
-    const auto timeout = t.sent_at + r.policy.response_timeout;
+    const auto timeout =
+        t.sent_at + std::max(t.hedge_delay, r.policy.response_timeout);
     if (r.stop_expected == 0)
         return timeout;
     if (t.sent_at < r.overdue_at)
@@ -176,15 +191,17 @@
 {
     const bool regular = may_send_more(r, now);
     if (!attempt_wants_hedge(r, now) || !(regular || may_hedge_at_suspect(r)) ||
-        !take_request_retry(r, budget, now))
+        !take_request_hedge(r, budget, now))
         return;
     ++r.retries;
     // A middlebox may have dropped the connection's state, so that only new
     // connections work.
-    if (regular)
-        return send(r, attempt_action_kind::send_fresh, true, now, out);
-    r.fallback_tried = true;
-    send(r, attempt_action_kind::send_fallback, true, now, out);
+    r.fallback_tried = r.fallback_tried || !regular;
+    send(r,
+         regular ? attempt_action_kind::send_fresh
+                 : attempt_action_kind::send_fallback,
+         true, now, out);
+    r.attempt_states.back().hedge = true;
 }
 
 /// Retries the request if that is safe and allowed. Otherwise ends it, unless
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -5,6 +5,7 @@
 
 #include "base/names_type.hpp"
 #include "base/time_type.hpp"
+#include "limit/hedge_share.hpp"
 
 #include <cstdint>
 #include <string>
@@ -93,7 +94,10 @@
     bool reached = true;
     bool paid = false;  ///< took a retry out of the budget
     bool placed = true; ///< a candidate was left for it
+    bool hedge = false; ///< sent while an overdue attempt was open
     mono_us sent_at = 0;
+    /// Time until its hedge; 0 for the response timeout.
+    span_us hedge_delay = 0;
 };
 
 /// Settings of a request, from its route and service.
@@ -142,7 +146,9 @@
     bool out_of_workers = false;
     bool quarantined = false; ///< must not be sent again
     bool fallback_tried = false;
-    std::uint32_t retries = 0; ///< attempts after the first
+    hedge_share hedges;              ///< of the retry budget
+    std::uint32_t denied_hedges = 0; ///< for lack of a retry
+    std::uint32_t retries = 0;       ///< attempts after the first
     /// Retries taken out of the budget for attempts that never reached a
     /// backend server. The next attempts use them.
     std::uint32_t unused_retries = 0;
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -41,6 +41,11 @@
     bool move_waiting = false; ///< offer late queued work to other gates
 };
 
+struct retry_settings
+{
+    bool learned_hedges = false; ///< hedges by what they were worth lately
+};
+
 struct quarantine_settings
 {
     int crashes = 3; ///< crashes until a request is refused
@@ -88,6 +93,7 @@
     std::string safeguards_off;       ///< for tests; names separated by commas
     hosted_settings hosted;
     gate_settings gate;
+    retry_settings retry;
     quarantine_settings quarantine;
     placement_settings placement;
     experiment_settings experiment;
--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -46,6 +46,7 @@
     grant_returned = 1037,
     byte_cost_changed = 1038,
     work_moved = 1045,
+    hedge_decided = 1046,
     worker_ejected = 2001,
     worker_returned = 2002,
     ejection_held_by_floor = 2003,
--- a/src/limit/limit_func.cpp
+++ b/src/limit/limit_func.cpp
@@ -31,10 +31,35 @@
     const auto number = slice_number(b, now);
     auto& s = b.slices[static_cast<std::size_t>(number) % budget_slices];
     if (s.number != number)
-        s = {number, 0, 0};
+        s = {number, 0, 0, 0};
     return s;
 }
 
+/// Returns the sums of the window that ends now.
+budget_slice counts_of(const retry_budget& b, mono_us now)
+{
+    const auto newest = slice_number(b, now);
+    budget_slice sum{newest, 0, 0, 0};
+    for (const auto& s : b.slices) {
+        if (newest - s.number >= static_cast<std::int64_t>(budget_slices))
+            continue;
+        sum.requests += s.requests;
+        sum.retries += s.retries;
+        sum.hedges += s.hedges;
+    }
+    return sum;
+}
+
+double allowance_of(const retry_budget& b, int requests)
+{
+    return b.share * requests + b.fixed;
+}
+
+int granted_left(const retry_budget& b, mono_us now)
+{
+    return now < b.granted_until ? b.granted : 0;
+}
+
 } // namespace
 
 void apply_fleet_allowance(retry_budget& b, const fleet_allowance& a,
@@ -57,17 +82,9 @@
 
 int retries_left(const retry_budget& b, mono_us now)
 {
-    const auto newest = slice_number(b, now);
-    int requests = 0;
-    int retries = 0;
-    for (const auto& s : b.slices) {
-        if (newest - s.number >= static_cast<std::int64_t>(budget_slices))
-            continue;
-        requests += s.requests;
-        retries += s.retries;
-    }
-    const auto own = static_cast<int>(b.share * requests + b.fixed) - retries;
-    return std::max(0, own) + b.granted;
+    const auto c = counts_of(b, now);
+    const auto own = static_cast<int>(allowance_of(b, c.requests)) - c.retries;
+    return std::max(0, own) + granted_left(b, now);
 }
 
 bool may_retry(const retry_budget& b, mono_us now)
@@ -81,13 +98,55 @@
     if (left <= 0)
         return false;
     // The lender has already counted a granted retry.
-    if (left <= b.granted)
+    if (left <= granted_left(b, now))
         --b.granted;
     else
         ++slice_at(b, now).retries;
     return true;
 }
 
+int hedge_reserve(const retry_budget& b, const hedge_share& share, mono_us now)
+{
+    const auto c = counts_of(b, now);
+    const double unused =
+        std::max(0.0, allowance_of(b, c.requests) - (c.retries - c.hedges));
+    return static_cast<int>((1 - share.part) * unused + share.draw);
+}
+
+bool take_hedge(retry_budget& b, const hedge_share& share, mono_us now)
+{
+    const int granted = granted_left(b, now);
+    if (retries_left(b, now) - granted > hedge_reserve(b, share, now)) {
+        auto& s = slice_at(b, now);
+        ++s.retries;
+        ++s.hedges;
+        return true;
+    }
+    if (granted <= 0)
+        return false;
+    --b.granted;
+    return true;
+}
+
+int lend_hedges(retry_budget& b, const hedge_share& share, int wanted,
+                mono_us now)
+{
+    int lent = 0;
+    // Granted ones aren't lent on: another node has counted them.
+    while (lent < wanted &&
+           retries_left(b, now) - granted_left(b, now) >
+               hedge_reserve(b, share, now) &&
+           take_hedge(b, share, now))
+        ++lent;
+    return lent;
+}
+
+void add_granted(retry_budget& b, int count, mono_us until, mono_us now)
+{
+    b.granted = granted_left(b, now) + count;
+    b.granted_until = until;
+}
+
 allowance_policy local_limit_policy()
 {
     allowance_policy p;
--- a/src/limit/limit_type.hpp
+++ b/src/limit/limit_type.hpp
@@ -4,6 +4,7 @@
 
 #include "base/time_type.hpp"
 #include "config/config_type.hpp"
+#include "limit/hedge_share.hpp"
 #include "team/allowance_type.hpp"
 
 #include <array>
@@ -17,7 +18,8 @@
 {
     std::int64_t number = 0; ///< counted from the clock's start
     int requests = 0;        ///< first attempts
-    int retries = 0;         ///< further attempts
+    int retries = 0;         ///< further attempts, hedges among them
+    int hedges = 0;          ///< and those lent for hedges
 };
 
 constexpr std::size_t budget_slices = 20; ///< per window
@@ -33,6 +35,9 @@
     span_us window = 10 * us_per_s;
     std::array<budget_slice, budget_slices> slices{};
     int granted = 0; ///< retries granted by other nodes
+    /// Granted ones are void from then on: their lenders count them in the
+    /// window in which they lent them.
+    mono_us granted_until = mono_never;
 };
 
 /// Retry allowance of the fleet: retries in any window are at most a share of
@@ -64,6 +69,24 @@
 /// @return false when there is none left
 bool take_retry(retry_budget& b, mono_us now);
 
+/// Returns the retries that a hedge must leave in this node's own part: the
+/// share of what failures have not used. Hedges of the window count as
+/// available, so that each further one meets the same reserve.
+int hedge_reserve(const retry_budget& b, const hedge_share& share, mono_us now);
+
+/// Takes a retry for a hedge, one beyond the reserve or else a granted one.
+/// @return false when there is none
+bool take_hedge(retry_budget& b, const hedge_share& share, mono_us now);
+
+/// Takes retries that another node requested for hedges.
+/// @return how many, at most `wanted`
+int lend_hedges(retry_budget& b, const hedge_share& share, int wanted,
+                mono_us now);
+
+/// Adds retries that other nodes granted.
+/// @param until they can be used
+void add_granted(retry_budget& b, int count, mono_us until, mono_us now);
+
 /// Takes a token from a team's rate limit at this node. For fleets without team
 /// keys: the team header is trusted, and each entry node has its own limit.
 /// @param c configuration with the team's rate
--- a/src/node/entry_placement.cpp
+++ b/src/node/entry_placement.cpp
@@ -3,6 +3,7 @@
 
 #include "balance/room_query.hpp"
 #include "base/text_func.hpp"
+#include "node/entry_hedge.hpp"
 
 namespace jasminetray {
 
@@ -118,6 +119,8 @@
     t.worker = x.id;
     t.exit = x.exit;
     t.far = !x.near;
+    t.cold = mono_now() < x.cold_until;
+    set_hedge_delay(r, t, count);
     const auto far_loss = find_far_loss(r);
     t.boot = node->second.record.boot;
     t.address = node->second.record.address;
@@ -135,7 +138,7 @@
             (far_loss ? " far=" + std::to_string(t.far ? 1 : 0) +
                             " far_loss=" + std::to_string(*far_loss)
                       : "") +
-            (mono_now() < x.cold_until ? " cold=1" : ""));
+            (t.cold ? " cold=1" : ""));
     return true;
 }
 
--- a/src/node/entry_request.hpp
+++ b/src/node/entry_request.hpp
@@ -28,6 +28,7 @@
     bool may_probe = false;   ///< may go to a suspect backend server
     bool is_fallback = false; ///< goes to a suspect, which admits it
     bool far = false;         ///< in another data centre
+    bool cold = false;        ///< had just started
     bool may_move = false;    ///< its gate was told that it may be moved
 };
 
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -1,13 +1,13 @@
 // Handles callers' connections and requests.
 #include "node/entry_server.hpp"
 
-#include "attempt/attempt_func.hpp"
 #include "base/on_exit.hpp"
 #include "base/random_func.hpp"
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
 #include "node/caller_read.hpp"
 #include "node/entry_budget.hpp"
+#include "node/entry_hedge.hpp"
 #include "node/entry_refusal.hpp"
 #include "node/entry_stop.hpp"
 #include "node/entry_team.hpp"
@@ -280,10 +280,8 @@
 {
     auto& budget = current_retry_budget(r->n, *r->service);
     count_request(budget, mono_now());
-    const auto& safeguards = r->n.safeguards.attempt;
     auto delivered = execute_actions(
-        r, attempt_step(r->machine, {attempt_event_kind::begin, 0, ""}, budget,
-                        mono_now(), safeguards));
+        r, step_request(r, {attempt_event_kind::begin, 0, ""}, budget));
     if (r->n.stopping)
         schedule_stop_hedge(*r);
     while (r->machine.outcome == final_outcome::open) {
@@ -300,8 +298,7 @@
             r->event_queue.pop_front();
         }
         check_quarantine(*r, e);
-        delivered = execute_actions(
-            r, attempt_step(r->machine, e, budget, mono_now(), safeguards));
+        delivered = execute_actions(r, step_request(r, e, budget));
     }
     return delivered;
 }
--- a/src/node/entry_stop.cpp
+++ b/src/node/entry_stop.cpp
@@ -5,7 +5,7 @@
 #include "base/on_exit.hpp"
 #include "base/text_func.hpp"
 #include "limit/limit_type.hpp"
-#include "node/entry_budget.hpp"
+#include "node/entry_loan.hpp"
 #include "node/guard_func.hpp"
 #include "node/http_func.hpp"
 #include "node/peer_request.hpp"
@@ -21,10 +21,7 @@
 /// closes the connection.
 constexpr span_us notice_timeout = 500 * us_per_ms;
 
-constexpr span_us loan_timeout = 300 * us_per_ms; ///< per node asked
 constexpr span_us loan_interval = 250 * us_per_ms;
-constexpr std::size_t max_lenders = 3; ///< nodes asked per service
-constexpr int max_loan = 8;            ///< retries per service
 
 /// Open attempts at one exit node.
 struct exit_attempts
@@ -96,29 +93,6 @@
     }
 }
 
-/// Selects nodes to borrow retries from, first in this data centre.
-std::vector<node_id> choose_lenders(node_state& n)
-{
-    std::vector<node_id> near;
-    std::vector<node_id> far;
-    for (const auto& [id, v] : n.view.nodes) {
-        if (id == n.self.id || v.state != liveness::alive || v.record.leaving)
-            continue;
-        (v.record.centre == n.self.centre ? near : far).push_back(id);
-    }
-    auto chosen = random_sample(near, max_lenders, n.rng);
-    for (const auto id : random_sample(far, max_lenders - chosen.size(), n.rng))
-        chosen.push_back(id);
-    return chosen;
-}
-
-/// Makes all open requests check their retry budget again.
-void wake_requests(node_state& n)
-{
-    for (auto* r : n.open_requests)
-        r->queue_event({attempt_event_kind::timer, 0, ""});
-}
-
 /// Borrowing of a stopping node.
 struct loan_schedule
 {
@@ -130,31 +104,6 @@
     std::set<std::string> pending; ///< services with an unanswered request
 };
 
-/// Borrows retries for a service's requests, from one node at a time.
-void borrow_retries(node_state& n, const std::string& service, retry_loan loan,
-                    const yield& y)
-{
-    int granted = 0;
-    const auto wanted = loan.count;
-    for (const auto id : choose_lenders(n)) {
-        const auto it = n.view.nodes.find(id);
-        if (granted >= wanted || it == n.view.nodes.end())
-            break;
-        loan.count = wanted - granted;
-        const auto text = send_peer_request(
-            n, id, it->second.record.address, retry_path,
-            [&loan] { return to_text(loan); }, mono_now() + loan_timeout, y);
-        const auto answer = text ? parse_retry_loan(*text) : std::nullopt;
-        if (answer && answer->service == loan.service)
-            granted += std::min(answer->count, loan.count);
-    }
-    n.events.write(event_id::retries_borrowed, service,
-                   "wanted=" + std::to_string(wanted) +
-                       " granted=" + std::to_string(granted));
-    n.retry_budgets[service].granted += granted;
-    wake_requests(n);
-}
-
 /// Returns by service the retries that overdue idempotent requests need beyond
 /// this node's budget.
 std::map<std::string, int> missing_retries(const node_state& n, mono_us now)
@@ -203,26 +152,6 @@
 
 } // namespace
 
-bool grant_retry_loan(node_state& n, const string_request& m,
-                      beast::tcp_stream& to, const yield& y)
-{
-    auto loan = parse_retry_loan(header_value(m, hop_header));
-    if (!loan)
-        return false;
-    int granted = 0;
-    const auto place = n.service_positions.find(loan->service);
-    if (n.config && place != n.service_positions.end() && !n.stopping) {
-        // A budget that was never used holds default values.
-        auto& budget =
-            current_retry_budget(n, n.config->services[place->second]);
-        while (granted < std::min(loan->count, max_loan) &&
-               take_retry(budget, mono_now()))
-            ++granted;
-    }
-    loan->count = granted;
-    return send_peer_reply(to, to_text(*loan), y);
-}
-
 void schedule_stop_hedge(entry_request& r)
 {
     attempt_hedge_before_deadline(r.machine, expected_request_time(r),
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -9,7 +9,7 @@
 #include "gate/gate_queue.hpp"
 #include "node/announce.hpp"
 #include "node/crash_watch.hpp"
-#include "node/entry_stop.hpp"
+#include "node/entry_loan.hpp"
 #include "node/entry_team.hpp"
 #include "node/guard_func.hpp"
 #include "node/health_driver.hpp"
--- a/src/node/hop_func.cpp
+++ b/src/node/hop_func.cpp
@@ -31,6 +31,8 @@
 /// Of the longest wait in a request for a grant; beyond the values of a
 /// duration, so that earlier builds drop it.
 constexpr std::uint64_t wants_pressure_bit = 1ULL << 63U;
+/// Of a loan's count, of which earlier builds read the low 31 bits only.
+constexpr std::uint64_t loan_hedges_bit = 1ULL << 32U;
 /// In the number of the priority. Earlier builds read its low half only.
 constexpr unsigned pressure_shift = 32;
 constexpr std::uint64_t pressure_mask = 0xff;
@@ -205,7 +207,8 @@
 {
     std::string out(1, 'r');
     append_number(out, static_cast<std::uint64_t>(l.service));
-    append_number(out, static_cast<std::uint64_t>(std::max(0, l.count)));
+    append_number(out, static_cast<std::uint64_t>(std::max(0, l.count)) |
+                           (l.hedges ? loan_hedges_bit : 0));
     return out;
 }
 
@@ -281,7 +284,9 @@
     number_reader in{parts, 1};
     retry_loan l;
     l.service = static_cast<service_id>(in.number());
-    l.count = static_cast<int>(in.number() & INT32_MAX);
+    const auto count = in.number();
+    l.count = static_cast<int>(count & INT32_MAX);
+    l.hedges = (count & loan_hedges_bit) != 0;
     return in.valid ? std::make_optional(l) : std::nullopt;
 }
 
--- a/src/node/hop_type.hpp
+++ b/src/node/hop_type.hpp
@@ -113,12 +113,13 @@
     std::vector<attempt_id> attempts;
 };
 
-/// Request of a stopping node for retries of another node's budget, and the
-/// answer to it.
+/// Request for retries of another node's budget, and the answer to it. A node
+/// asks that is stopping, or one for its hedges.
 struct retry_loan
 {
     service_id service{}; ///< whose backend servers are retried
     int count = 0;        ///< requested, or granted
+    bool hedges = false;  ///< for hedges of a node that is not stopping
 };
 
 /// Returns the hash of an attempt that its answer echoes.
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -51,6 +51,10 @@
     m->grants_returned =
         counter(r, "jasminetray_grants_returned_total",
                 "Team grants given back for requests that didn't run.");
+    m->hedges = counter(r, "jasminetray_hedges_total",
+                        "Hedges that were sent or answered first, and requests "
+                        "whose hedge was denied for the reserve of failures "
+                        "or the allowance, by result.");
     auto& bytes = prometheus::BuildCounter()
                       .Name("jasminetray_datagram_bytes_total")
                       .Help("Bytes of datagrams by direction.")
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -37,6 +37,8 @@
     prometheus::Family<prometheus::Counter>* handler_failures; ///< by part
     /// By outcome: added to the team's bucket, late, or failed.
     prometheus::Family<prometheus::Counter>* grants_returned;
+    /// By result: sent, won, denied for the reserve or the allowance.
+    prometheus::Family<prometheus::Counter>* hedges;
     bounded_counter carried_bytes;   ///< by route
     prometheus::Counter* bytes_in;   ///< of datagrams
     prometheus::Counter* bytes_out;  ///< of datagrams
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -326,6 +326,9 @@
     n.local_gate.limits.stamp_bound = s.stamp_bound;
     n.local_gate.limits.fair.on = s.gate.fair_queues;
     n.local_gate.limits.move.on = s.gate.move_waiting;
+    n.hedges.policy.learned =
+        s.retry.learned_hedges &&
+        s.experiment.is_enabled(mechanism::learned_hedges);
     n.rng.value = random_nonzero();
     // Starts at a random number, so that request ids stay unique over restarts
     // without stored state.
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "attempt/attempt_type.hpp"
+#include "attempt/hedge_policy_type.hpp"
 #include "balance/carried_bytes.hpp"
 #include "balance/load_update.hpp"
 #include "balance/placement_type.hpp"
@@ -228,6 +229,9 @@
     mono_us last_failure_reported_at = 0;
     std::unordered_map<node_id, connection_pool> exit_connections;
     std::unordered_map<std::string, retry_budget> retry_budgets;
+    hedge_memory hedges; ///< learned while hedges.policy.learned
+    std::unordered_map<std::string, hedge_loan_pace>
+        hedge_loans; ///< by service
     std::unordered_map<std::string, int> in_flight_by_service;
     int in_flight = 0; ///< requests that callers wait for; see open_call
     std::set<grant_wait*> grant_waits; ///< of requests in flight
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -98,8 +98,8 @@
         "See 2012 for its fingerprint and 3016 for the crashes."},
     event_row{
         event_id::retries_borrowed, "retries_borrowed",
-        "A stopping node asked other nodes for retry tokens because its own "
-        "share of the allowance was spent.",
+        "A node asked other nodes for retry tokens because its own share of "
+        "the allowance was spent: a stopping one, or for its hedges.",
         "None; few granted tokens mean that the fleet's allowance is used up."},
     event_row{event_id::refusal_unproven, "refusal_unproven",
               "A refusal without a request id on a reused connection was "
@@ -131,6 +131,12 @@
               "the line has what the gate expected and the free slots that it "
               "knew of.",
               "None; many of one gate point at a slow backend server."},
+    event_row{event_id::hedge_decided, "hedge_decided",
+              "An overdue request was hedged, or not for lack of a retry; the "
+              "line has the share of hedges that win on its route, the part of "
+              "the retries that they may take, and the reserve that they "
+              "leave to failures.",
+              "None; result=allowance means that the retries are used up."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "The evidence against a backend server exceeded its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -444,6 +444,16 @@
                   "queued work that would be late is offered to a backend "
                   "server with room; off: it stays until it is served or "
                   "refused"}},
+    settings_row{"retry",
+                 {"hedge_policy",
+                  [](node_settings& s, std::string_view v) {
+                      s.retry.learned_hedges = v == "learned";
+                      return s.retry.learned_hedges || v == "fixed";
+                  },
+                  "learned, fixed",
+                  "learned: hedges leave a reserve of the retries to failures "
+                  "and wait as long as their route's answers take; fixed: both "
+                  "share the retries as they come"}},
     settings_row{"quarantine",
                  {"crashes",
                   [](node_settings& s, std::string_view v) {
--- a/test/platform_stop_order.py
+++ b/test/platform_stop_order.py
@@ -130,6 +130,26 @@
     expect(not lost, "a read whose hedge was delayed is answered: %s" % lost)
 
 
+# Guards against the same read where the node may borrow a retry for its hedge.
+def check_borrowed_hedge(h):
+    start_entry(h, "hosted.retry_slack=0", "hosted.retry_ratio=%g" % RATIO,
+                "retry.hedge_policy=learned")
+    reads = OrderedReads(h)
+    name = "borrowed"
+    reads.start(name, LONG_S, ANSWER_S + 0.3)
+    began = time.monotonic()
+    expect(wait_for(lambda: reads.attempts(name) == 2, HEDGE_S + 1),
+           "the read is hedged after %.2f s" % (time.monotonic() - began))
+    with open(h.f.nodes[ENTRY].log, encoding="utf-8") as log:
+        loans = [line for line in log if " 1030 " in line]
+    expect(any("granted=1 hedges=1" in x for x in loans),
+           "with a retry of another node: %s" % loans)
+    time.sleep(max(0, HEDGE_S + 2 - (time.monotonic() - began)))
+    stop.stop_entry(h)
+    lost = reads.unanswered()
+    expect(not lost, "a read whose hedge was borrowed is answered: %s" % lost)
+
+
 # Guards against a read without a third attempt because the retry for its second
 # one was lent more than half a second after the stop.
 def check_late_loan(h):
@@ -325,7 +345,8 @@
 
 def run_checks(names, seed):
     checks = {"before": check_hedge_just_before, "delayed": check_delayed_hedge,
-              "loan": check_late_loan, "signal": check_second_signal}
+              "borrowed": check_borrowed_hedge, "loan": check_late_loan,
+              "signal": check_second_signal}
     earned = ("hosted.retry_slack=0", "hosted.retry_ratio=%g" % RATIO)
     for name in names:
         if name == "releases":
@@ -341,7 +362,7 @@
 
 
 def main():
-    names = sys.argv[1:2] or ["before", "delayed", "loan", "fresh",
+    names = sys.argv[1:2] or ["before", "delayed", "borrowed", "loan", "fresh",
                               "signal", "releases"]
     seed = int(sys.argv[2]) if len(sys.argv) > 2 else random.randrange(10**6)
     print("seed=%d" % seed, flush=True)
--- a/test/test_hop.cpp
+++ b/test/test_hop.cpp
@@ -184,6 +184,11 @@
     ASSERT_TRUE(back);
     EXPECT_EQ(back->service, loan.service);
     EXPECT_EQ(back->count, loan.count);
+    EXPECT_FALSE(back->hedges);
+    const auto lent = parse_retry_loan(to_text(retry_loan{{}, 8, true}));
+    ASSERT_TRUE(lent);
+    EXPECT_EQ(lent->count, 8);
+    EXPECT_TRUE(lent->hedges);
     EXPECT_FALSE(parse_retry_loan("r,1"));
     EXPECT_FALSE(parse_retry_loan("r,1,2,3"));
     EXPECT_FALSE(parse_retry_loan("s,1,2"));
