--- a/test/test_hedge_policy.cpp
+++ b/test/test_hedge_policy.cpp
@@ -244,7 +244,7 @@
 // policy that differs from a budget without hedges.
 TEST(hedge_policy, allowance_and_reserve_hold_in_any_order)
 {
-    rc::check([] {
+    EXPECT_TRUE(rc::check([] {
         retry_budget b;
         b.share = *rc::gen::inRange(0, 100) / 100.0;
         b.fixed = *rc::gen::inRange(0, 50) / 10.0;
@@ -291,7 +291,7 @@
                                                (allowance - failed)));
             }
         }
-    });
+    }));
 }
 
 // Guards against loans that are used in a later window than that in which the
@@ -301,6 +301,7 @@
     retry_budget b;
     b.fixed = 0;
     add_granted(b, 2, start + us_per_s, start);
+    EXPECT_EQ(lend_hedges(b, {1, 0}, 1, start), 0); // not lent on
     EXPECT_TRUE(take_hedge(b, {0, 0}, start));
     EXPECT_EQ(retries_left(b, start + us_per_s), 0);
     EXPECT_FALSE(take_retry(b, start + us_per_s));
