--- a/test/platform_stop_order.py
+++ b/test/platform_stop_order.py
@@ -140,14 +140,14 @@
     began = time.monotonic()
     expect(wait_for(lambda: reads.attempts(name) == 2, HEDGE_S + 1),
            "the read is hedged after %.2f s" % (time.monotonic() - began))
-    with open(h.f.nodes[ENTRY].log, encoding="utf-8") as log:
-        loans = [line for line in log if " 1030 " in line]
-    expect(any("granted=1 hedges=1" in x for x in loans),
-           "with a retry of another node: %s" % loans)
     time.sleep(max(0, HEDGE_S + 2 - (time.monotonic() - began)))
     stop.stop_entry(h)
     lost = reads.unanswered()
     expect(not lost, "a read whose hedge was borrowed is answered: %s" % lost)
+    with open(h.f.nodes[ENTRY].log, encoding="utf-8") as log:
+        loans = [line for line in log if " 1030 " in line]
+    expect(any("granted=1 hedges=1" in x for x in loans),
+           "with a retry of another node: %s" % loans)
 
 
 # Guards against a read without a third attempt because the retry for its second
