Unequal speeds and knees of backend servers

Cause: backend servers of one service differ in speed by one to four times, and some get slower with each further request from some concurrency on. Placement knew work in flight only, so that slow ones answered late beside fast ones with room, and with old news all entry nodes chose the same one.

Change, with `[placement] speeds = on` (off by default): gates keep the recent times of each kind of request, tell one kind's median in turn with the load report, and so know the service's mean for it. They tell the speed relative to that and the knee. Entry nodes place by expected completion; of the otherwise equal candidates three drawn at random compete. A gate keeps to its knee with work that can move while others have free slots. `jasminetray-ctl placement`, events 1039 and 1043, a counter of told speeds by fate and a histogram.

Off: the decisions of the former code, by the same sums over 5,000 decisions.

--- a/src/balance/placement_func.cpp
+++ b/src/balance/placement_func.cpp
@@ -2,11 +2,18 @@
 #include "balance/placement_type.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace jasminetray {
 
 namespace {
 
+/// Below 1, so that the fast ones don't take most of the work while all have
+/// room: equal completions give each work in flight by its speed, and so work
+/// done by the square of it.
+constexpr double speed_exponent = 0.75;
+
 /// Returns the load per slot: the last report, which decays to the baseline,
 /// or the own work there when that is higher.
 double load_of(const candidate& c, const placement_policy& p,
@@ -18,6 +25,11 @@
     return std::max(reported, c.in_flight / c.slots);
 }
 
+bool has_speed(const candidate& c, const placement_policy& p, mono_us now)
+{
+    return c.speed_at != 0 && now - c.speed_at <= p.speeds.news_ttl;
+}
+
 /// Returns whether a candidate has recently reported that it withholds work.
 bool would_refuse(const candidate& c, const placement_policy& p, mono_us now)
 {
@@ -54,11 +66,13 @@
 /// Returns the mean duration of work at the warm candidates that reported it;
 /// 0 without any.
 span_us mean_warm_work(const std::vector<candidate>& all,
+                       const std::vector<std::size_t>& considered,
                        const placement_policy& p, mono_us now)
 {
     span_us sum = 0;
     span_us count = 0;
-    for (const auto& c : all) {
+    for (const auto n : considered) {
+        const auto& c = all[n];
         if (c.load_at == 0 || is_cold(c, p, now))
             continue;
         sum += c.work_us;
@@ -105,17 +119,16 @@
 
 /// Chooses a near candidate that needs work to be proven healthy; nothing in
 /// most cases.
-std::optional<choice> choose_probe_target(const std::vector<candidate>& all,
-                                          const placement_policy& p,
-                                          const balance_policy& b,
-                                          const placement_request& r,
-                                          const std::vector<worker_id>& tried,
-                                          random_state& rng, mono_us now)
+std::optional<choice> choose_probe_target(
+    const std::vector<candidate>& all,
+    const std::vector<std::size_t>& considered, const placement_policy& p,
+    const balance_policy& b, const placement_request& r,
+    const std::vector<worker_id>& tried, random_state& rng, mono_us now)
 {
     std::vector<std::size_t> idle;
     std::vector<std::size_t> unproven;
     std::vector<std::size_t> cold;
-    for (std::size_t n = 0; n < all.size(); ++n) {
+    for (const auto n : considered) {
         const auto& c = all[n];
         if (!c.near || c.weight <= 0 || c.path_bad || was_tried(tried, c.id))
             continue;
@@ -153,8 +166,132 @@
                            share_of(unproven, p.probe_share), rng);
 }
 
+/// Returns all candidates, or for placement by completion a random part of
+/// many. The part is empty only if hardly any candidate is usable.
+std::vector<std::size_t> draw_considered(const std::vector<candidate>& all,
+                                         const placement_policy& p,
+                                         const std::vector<worker_id>& tried,
+                                         random_state& rng)
+{
+    std::vector<std::size_t> drawn;
+    const auto count = p.speeds.max_near + p.speeds.max_far;
+    constexpr std::size_t all_below = 4; // times the count
+    constexpr std::size_t max_draws = 8; // times the count
+    if (!p.speeds.on || all.size() <= all_below * count) {
+        drawn.resize(all.size());
+        std::iota(drawn.begin(), drawn.end(), 0);
+        return drawn;
+    }
+    std::size_t near = 0;
+    std::size_t far = 0;
+    drawn.reserve(count);
+    for (std::size_t k = 0; k < max_draws * count && drawn.size() < count;
+         ++k) {
+        const auto n = random_below(rng, all.size());
+        const auto& c = all[n];
+        auto& have = c.near ? near : far;
+        const auto most = c.near ? p.speeds.max_near : p.speeds.max_far;
+        if (have >= most || c.weight <= 0 || was_tried(tried, c.id) ||
+            std::find(drawn.begin(), drawn.end(), n) != drawn.end())
+            continue;
+        drawn.push_back(n);
+        ++have;
+    }
+    return drawn;
+}
+
+/// Returns the expected loss but for waits and slow work.
+double loss_beside_completion(const candidate& c, const placement_policy& p,
+                              const balance_policy& b,
+                              const placement_request& r, mono_us now)
+{
+    const double unhealthy =
+        estimate_failure_probability(c.estimate, b.estimate, now);
+    const double fails = b.estimate.failure_rate_unhealthy * unhealthy;
+    return fails * (r.retryable ? p.retry_share : 1) +
+           (c.near ? 0 : r.far_loss.value_or(p.far_share)) +
+           (c.probe_only ? p.ejected_share : 0) +
+           (c.path_bad ? p.path_share : 0);
+}
+
+/// Leaves some of the equally good candidates out at random.
+void drop_equals(std::vector<std::size_t>& indices,
+                 const std::vector<candidate>& all, const placement_policy& p,
+                 const balance_policy& b, const placement_request& r,
+                 random_state& rng, mono_us now)
+{
+    if (indices.size() <= p.speeds.max_equals)
+        return;
+    std::vector<double> losses;
+    losses.reserve(indices.size());
+    for (const auto n : indices)
+        losses.push_back(loss_beside_completion(all[n], p, b, r, now));
+    const double bound =
+        *std::min_element(losses.begin(), losses.end()) + p.speeds.equal_margin;
+    // The equals come first.
+    std::size_t equals = 0;
+    for (std::size_t k = 0; k < indices.size(); ++k) {
+        if (losses[k] > bound)
+            continue;
+        std::swap(indices[k], indices[equals]);
+        std::swap(losses[k], losses[equals]);
+        ++equals;
+    }
+    for (; equals > p.speeds.max_equals; --equals) {
+        const auto k = random_below(rng, equals);
+        indices[k] = indices[equals - 1];
+        indices[equals - 1] = indices.back();
+        indices.pop_back();
+    }
+}
+
+/// Returns the candidate with the lowest expected loss.
+std::optional<choice> choose_least_loss(
+    const std::vector<candidate>& all,
+    const std::vector<std::size_t>& considered, const placement_policy& p,
+    const balance_policy& b, const placement_request& r,
+    const std::vector<worker_id>& tried, random_state& rng, mono_us now)
+{
+    std::vector<std::size_t> usable;
+    usable.reserve(considered.size());
+    for (const auto n : considered) {
+        const auto& c = all[n];
+        if ((c.weight > 0 || c.path_bad) && !was_tried(tried, c.id) &&
+            !would_refuse(c, p, now))
+            usable.push_back(n);
+    }
+    if (r.by_completion)
+        drop_equals(usable, all, p, b, r, rng, now);
+    std::optional<choice> best;
+    double second = 0;
+    for (const auto n : usable) {
+        const auto& c = all[n];
+        const double loss =
+            expected_loss(c, p, b, r, now) + p.noise * random_unit(rng);
+        if (best && loss >= best->cost) {
+            second = std::min(second, loss);
+            continue;
+        }
+        second = best ? best->cost : loss;
+        best = choice{n, loss, second};
+    }
+    if (best)
+        best->other_cost = second;
+    return best;
+}
+
 } // namespace
 
+double expected_completion(const candidate& c, const placement_policy& p,
+                           const balance_policy& b, mono_us now)
+{
+    const bool known = has_speed(c, p, now);
+    const double room =
+        known && c.knee > 0 ? std::min<double>(c.knee, c.slots) : c.slots;
+    const double work = load_of(c, p, b, now) * c.slots + 1;
+    return std::pow(known ? c.speed : 1, speed_exponent) * work / room;
+}
+
 double expected_loss(const candidate& c, const placement_policy& p,
                      const balance_policy& b, const placement_request& r,
                      mono_us now)
@@ -170,10 +307,12 @@
     const auto target = static_cast<double>(std::max<span_us>(1, r.target));
     const double wait = turns * static_cast<double>(work) / target +
                         cold_delay(c, p, r, now) / target;
+    const double slower =
+        r.by_completion ? p.speeds.share * expected_completion(c, p, b, now)
+                        : p.busy_share * std::min(1.0, load);
     return fails * (r.retryable ? p.retry_share : 1) +
            (c.near ? 0 : r.far_loss.value_or(p.far_share)) +
-           p.late_share * wait + p.busy_share * std::min(1.0, load) +
-           (c.probe_only ? p.ejected_share : 0) +
+           p.late_share * wait + slower + (c.probe_only ? p.ejected_share : 0) +
            (c.path_bad ? p.path_share : 0);
 }
 
@@ -201,28 +340,23 @@
     const balance_policy& b, placement_request r,
     const std::vector<worker_id>& tried, random_state& rng, mono_us now)
 {
-    r.warm_work = mean_warm_work(all, p, now);
-    auto best = choose_probe_target(all, p, b, r, tried, rng, now);
-    if (best)
+    auto considered = draw_considered(all, p, tried, rng);
+    r.by_completion =
+        p.speeds.on &&
+        std::any_of(considered.begin(), considered.end(),
+                    [&](std::size_t n) { return has_speed(all[n], p, now); });
+    r.warm_work = mean_warm_work(all, considered, p, now);
+    const auto probe =
+        choose_probe_target(all, considered, p, b, r, tried, rng, now);
+    if (probe)
+        return probe;
+    const auto best =
+        choose_least_loss(all, considered, p, b, r, tried, rng, now);
+    if (best || considered.size() == all.size())
         return best;
-    double second = 0;
-    for (std::size_t n = 0; n < all.size(); ++n) {
-        const auto& c = all[n];
-        if ((c.weight <= 0 && !c.path_bad) || was_tried(tried, c.id) ||
-            would_refuse(c, p, now))
-            continue;
-        const double loss =
-            expected_loss(c, p, b, r, now) + p.noise * random_unit(rng);
-        if (best && loss >= best->cost) {
-            second = std::min(second, loss);
-            continue;
-        }
-        second = best ? best->cost : loss;
-        best = choice{n, loss, second};
-    }
-    if (best)
-        best->other_cost = second;
-    return best;
+    considered.resize(all.size());
+    std::iota(considered.begin(), considered.end(), 0);
+    return choose_least_loss(all, considered, p, b, r, tried, rng, now);
 }
 
 } // namespace jasminetray
--- a/src/balance/placement_type.hpp
+++ b/src/balance/placement_type.hpp
@@ -9,6 +9,25 @@
 
 namespace jasminetray {
 
+/// Settings of placement by expected completion: work in flight and one more,
+/// times the time that the backend server takes.
+struct completion_policy
+{
+    bool on = false;
+    span_us news_ttl = 2 * us_per_s; ///< of a told speed
+    /// Loss at the usual speed when the work fills all slots.
+    double share = 0.3;
+    /// Candidates considered for one request, drawn at random from more. Bounds
+    /// the time of a decision in a large service.
+    std::size_t max_near = 20;
+    std::size_t max_far = 4;
+    /// Of candidates whose losses beside completion are equal within the
+    /// margin, only some drawn at random compete. Otherwise all entry nodes
+    /// send to the same one until its next load report.
+    std::size_t max_equals = 3;
+    double equal_margin = 0.1;
+};
+
 /// Settings of placement. Losses are shares of a request's value.
 struct placement_policy
 {
@@ -39,6 +58,7 @@
     /// Share of retryable work sent to near cold candidates that are idle, so
     /// that a failing one is noticed.
     double cold_share = 0.1;
+    completion_policy speeds;
     double noise = 0.04; ///< max random loss; spreads entry nodes' choices
 };
 
@@ -54,10 +74,19 @@
     /// Mean duration of work at the service's warm candidates; 0 if there are
     /// none.
     span_us warm_work = 0;
+    /// Place by expected completion: a candidate's speed is known.
+    bool by_completion = false;
     /// Loss by crossing to another data centre; far_share if empty.
     std::optional<double> far_loss = std::nullopt;
 };
 
+/// Returns the expected completion of a request at a candidate, in units of the
+/// time that its work takes at the service's mean speed while all slots are in
+/// use. A candidate without a recent speed is taken for a mean one, and a fast
+/// one for somewhat slower than told.
+double expected_completion(const candidate& c, const placement_policy& p,
+                           const balance_policy& b, mono_us now);
+
 /// Returns the expected loss at a candidate.
 double expected_loss(const candidate& c, const placement_policy& p,
                      const balance_policy& b, const placement_request& r,
--- a/src/balance/view_func.cpp
+++ b/src/balance/view_func.cpp
@@ -1,6 +1,7 @@
 // Updates of the fleet view; see view_type.hpp.
 #include "balance/view_type.hpp"
 
+#include "balance/speed_func.hpp"
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
 #include "member/member_query.hpp"
@@ -199,6 +200,18 @@
     c.estimate.at = now;
 }
 
+speed_news view_update_speed(candidate& c, const told_speed& t,
+                             const speed_policy& p, mono_us now)
+{
+    const auto news = check_told_speed(t, p);
+    if (news == speed_news::applied) {
+        c.speed = t.factor;
+        c.knee = t.knee;
+        c.speed_at = now;
+    }
+    return news;
+}
+
 candidate* view_candidate(fleet_view& v, service_id service, worker_id id)
 {
     const auto it = v.services.find(service);
--- a/src/balance/view_type.hpp
+++ b/src/balance/view_type.hpp
@@ -87,6 +87,10 @@
 /// Updates load and failure estimate from the exit node's report.
 void view_update_load(candidate& c, const load_report& l, mono_us now);
 
+/// Applies the speed that a load report tells, if it passes the check.
+speed_news view_update_speed(candidate& c, const told_speed& t,
+                             const speed_policy& p, mono_us now);
+
 /// Returns the candidate with an id; null when there is none.
 candidate* view_candidate(fleet_view& v, service_id service, worker_id id);
 
--- a/src/config/mechanism_type.hpp
+++ b/src/config/mechanism_type.hpp
@@ -38,15 +38,16 @@
     carried_bytes,       ///< weigh what crosses data centres by its size
     fair_queues,         ///< share slots between teams
     move_waiting,        ///< offer late queued work to other gates
+    speeds,              ///< place by the speeds of backend servers
 };
 
-inline constexpr std::array<std::string_view, 21> mechanism_names = {
+inline constexpr std::array<std::string_view, 22> mechanism_names = {
     "doubt",           "quick-probe",     "last-resort",   "late-forecast",
     "short-first",     "placing",         "probe-work",    "refusal-memory",
     "load-news",       "retries",         "path-guard",    "verdicts",
     "survival",        "allowance-homes", "quarantine",    "start-limits",
     "leaving-answers", "cold-starts",     "carried-bytes", "fair-queues",
-    "move-waiting"};
+    "move-waiting",    "speeds"};
 
 using mechanism_set = std::bitset<mechanism_names.size()>;
 
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -53,6 +53,7 @@
     /// Loss by 1000 bytes between data centres, as a share of a request's
     /// value. Without it, the configuration decides.
     std::optional<double> byte_cost;
+    bool speeds = false; ///< place by the speeds of backend servers
 };
 
 struct node_settings
--- a/src/ctl/ctl_main.cpp
+++ b/src/ctl/ctl_main.cpp
@@ -16,6 +16,7 @@
     "  config show|history --platform IP:PORT [--number N]\n"
     "  config rollback --platform IP:PORT --number N\n"
     "  fleet show | node show | service show NAME   --node IP:PORT [--json]\n"
+    "  placement SERVICE                            --node IP:PORT [--json]\n"
     "  teams list | teams show NAME                 --node IP:PORT [--json]\n"
     "  whois --node IP:PORT    (reads the key from standard input)\n"
     "  explain request|refusal|ejection|config|member|change [SUBJECT]\n"
@@ -44,8 +45,8 @@
         return jasminetray::exit_success;
     }
     if (command == "fleet" || command == "node" || command == "service" ||
-        command == "quarantine" || command == "teams" || command == "whois" ||
-        command == "explain")
+        command == "placement" || command == "quarantine" ||
+        command == "teams" || command == "whois" || command == "explain")
         return jasminetray::run_query(args);
     std::cerr << usage << "\n";
     return jasminetray::exit_usage;
--- a/src/ctl/ctl_node.cpp
+++ b/src/ctl/ctl_node.cpp
@@ -168,6 +168,8 @@
         return print_query({{"query", "status"}});
     if (command == "service" && args.size() == 3)
         return print_query({{"query", "service"}, {"name", args[2]}});
+    if (command == "placement" && args.size() == 2)
+        return print_query({{"query", "placement"}, {"name", args[1]}});
     if (command == "quarantine")
         return quarantine(args);
     if (command == "teams" && args.size() == 2 && args[1] == "list")
@@ -179,6 +181,7 @@
     if (command == "explain")
         return explain(args);
     std::cerr << "usage: fleet show | node show | service show NAME | "
+                 "placement SERVICE | "
                  "teams list | teams show NAME | whois | explain ...\n";
     return exit_usage;
 }
--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -45,6 +45,8 @@
     grants_held = 1036,
     grant_returned = 1037,
     byte_cost_changed = 1038,
+    speed_classed = 1039,
+    knee_changed = 1043,
     work_moved = 1045,
     worker_ejected = 2001,
     worker_returned = 2002,
--- a/src/gate/gate_admit.cpp
+++ b/src/gate/gate_admit.cpp
@@ -64,6 +64,13 @@
     return !may || now < w.estimate.probe_at;
 }
 
+bool starts_at_once(const gate_worker& w, const gate_limits& l,
+                    const gate_request& r, mono_us now)
+{
+    return can_start(w, l, now) && w.queue.empty() &&
+           !is_held_at_knee(w, l, r.may_move, now);
+}
+
 gate_error check_capacity(const gate& g, const gate_worker& w,
                           const gate_request& r, mono_us now)
 {
@@ -73,7 +80,7 @@
         return gate_error::suspected;
     // Behind its equals.
     const auto mine = make_waiting(r, g.limits, UINT64_MAX, now);
-    if (can_start(w, g.limits, now) && w.queue.empty()) {
+    if (starts_at_once(w, g.limits, r, now)) {
         const bool fits = r.entry_stopping
                               ? is_servable(w, g.limits, mine, {}, now)
                               : r.deadline > now;
@@ -81,6 +88,10 @@
     }
     if (w.queue.size() >= g.limits.queue)
         return gate_error::queue_full;
+    // It moves or starts at one of the next turns.
+    if (can_start(w, g.limits, now) &&
+        is_held_at_knee(w, g.limits, r.may_move, now))
+        return r.deadline > now ? gate_error::none : gate_error::deadline_short;
     // Work that would time out in the queue is refused while there is still
     // time to try another backend server.
     queue_wait wait;
@@ -133,7 +144,7 @@
         return std::nullopt;
     }
     auto& w = it->second;
-    const bool start = can_start(w, g.limits, now) && w.queue.empty();
+    const bool start = starts_at_once(w, g.limits, r, now);
     if (mode == command_mode::apply && w.estimate.suspect)
         estimate_take_probe(w.estimate, g.limits.estimate, now);
     const auto x = make_waiting(r, g.limits, g.serial + 1, now);
--- a/src/gate/gate_advance.cpp
+++ b/src/gate/gate_advance.cpp
@@ -35,14 +35,18 @@
     std::vector<gate_waiting> left;
     span_us queued = 0;
     for (const auto& x : q) {
-        const bool free = can_start(w, g.limits, now);
+        const bool held = is_held_at_knee(w, g.limits, x.may_move, now);
+        const bool free = can_start(w, g.limits, now) && !held;
         // One mean duration stands for the running work.
         queue_wait wait;
         if (!has_free_slot(w))
             wait.ahead = w.mean_duration + queued;
         wait.start =
             next_start(w.starts, g.limits.starts, left.size(), now) - now;
-        if (!free && leaves_for_another(w, g.limits, x, wait, now)) {
+        const bool moves =
+            !free && (leaves_for_another(w, g.limits, x, wait, now) ||
+                      (held && may_move_now(g.limits.move, w.elsewhere, now)));
+        if (moves) {
             note_move(w.elsewhere, now);
             decisions.push_back(refuse_queued(g, x, gate_error::moved, now));
         } else if (!is_servable(w, g.limits, x, wait, now)) {
--- a/src/gate/gate_cmd.cpp
+++ b/src/gate/gate_cmd.cpp
@@ -1,6 +1,7 @@
 // Commands of the gate; see gate_cmd.hpp.
 #include "gate/gate_cmd.hpp"
 
+#include "balance/speed_func.hpp"
 #include "gate/gate_early_success.hpp"
 #include "gate/gate_queue.hpp"
 #include "gate/gate_slot.hpp"
@@ -101,6 +102,9 @@
     if (it != g.workers.end()) {
         adapt_limit(it->second, g.limits, r.route_class, end, took, now);
         it->second.in_flight = std::max(0, it->second.in_flight - 1);
+        if (g.limits.speeds.on)
+            speed_set_level(it->second.speed,
+                            it->second.in_flight + it->second.inherited, now);
         early_success_end(it->second, r.attempt);
     }
     if (r.idempotent)
@@ -119,6 +123,25 @@
     }
 }
 
+void gate_add_time(gate& g, const gate_request& r, span_us took, mono_us now)
+{
+    const auto it = g.workers.find(r.worker);
+    if (g.limits.speeds.on && it != g.workers.end())
+        speed_add_time(it->second.speed, g.limits.speeds, r.route_class, took,
+                       it->second.slots, now);
+}
+
+knee_evidence gate_update_knee(gate& g, worker_id w, mono_us now)
+{
+    const auto it = g.workers.find(w);
+    if (!g.limits.speeds.on || it == g.workers.end())
+        return {};
+    auto& x = it->second;
+    const auto found = find_knee(x.speed, g.limits.speeds, x.slots, now);
+    x.speed.knee = std::min(found.knee, static_cast<int>(x.slots));
+    return found;
+}
+
 std::vector<gate_decision> gate_report_outcome(gate& g, worker_id id,
                                                bool failed, span_us took,
                                                mono_us now)
--- a/src/gate/gate_cmd.hpp
+++ b/src/gate/gate_cmd.hpp
@@ -60,6 +60,14 @@
 void gate_finish(gate& g, const gate_request& r, work_result end, span_us took,
                  mono_us now);
 
+/// Records the time of work that has just succeeded, for the speed of its
+/// backend server; gate_finish() follows.
+void gate_add_time(gate& g, const gate_request& r, span_us took, mono_us now);
+
+/// Looks for the knee of a backend server anew and sets it.
+/// @return the evidence
+knee_evidence gate_update_knee(gate& g, worker_id w, mono_us now);
+
 /// Updates the failure probability of a backend server by the outcome of work.
 /// Refuses all queued work when the backend server becomes suspect.
 std::vector<gate_decision> gate_report_outcome(gate& g, worker_id w,
--- a/src/gate/gate_slot.cpp
+++ b/src/gate/gate_slot.cpp
@@ -1,6 +1,7 @@
 // Slots and records; see gate_slot.hpp.
 #include "gate/gate_slot.hpp"
 
+#include "balance/speed_func.hpp"
 #include "gate/gate_early_success.hpp"
 
 namespace jasminetray {
@@ -15,6 +16,15 @@
     return has_free_slot(w) && next_start(w.starts, l.starts, 0, now) <= now;
 }
 
+bool is_held_at_knee(const gate_worker& w, const gate_limits& l, bool may_move,
+                     mono_us now)
+{
+    const auto& room = w.elsewhere;
+    return l.speeds.on && may_move && w.speed.knee > 0 &&
+           w.in_flight + w.inherited >= w.speed.knee && room.at != 0 &&
+           now - room.at <= l.move.room_ttl && room.slots >= 1;
+}
+
 void store_record(gate& g, const attempt_id& a, gate_state state, mono_us now)
 {
     const mono_us expires_at = now + g.limits.record_ttl();
@@ -26,6 +36,8 @@
                std::uint32_t route_class, mono_us now)
 {
     ++w.in_flight;
+    if (g.limits.speeds.on)
+        speed_set_level(w.speed, w.in_flight + w.inherited, now);
     start_limit_count(w.starts, g.limits.starts, now);
     early_success_begin(w, g.limits, {a, route_class, now});
     if (!idempotent)
--- a/src/gate/gate_type.hpp
+++ b/src/gate/gate_type.hpp
@@ -2,6 +2,7 @@
 // of a VM passes this gate, so its records alone tell which attempts ran.
 #pragma once
 
+#include "balance/speed_type.hpp"
 #include "base/id_type.hpp"
 #include "base/names_type.hpp"
 #include "base/time_type.hpp"
@@ -143,6 +144,7 @@
     start_limit_policy starts;
     fair_queue_policy fair;
     move_policy move;
+    speed_policy speeds;
     /// Decay time of the on-time load: longer than a unit of work, shorter
     /// than a burst.
     span_us on_time_load_window = 2 * us_per_s;
@@ -210,6 +212,7 @@
     std::vector<gate_waiting> queue; ///< invariant: size <= gate_limits::queue
     start_limit starts;              ///< its limit of starts per second
     room_elsewhere elsewhere;        ///< at its service's other servers
+    speed_estimate speed;            ///< empty while speeds are off
 };
 
 /// Admission control of one process. Not thread-safe.
--- a/src/member/member_type.hpp
+++ b/src/member/member_type.hpp
@@ -3,6 +3,7 @@
 // and probes detect dead nodes.
 #pragma once
 
+#include "balance/speed_type.hpp"
 #include "base/id_type.hpp"
 #include "base/names_type.hpp"
 #include "base/random_func.hpp"
@@ -129,6 +130,7 @@
     span_us work = 0;            ///< expected duration of a request
     int failure_probability = 0; ///< percent
     bool suspect = false;        ///< its gate holds requests back
+    told_speed speed;            ///< not told by earlier builds
 };
 
 /// Query for health reports of a service's backend servers, and its response.
--- a/src/node/admin_query.cpp
+++ b/src/node/admin_query.cpp
@@ -3,6 +3,7 @@
 #include "config/config_query.hpp"
 #include "gate/gate_query.hpp"
 #include "node/admin_api.hpp"
+#include "node/admin_placement.hpp"
 #include "node/admin_quarantine.hpp"
 #include "node/admin_team.hpp"
 #include "outlier/outlier_query.hpp"
@@ -188,11 +189,12 @@
         return explain_json(n, q);
     if (name == "quarantine")
         return quarantine_json(n);
-    if (name == "service") {
+    if (name == "service" || name == "placement") {
         const auto service = string_field(q, "name");
         const auto it = n.view.services.find(service_of(service));
         if (it != n.view.services.end())
-            return service_json(n, service, it->second);
+            return name == "service" ? service_json(n, service, it->second)
+                                     : placement_json(n, service, it->second);
         return {{"error",
                  "no backend server of service '" + service + "' is known"}};
     }
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -54,8 +54,13 @@
         return;
     const auto now = mono_now();
     view_update_load(*c,
-                     {t.worker, r.service_key, a.load, a.baseline_work,
-                      a.failure_percent, a.suspect},
+                     {t.worker,
+                      r.service_key,
+                      a.load,
+                      a.baseline_work,
+                      a.failure_percent,
+                      a.suspect,
+                      {}},
                      now);
     const auto index =
         static_cast<std::size_t>(c - it->second.candidates.data());
--- a/src/node/entry_placement.cpp
+++ b/src/node/entry_placement.cpp
@@ -85,8 +85,9 @@
 {
     constexpr std::uint32_t max_moves = 1; // so that work isn't passed round
     const auto it = r.n.view.services.find(r.service_key);
-    return r.n.local_gate.limits.move.on && r.moves < max_moves &&
-           !t.is_fallback && !r.pinned_worker &&
+    const auto& n = r.n;
+    return (n.local_gate.limits.move.on || n.placing.speeds.on) &&
+           r.moves < max_moves && !t.is_fallback && !r.pinned_worker &&
            it != r.n.view.services.end() &&
            has_untried_candidate(it->second.candidates, r.tried_workers);
 }
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -1,7 +1,6 @@
 // Implementation of the exit side; see exit_server.hpp.
 #include "node/exit_server.hpp"
 
-#include "balance/room_query.hpp"
 #include "base/on_exit.hpp"
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
@@ -16,6 +15,7 @@
 #include "node/http_func.hpp"
 #include "node/peer_request.hpp"
 #include "node/quarantine_driver.hpp"
+#include "node/room_update.hpp"
 #include "node/worker_notice.hpp"
 #include "node/worker_request.hpp"
 #include "outlier/outlier_query.hpp"
@@ -258,6 +258,8 @@
     // the next process too.
     if (is_quarantined(n, w.message, w.fingerprint_cache))
         return refuse_quarantined(n, w);
+    if (n.local_gate.limits.speeds.on)
+        update_room_elsewhere(n, w.request.worker);
     const auto a = gate_admit(command_mode::apply, n.local_gate, w.request,
                               since, error, n.safeguards.gate);
     if (!a)
@@ -368,6 +370,9 @@
     // Done before the response is sent, as the response carries the estimate.
     record_gate_outcome(n, w.request.worker, a.outcome,
                         mono_now() - started_at);
+    if (a.outcome == outcome_kind::success)
+        gate_add_time(n.local_gate, w.request, mono_now() - started_at,
+                      mono_now());
     bool alive = true;
     if (a.result == work_result::answered) {
         alive = send_answer(n, w, a, stream, y);
@@ -453,23 +458,6 @@
                         reason, false, y);
 }
 
-/// Counts the free slots elsewhere, if work waits that could use them.
-void update_room_elsewhere(node_state& n, worker_id id)
-{
-    const auto it = n.workers.find(id);
-    const auto queue = n.local_gate.workers.find(id);
-    if (!n.local_gate.limits.move.on || it == n.workers.end() ||
-        queue == n.local_gate.workers.end() || queue->second.queue.empty())
-        return;
-    const auto view = n.view.services.find(service_of(it->second.service));
-    if (view == n.view.services.end())
-        return;
-    const auto now = mono_now();
-    gate_set_room_elsewhere(
-        n.local_gate, id,
-        free_slots_elsewhere(view->second.candidates, n.balance, id, now), now);
-}
-
 bool send_ping_reply(node_state& n, beast::tcp_stream& to, const yield& y)
 {
     hop_answer a;
--- a/src/node/experiment_func.cpp
+++ b/src/node/experiment_func.cpp
@@ -21,6 +21,9 @@
     gate.short_first = e.is_enabled(mechanism::short_first);
     gate.fair.on = gate.fair.on && e.is_enabled(mechanism::fair_queues);
     gate.move.on = gate.move.on && e.is_enabled(mechanism::move_waiting);
+    gate.speeds.on =
+        n.settings.placement.speeds && e.is_enabled(mechanism::speeds);
+    n.placing.speeds.on = gate.speeds.on;
     n.placing.on = estimation && e.is_enabled(mechanism::placement);
     gate.starts.on = e.is_enabled(mechanism::start_limits);
     gate.early_success.enabled = e.is_enabled(mechanism::early_success);
--- a/src/node/health_driver.cpp
+++ b/src/node/health_driver.cpp
@@ -6,6 +6,7 @@
 #include "config/config_query.hpp"
 #include "gate/gate_query.hpp"
 #include "node/announce.hpp"
+#include "node/speed_driver.hpp"
 #include "outlier/outlier_cmd.hpp"
 #include "outlier/outlier_query.hpp"
 
@@ -261,6 +262,7 @@
         if (!is_load_update_due(l, w.reported_load, w.slots,
                                 now - w.load_reported_at, n.load_updates))
             continue;
+        l.speed = tell_speed(n, w, now);
         w.reported_load = l;
         w.load_reported_at = now;
         changed.push_back(l);
@@ -276,6 +278,8 @@
         auto* c = view_candidate(n.view, l.service, l.worker);
         if (c != nullptr)
             view_update_load(*c, l, now);
+        if (c != nullptr && n.placing.speeds.on)
+            apply_told_speed(n, *c, l, now);
     }
 }
 
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -51,6 +51,16 @@
     m->grants_returned =
         counter(r, "jasminetray_grants_returned_total",
                 "Team grants given back for requests that didn't run.");
+    m->speed_news = counter(r, "jasminetray_speed_news_total",
+                            "Speeds told in load reports by fate.");
+    m->speed =
+        &prometheus::BuildHistogram()
+             .Name("jasminetray_backend_speed")
+             .Help("Time of work at this VM's backend servers relative to the "
+                   "service's mean, at each measurement.")
+             .Register(r)
+             .Add({}, prometheus::Histogram::BucketBoundaries{
+                          0.25, 0.5, 0.75, 0.9, 1.1, 1.33, 2, 4});
     auto& bytes = prometheus::BuildCounter()
                       .Name("jasminetray_datagram_bytes_total")
                       .Help("Bytes of datagrams by direction.")
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -37,6 +37,8 @@
     prometheus::Family<prometheus::Counter>* handler_failures; ///< by part
     /// By outcome: added to the team's bucket, late, or failed.
     prometheus::Family<prometheus::Counter>* grants_returned;
+    prometheus::Family<prometheus::Counter>* speed_news; ///< told, by fate
+    prometheus::Histogram* speed;    ///< of this VM's backend servers, measured
     bounded_counter carried_bytes;   ///< by route
     prometheus::Counter* bytes_in;   ///< of datagrams
     prometheus::Counter* bytes_out;  ///< of datagrams
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -67,6 +67,9 @@
     span_us warm_up_time = 0;
     mono_us cold_until = 0;
     std::uint16_t published_warm_up_ms = 0;
+    measured_speed speed; ///< as last measured, while speeds are on
+    mono_us speed_measured_at = 0;
+    bool slow = false; ///< beyond doubt, as last logged
     load_report reported_load;
     mono_us load_reported_at = 0;
     std::uint64_t boot = 0; ///< start of its process as announced, which with
@@ -223,6 +226,9 @@
     balance_policy balance;
     placement_policy placing;
     load_update_policy load_updates;
+    /// Times of kinds at backend servers of the services that this node serves,
+    /// as told while placing.speeds.on.
+    std::unordered_map<service_id, service_times> work_times;
     carried_bytes answer_sizes; ///< learned while placing.byte_cost > 0
     /// Time of the newest failure returned to a caller.
     mono_us last_failure_reported_at = 0;
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -126,10 +126,26 @@
               "The cost of bytes between data centres in force has changed.",
               "None; `source` says whether the setting or the configuration "
               "decided."},
+    event_row{
+        event_id::speed_classed, "speed_classed",
+        "A backend server of this VM takes longer than its service's mean "
+        "for the same requests beyond doubt, or no longer does (slow=0); "
+        "the line has its time relative to the mean, the standard error "
+        "of its logarithm, and the samples and routes behind it.",
+        "If it lasts, compare its VM with the others of the service: "
+        "`placement SERVICE` shows all."},
+    event_row{
+        event_id::knee_changed, "knee_changed",
+        "A backend server of this VM gets slower with each request beyond "
+        "some concurrency, its knee; 0 when there is no evidence any "
+        "more. The line has the concurrency above, and how much longer "
+        "work takes there.",
+        "None; the gate keeps to the knee while others have room. With "
+        "many of one service, lower the slots that they announce."},
     event_row{event_id::work_moved, "work_moved",
-              "Queued work that would be late left for another backend server; "
-              "the line has what the gate expected and the free slots that it "
-              "knew of.",
+              "Queued work left for another backend server: it would be late "
+              "here, or its backend server is at its knee. The line has what "
+              "the gate expected and the free slots that it knew of.",
               "None; many of one gate point at a slow backend server."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "The evidence against a backend server exceeded its threshold.",
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -479,6 +479,15 @@
                   "cost of bytes between data centres, hosted nodes only; 0: "
                   "the same cost at any size; if not set, 0.06 once the "
                   "configuration has a route with large answers, else 0"}},
+    settings_row{"placement",
+                 {"speeds",
+                  [](node_settings& s, std::string_view v) {
+                      return set_switch(s.placement.speeds, v);
+                  },
+                  "on, off",
+                  "hosted nodes only: learn and tell how fast backend servers "
+                  "are, and place work by its expected completion; off: by "
+                  "load alone"}},
     settings_row{"experiment",
                  {"off",
                   [](node_settings& s, std::string_view v) {
--- a/src/wire/gossip.capnp
+++ b/src/wire/gossip.capnp
@@ -62,6 +62,14 @@
   workMs @3 :UInt32;
   doubt @4 :UInt8;
   suspect @5 :Bool;
+  # Time relative to the service's mean, 0 if not told; knee, 0 for none; age of
+  # the newest sample; a kind of requests, as the hash of its route, 0 for none,
+  # and its median time there. Earlier builds ignore these five.
+  speed @6 :Float32;
+  knee @7 :UInt16;
+  speedAgeMs @8 :UInt32;
+  kind @9 :UInt32;
+  kindUs @10 :UInt32;
 }
 
 struct Crash {
--- a/src/wire/gossip.capnp.h
+++ b/src/wire/gossip.capnp.h
@@ -130,7 +130,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f9d15299fec336f3, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(f9d15299fec336f3, 6, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -818,6 +818,16 @@
 
   inline bool getSuspect() const;
 
+  inline float getSpeed() const;
+
+  inline  ::uint16_t getKnee() const;
+
+  inline  ::uint32_t getSpeedAgeMs() const;
+
+  inline  ::uint32_t getKind() const;
+
+  inline  ::uint32_t getKindUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -864,6 +874,21 @@
   inline bool getSuspect();
   inline void setSuspect(bool value);
 
+  inline float getSpeed();
+  inline void setSpeed(float value);
+
+  inline  ::uint16_t getKnee();
+  inline void setKnee( ::uint16_t value);
+
+  inline  ::uint32_t getSpeedAgeMs();
+  inline void setSpeedAgeMs( ::uint32_t value);
+
+  inline  ::uint32_t getKind();
+  inline void setKind( ::uint32_t value);
+
+  inline  ::uint32_t getKindUs();
+  inline void setKindUs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1925,6 +1950,76 @@
       ::capnp::bounded<152>() * ::capnp::ELEMENTS, value);
 }
 
+inline float Load::Reader::getSpeed() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline float Load::Builder::getSpeed() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSpeed(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getKnee() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getKnee() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setKnee( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getSpeedAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getSpeedAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setSpeedAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getKind() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getKind() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setKind( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getKindUs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getKindUs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setKindUs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Crash::Reader::getRequest() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/wire/wire_func.cpp
+++ b/src/wire/wire_func.cpp
@@ -140,6 +140,14 @@
     b.setWorkMs(static_cast<std::uint32_t>(l.work / us_per_ms));
     b.setDoubt(static_cast<std::uint8_t>(l.failure_probability));
     b.setSuspect(l.suspect);
+    b.setSpeed(static_cast<float>(l.speed.factor));
+    b.setKnee(static_cast<std::uint16_t>(
+        std::clamp<int>(l.speed.knee, 0, UINT16_MAX)));
+    b.setSpeedAgeMs(static_cast<std::uint32_t>(
+        std::clamp<span_us>(l.speed.age / us_per_ms, 0, UINT32_MAX)));
+    b.setKind(l.speed.kind);
+    b.setKindUs(static_cast<std::uint32_t>(
+        std::clamp<double>(l.speed.kind_us, 0, UINT32_MAX)));
 }
 
 load_report get_load(wire::Load::Reader r)
@@ -149,7 +157,10 @@
             r.getHundredths() / load_scale,
             static_cast<span_us>(r.getWorkMs()) * us_per_ms,
             r.getDoubt(),
-            r.getSuspect()};
+            r.getSuspect(),
+            {r.getSpeed(), r.getKnee(),
+             static_cast<span_us>(r.getSpeedAgeMs()) * us_per_ms, r.getKind(),
+             static_cast<double>(r.getKindUs())}};
 }
 
 constexpr std::size_t max_crash_reports = 64; // per message
