--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -39,6 +39,8 @@
     prometheus::Family<prometheus::Counter>* grants_returned;
     /// By result: sent, won, denied for the reserve or the allowance.
     prometheus::Family<prometheus::Counter>* hedges;
+    prometheus::Family<prometheus::Counter>* speed_news; ///< told, by fate
+    prometheus::Histogram* speed;    ///< of this VM's backend servers, measured
     bounded_counter carried_bytes;   ///< by route
     prometheus::Counter* bytes_in;   ///< of datagrams
     prometheus::Counter* bytes_out;  ///< of datagrams
