Stream large uploads within a budget of bytes

A request body was held whole, twice at its entry node and twice at its exit node: three uploads of 60 MB at once took 429 MB of memory at one node.

With [node] body_memory (off by default) bodies from 1 MiB on stay with their caller until a gate has admitted the request and its backend server has taken a connection, and are then streamed in windows with back-pressure. An attempt that ends before that provably did not run and is free to be made elsewhere; afterwards the request has that one attempt. A node that has no room for a window refuses at once as not run. The time of the body moves the deadline at both nodes and is no evidence about the backend server.

An exit node says in its answer to a ping, on the connection of the attempt, that it takes streams; for others bodies are held as before, out of the same budget. So no state about peers can be out of date, at the cost of one round trip for a large body.

Whoever reads from a caller's connection shares it with the coroutine of the request, which answers only after the reading has stopped.

The kernel's TCP user timeout counts a receiver without room as a broken path, so it is off while a body is streamed.

Mutations that the tests catch: no reading past a refused body (full), user timeout left on (slow), deadline not moved (slow).

--- a/src/attempt/attempt_func.cpp
+++ b/src/attempt/attempt_func.cpp
@@ -95,12 +95,18 @@
                       [](const auto& t) { return t.placed; }));
 }
 
+/// Returns whether no attempt may be sent, whatever the limits.
+bool is_barred(const request_state& r)
+{
+    return r.quarantined || r.body_spent;
+}
+
 /// Returns whether its limits allow another attempt.
 bool is_within_limits(const request_state& r, mono_us now)
 {
     return reached_count(r) < r.policy.max_attempts &&
            tries_of(r) < r.tries_before_stop + r.policy.max_tries &&
-           !r.quarantined && now + r.policy.min_remaining < r.deadline;
+           !is_barred(r) && now + r.policy.min_remaining < r.deadline;
 }
 
 bool may_send_more(const request_state& r, mono_us now)
@@ -124,7 +130,7 @@
 /// failed attempt does not harm.
 bool may_use_fallback(const request_state& r, mono_us now)
 {
-    return r.policy.use_fallback && !r.fallback_tried && !r.quarantined &&
+    return r.policy.use_fallback && !r.fallback_tried && !is_barred(r) &&
            reached_count(r) == 0 && all_not_run(r) &&
            now + r.policy.min_remaining < r.deadline;
 }
@@ -166,7 +172,7 @@
 bool may_hedge_at_suspect(const request_state& r)
 {
     return r.overdue_at != mono_never && r.policy.use_fallback &&
-           !r.fallback_tried && !r.quarantined &&
+           !r.fallback_tried && !is_barred(r) &&
            reached_count(r) < r.policy.max_attempts;
 }
 
--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -141,6 +141,7 @@
     /// No candidate was left for the last attempt. Open attempts ask again.
     bool out_of_workers = false;
     bool quarantined = false; ///< must not be sent again
+    bool body_spent = false;  ///< its body went to an attempt and is gone
     bool fallback_tried = false;
     std::uint32_t retries = 0; ///< attempts after the first
     /// Retries taken out of the budget for attempts that never reached a
--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -81,6 +81,7 @@
     span_us stop_timeout = 30 * us_per_s; ///< if the grace period is unknown
     int max_buffered = 65536;             ///< bytes of a buffered response
     int max_body = 1048576;               ///< bytes of a request body
+    int body_memory = 0; ///< bytes for large bodies; 0: not bounded
     int max_attempts = 3;
     int max_in_flight = 4096;         ///< requests at the entry side
     int service_in_flight = 1024;     ///< the same, per service
--- a/src/node/admin_server.cpp
+++ b/src/node/admin_server.cpp
@@ -49,6 +49,9 @@
         alive += v.state != liveness::dead ? 1 : 0;
     m.members->Set(static_cast<double>(alive));
     m.in_flight->Set(n.in_flight);
+    m.body_bytes->Set(static_cast<double>(n.bodies.held));
+    m.body_bytes_peak->Set(static_cast<double>(n.bodies.peak));
+    m.bodies_refused->Set(static_cast<double>(n.bodies.refused));
     m.gate_records->Set(static_cast<double>(n.local_gate.records.size()));
     set_start_metrics(n, mono_now());
     m.store_up->Set(n.store_reachable ? 1 : 0);
--- a/src/node/caller_read.cpp
+++ b/src/node/caller_read.cpp
@@ -4,12 +4,14 @@
 #include "base/text_func.hpp"
 #include "node/entry_team.hpp"
 #include "node/http_func.hpp"
+#include "node/step_timeout.hpp"
 
 namespace jasminetray {
 
 namespace {
 
-constexpr span_us body_timeout = 30 * us_per_s;
+/// Sent to callers whose body finds no room.
+constexpr span_us body_retry_after = us_per_s;
 
 refusal bad_request(http::status status, const char* reason)
 {
@@ -68,48 +70,6 @@
     m.target(slash == std::string::npos ? "/" : target.substr(slash));
 }
 
-/// Limits the time of a read step by cancelling it. The stream's own timer
-/// would close the connection before a refusal could be sent.
-class step_timeout
-{
-public:
-    step_timeout(beast::tcp_stream& stream, span_us timeout)
-        : timer_(stream.get_executor()), state_(std::make_shared<state>())
-    {
-        timer_.expires_after(std::chrono::microseconds(timeout));
-        timer_.async_wait([&stream, s = state_](beast::error_code ec) {
-            // The stream may be destroyed once the step has ended.
-            if (ec || s->ended)
-                return;
-            s->expired = true;
-            stream.cancel();
-        });
-    }
-
-    ~step_timeout()
-    {
-        state_->ended = true;
-    }
-
-    step_timeout(const step_timeout&) = delete;
-    step_timeout& operator=(const step_timeout&) = delete;
-
-    bool expired() const
-    {
-        return state_->expired;
-    }
-
-private:
-    struct state
-    {
-        bool ended = false;
-        bool expired = false;
-    };
-
-    asio::steady_timer timer_;
-    std::shared_ptr<state> state_;
-};
-
 bool wait_for_request(beast::tcp_stream& stream, const beast::flat_buffer& buf,
                       span_us timeout, const yield& y)
 {
@@ -140,6 +100,16 @@
     return !parser.is_done() && (!left || *left > long_body);
 }
 
+/// Returns whether a body is streamed rather than held. One without a length
+/// is, once so much of it has arrived.
+bool is_large(const node_state& n, const request_parser& parser)
+{
+    const auto known =
+        parser.content_length().value_or(parser.get().body().size());
+    return n.bodies.limit > 0 && !parser.is_done() &&
+           known >= large_upload_bytes;
+}
+
 std::optional<refusal> read_head(const node_state& n, beast::tcp_stream& stream,
                                  beast::flat_buffer& buf,
                                  request_parser& parser, span_us timeout,
@@ -155,12 +125,12 @@
         if (auto refused = check_request_head(n, parser.get()))
             return refused;
     }
-    if (!ec)
+    if (!ec && !is_large(n, parser))
         send_continue(stream, parser.get(), ec, y);
     return std::nullopt;
 }
 
-std::optional<refusal> read_body(beast::tcp_stream& stream,
+std::optional<refusal> read_body(const node_state& n, beast::tcp_stream& stream,
                                  beast::flat_buffer& buf,
                                  request_parser& parser, beast::error_code& ec,
                                  const yield& y)
@@ -168,39 +138,72 @@
     if (parser.is_done())
         return std::nullopt;
     const step_timeout timer(stream, body_timeout);
-    http::async_read(stream, buf, parser, y[ec]);
+    if (n.bodies.limit == 0)
+        http::async_read(stream, buf, parser, y[ec]);
+    while (!ec && !parser.is_done() && !is_large(n, parser))
+        http::async_read_some(stream, buf, parser, y[ec]);
     if (timer.expired())
         return bad_request(http::status::request_timeout, "slow-body");
     return std::nullopt;
 }
 
+/// Leaves a large body with its caller.
+void begin_upload(node_state& n, const std::shared_ptr<caller_link>& link,
+                  const std::shared_ptr<request_parser>& parser, read_result& r)
+{
+    r.upload = std::make_shared<caller_upload>(n.ctx, link, parser);
+    r.upload->awaits_continue =
+        parser->content_length() &&
+        beast::iequals(parser->get()[http::field::expect], "100-continue");
+    constexpr std::uint64_t growth = 2; // of a body that arrived in parts
+    r.upload->room = body_room(n, stream_window_bytes +
+                                      growth * parser->get().body().size());
+    if (!r.upload->room.has_value()) {
+        refusal x;
+        x.event = event_id::body_memory_full;
+        x.reason = body_memory_reason;
+        x.retry_after = body_retry_after;
+        r.refused = x;
+        return;
+    }
+    r.message.emplace();
+    r.message->base() = parser->get().base();
+}
+
 } // namespace
 
-read_result read_caller(node_state& n, beast::tcp_stream& stream,
-                        beast::flat_buffer& buf, const yield& y)
+read_result read_caller(node_state& n, const std::shared_ptr<caller_link>& link,
+                        const yield& y)
 {
     read_result r;
+    auto& stream = link->stream;
+    auto& buf = link->buf;
     const auto limits = n.config ? n.config->limits : caller_limits{};
     if (!wait_for_request(stream, buf, limits.idle_us, y))
         return r;
     r.open.emplace(n);
-    request_parser parser;
+    const auto owner = std::make_shared<request_parser>();
+    auto& parser = *owner;
     parser.header_limit(static_cast<std::uint32_t>(
         std::min(limits.header_bytes, max_head_bytes)));
     parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
     stream.expires_never();
     beast::error_code ec;
     r.refused = read_head(n, stream, buf, parser, limits.header_us, ec, y);
-    if (!ec && !r.refused)
-        r.refused = read_body(stream, buf, parser, ec, y);
+    if (!ec && !r.refused && !is_large(n, parser))
+        r.refused = read_body(n, stream, buf, parser, ec, y);
     if (r.refused)
         return r;
     if (ec) {
         r.refused = read_error_refusal(ec);
         return r;
     }
-    r.message = parser.release();
-    to_origin_form(*r.message);
+    if (is_large(n, parser))
+        begin_upload(n, link, owner, r);
+    else
+        r.message = parser.release();
+    if (r.message)
+        to_origin_form(*r.message);
     return r;
 }
 
--- a/src/node/caller_read.hpp
+++ b/src/node/caller_read.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "node/entry_refusal.hpp"
+#include "node/entry_upload.hpp"
 #include "node/open_call.hpp"
 
 namespace jasminetray {
@@ -11,16 +12,17 @@
 /// Result of reading; the first two are empty when the caller disconnected.
 struct read_result
 {
-    std::optional<string_request> message; ///< a complete request
+    /// A complete request, or the head of one whose body is an upload.
+    std::optional<string_request> message;
+    std::shared_ptr<caller_upload> upload; ///< null for a complete request
     std::optional<refusal> refused;        ///< sent before closing
     std::optional<open_call> open; ///< set from the first byte of a request
 };
 
 /// Reads the next request.
 /// @param n provides the limits of the configuration in force
-/// @param buf bytes read but not parsed yet
-read_result read_caller(node_state& n, beast::tcp_stream& stream,
-                        beast::flat_buffer& buf, const yield& y);
+read_result read_caller(node_state& n, const std::shared_ptr<caller_link>& link,
+                        const yield& y);
 
 /// Removes hop-by-hop header fields, including those that the Connection field
 /// lists.
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -3,6 +3,7 @@
 #include "base/on_exit.hpp"
 #include "base/text_func.hpp"
 #include "node/entry_placement.hpp"
+#include "node/entry_upload.hpp"
 #include "node/guard_func.hpp"
 #include "node/http_func.hpp"
 #include "node/quarantine_driver.hpp"
@@ -67,9 +68,17 @@
         view_apply_ejections(n.view, r.service_key, *r.service, n.paths, now);
 }
 
+/// Longer than the state machine waits, so that its timer fires first.
+void set_answer_timeout(const entry_request& r, entry_attempt& t)
+{
+    t.connection->stream.expires_after(std::chrono::microseconds(
+        std::max<span_us>(0, r.machine.deadline - mono_now()) + us_per_s));
+}
+
 /// Checks a connection with a round trip, and fetches a fresh stamp.
-bool ping(node_state& n, http_connection& connection, node_id exit,
-          const yield& y)
+/// @return nothing when the exit node did not answer
+std::optional<hop_answer> ping(node_state& n, http_connection& connection,
+                               node_id exit, const yield& y)
 {
     http::request<http::empty_body> q(http::verb::get, ping_path, 11);
     q.keep_alive(true);
@@ -77,15 +86,15 @@
     beast::error_code ec;
     http::async_write(connection.stream, q, y[ec]);
     if (ec)
-        return false;
+        return std::nullopt;
     string_response r;
     http::async_read(connection.stream, connection.buf, r, y[ec]);
     if (ec)
-        return false;
+        return std::nullopt;
     const auto a = parse_hop_answer(header_value(r, hop_header));
     if (a)
         update_stamp(n, exit, *a);
-    return a.has_value();
+    return a;
 }
 
 bool needs_ping(const entry_request& r, const http_connection& connection,
@@ -151,6 +160,7 @@
     if (limits.fair.on)
         h.pressure = r.pressure;
     h.may_move = t.may_move;
+    h.streamed = is_streamed(r);
     h.priority = r.priority;
     h.route_class = r.route_class;
     h.centre = static_cast<std::uint32_t>(n.self.centre);
@@ -243,6 +253,46 @@
     return {attempt_event_kind::unknown, a.reason};
 }
 
+/// Finds out whether the exit node takes a streamed body. The connection leads
+/// to one process, so what it says holds for the attempt. Otherwise the body is
+/// held as before.
+std::optional<attempt_result> prepare_upload(entry_request& r, entry_attempt& t,
+                                             const yield& y)
+{
+    const auto reply = ping(r.n, *t.connection, t.exit, y);
+    if (!reply) {
+        if (!t.cancelled)
+            record_path_result(r.n, t.exit, true);
+        return attempt_result{attempt_event_kind::unsent, "exit-unreachable"};
+    }
+    if (reply->takes_streams || hold_upload(r, y))
+        return std::nullopt;
+    return attempt_result{attempt_event_kind::unsent, body_memory_reason};
+}
+
+/// Sends a request, unless the exit node has answered before that. A streamed
+/// body stays with its caller until the exit node asks for it.
+/// @return nothing when the answer is to be read
+std::optional<attempt_result> send_request(entry_request& r, entry_attempt& t,
+                                           const string_request& q,
+                                           beast::error_code& ec,
+                                           const yield& y)
+{
+    if (!is_streamed(r)) {
+        const auto sent = http::async_write(t.connection->stream, q, y[ec]);
+        if (ec && sent == 0)
+            return attempt_result{attempt_event_kind::unsent, "exit-write"};
+        return std::nullopt;
+    }
+    const auto x = send_upload(r, t, q, y);
+    if (x.end == upload_end::unsent)
+        return attempt_result{attempt_event_kind::unsent, x.reason};
+    if (x.end == upload_end::lost)
+        return attempt_result{attempt_event_kind::lost, x.reason};
+    set_answer_timeout(r, t);
+    return std::nullopt;
+}
+
 /// Sends an attempt and reads its answer up to the buffer limit.
 attempt_result run_attempt(entry_request& r, entry_attempt& t,
                            std::uint32_t count, bool new_connection,
@@ -259,24 +309,26 @@
     // the answer still arrive.
     set_path_timeouts(t.connection->stream.socket(),
                       r.machine.policy.idempotent);
-    auto q = make_hop_message(r, t, count);
-    // Longer than the state machine waits, so that its timer fires first.
-    t.connection->stream.expires_after(std::chrono::microseconds(
-        std::max<span_us>(0, r.machine.deadline - mono_now()) + us_per_s));
+    if (is_streamed(r)) {
+        if (auto failed = prepare_upload(r, t, y))
+            return *failed;
+    }
+    const auto q = make_hop_message(r, t, count);
+    set_answer_timeout(r, t);
     beast::error_code ec;
-    const auto sent = http::async_write(t.connection->stream, q, y[ec]);
-    if (ec && sent == 0)
-        return {attempt_event_kind::unsent, "exit-write"};
-    if (!ec) {
+    if (auto failed = send_request(r, t, q, ec, y))
+        return *failed;
+    if (!ec && !t.parser) {
         t.parser = std::make_unique<response_parser>();
         t.parser->body_limit(boost::none);
         t.parser->header_limit(max_hop_answer_head);
         if (r.message.method() == http::verb::head)
             t.parser->skip(true);
+    }
+    if (!ec)
         ec =
             read_buffered(*t.connection, *t.parser,
                           static_cast<std::size_t>(n.settings.max_buffered), y);
-    }
     if (ec) {
         if (!t.cancelled)
             record_path_result(n, t.exit, true);
@@ -297,12 +349,14 @@
     if (auto* c = view_candidate(r.n.view, r.service_key, t.worker))
         c->in_flight = std::max(0, c->in_flight - 1);
     if (result.kind != attempt_event_kind::unsent)
-        count_carried_bytes(r, t,
-                            r.message.body().size() +
-                                (t.parser ? t.parser->get().body().size() : 0));
+        count_carried_bytes(
+            r, t,
+            (is_streamed(r) ? r.upload->sent : r.message.body().size()) +
+                (t.parser ? t.parser->get().body().size() : 0));
     // The caller's coroutine owns the connection of an incomplete answer.
     const bool complete = t.parser && t.parser->is_done() && !t.cancelled;
-    if (complete && result.reason != "echo-mismatch" &&
+    const bool cut = r.upload && r.upload->cut;
+    if (complete && !cut && result.reason != "echo-mismatch" &&
         result.reason != internal_reason &&
         is_reusable(*t.connection, t.parser->keep_alive())) {
         return_connection(r.n.exit_connections[t.exit], std::move(t.connection),
--- a/src/node/entry_placement.cpp
+++ b/src/node/entry_placement.cpp
@@ -3,6 +3,7 @@
 
 #include "balance/room_query.hpp"
 #include "base/text_func.hpp"
+#include "node/entry_upload.hpp"
 
 namespace jasminetray {
 
@@ -30,7 +31,7 @@
     const carrying_cost cost{place.byte_cost, place.far_share};
     const auto bytes = expected_bytes(
         r.n.answer_sizes, text_hash(r.route->name), r.route->large_answers,
-        static_cast<double>(r.message.body().size()));
+        static_cast<double>(request_body_bytes(r)));
     return crossing_loss(cost, bytes, r.tried_workers.size());
 }
 
--- a/src/node/entry_refusal.cpp
+++ b/src/node/entry_refusal.cpp
@@ -1,6 +1,8 @@
 // Responses to callers whose requests are refused.
 #include "node/entry_refusal.hpp"
 
+#include "node/entry_upload.hpp"
+
 #include "node/quarantine_driver.hpp"
 
 #include <boost/json.hpp>
@@ -85,6 +87,11 @@
     refusal x;
     x.outcome = r.machine.outcome;
     x.reason = r.machine.reason.empty() ? "no-worker" : r.machine.reason;
+    if (r.upload && r.upload->failed != http::status::unknown) {
+        x.status = r.upload->failed;
+        x.event = event_id::refused_bad_request;
+        return x;
+    }
     if (x.outcome == final_outcome::unknown) {
         x.status = http::status::gateway_timeout;
         x.event = event_id::refused_unknown;
@@ -105,8 +112,10 @@
         x.event = event_id::refused_overload;
         return x;
     }
-    if (x.reason == "queue-full" || x.reason == "shed" ||
-        x.reason == "deadline-short")
+    if (x.reason == body_memory_reason)
+        x.event = event_id::body_memory_full;
+    else if (x.reason == "queue-full" || x.reason == "shed" ||
+             x.reason == "deadline-short")
         x.event = event_id::refused_overload;
     else if (x.reason == "no-worker")
         x.event = event_id::refused_no_worker;
--- a/src/node/entry_request.hpp
+++ b/src/node/entry_request.hpp
@@ -9,6 +9,8 @@
 
 namespace jasminetray {
 
+struct caller_upload;
+
 /// Shorter than the idle timeout of exit nodes, so that this side closes first.
 constexpr span_us exit_idle_timeout = 30 * us_per_s;
 constexpr std::size_t max_idle_exit_connections = 32; ///< per exit node
@@ -61,6 +63,7 @@
     double pressure = 0; ///< of the team, from its owner; 0: unknown
     int priority = 0;    ///< the team's, else the route's
     string_request message;
+    std::shared_ptr<caller_upload> upload; ///< large body; null for others
     std::optional<fingerprint> message_fingerprint; ///< computed on demand
     request_state machine;
     mono_us received_at = 0;
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -11,6 +11,7 @@
 #include "node/entry_refusal.hpp"
 #include "node/entry_stop.hpp"
 #include "node/entry_team.hpp"
+#include "node/entry_upload.hpp"
 #include "node/guard_func.hpp"
 #include "node/http_func.hpp"
 #include "node/idempotency_key.hpp"
@@ -266,7 +267,7 @@
 /// charging the retry budget.
 void check_quarantine(entry_request& r, attempt_event& e)
 {
-    if (r.machine.quarantined ||
+    if (r.machine.quarantined || r.upload ||
         !is_quarantined(r.n, r.message, r.message_fingerprint))
         return;
     r.machine.quarantined = true;
@@ -331,12 +332,15 @@
     if (!n.settings.experiment.is_enabled(mechanism::retries))
         p.max_attempts = 1;
     p.response_timeout = response_timeout(n, r, p.idempotent);
+    if (r.upload) // one attempt has the body: there is nothing to hedge
+        p.response_timeout = body_timeout + r.route->deadline_us;
     p.revoke_margin = std::min(p.revoke_margin, r.route->deadline_us / 4);
     if (n.balance.estimate.on) {
         p.max_tries = max_gates;
         p.use_fallback = p.idempotent &&
                          n.settings.experiment.is_enabled(mechanism::fallback);
-        if (r.message.body().size() > large_body_bytes) {
+        // A streamed body is transmitted once, whoever is asked.
+        if (!r.upload && r.message.body().size() > large_body_bytes) {
             p.max_tries = max_gates_large_body;
             p.use_fallback = false;
         }
@@ -394,11 +398,21 @@
     const on_exit leave([&n, &r, &in_flight_of_service] {
         n.open_requests.erase(r.get());
         r->watching_caller = false;
+        if (r->upload)
+            r->upload->on_whole = nullptr;
         --in_flight_of_service;
     });
-    watch_caller(r, c);
+    // Of a caller that still sends, whoever reads learns that it has left.
+    if (!r->upload)
+        watch_caller(r, c);
+    else
+        r->upload->on_whole = [r = r.get(), &c] {
+            watch_caller(r->shared_from_this(), c);
+        };
     const auto delivered = run_state_machine(r, y);
     n.open_requests.erase(r.get());
+    if (r->upload)
+        stop_upload(*r->upload, y);
     unwatch_caller(*r, c);
     n.metrics.duration->Observe(
         static_cast<double>(mono_now() - r->received_at) / us_per_s);
@@ -414,13 +428,13 @@
     return keep;
 }
 
-bool handle_request(node_state& n, string_request message, caller& c,
-                    const yield& y)
+bool handle_request(node_state& n, read_result& from, caller& c, const yield& y)
 {
     auto r = std::make_shared<entry_request>(n);
     r->id = {n.self.id, n.next_request++};
     r->received_at = mono_now();
-    r->message = std::move(message);
+    r->message = std::move(*from.message);
+    r->upload = from.upload;
     r->label = n.dialect.preserve_request_id
                    ? header_value(r->message, to_beast_view(n.dialect.request))
                    : to_text(r->id);
@@ -430,7 +444,8 @@
         make_policy(n, *r),
         std::min(n.last_answer_at, r->received_at + request_timeout(n, *r)));
     prepare_message(n, *r);
-    if (is_quarantined(n, r->message, r->message_fingerprint))
+    // The fingerprint covers the body, which isn't known yet.
+    if (!r->upload && is_quarantined(n, r->message, r->message_fingerprint))
         return send_refusal(n, c, r->id, r->label, quarantine_refusal(n), y);
     for (const auto step : {acquire_grant, apply_idempotency_key}) {
         if (const auto x = step(n, *r, y)) {
@@ -443,18 +458,18 @@
 
 /// Handles a request; one whose handling throws is answered, if that is still
 /// possible, with a status that does not say whether the work ran.
-bool handle_guarded(node_state& n, string_request message, caller& c,
-                    const yield& y)
+bool handle_guarded(node_state& n, read_result& from, caller& c, const yield& y)
 {
     c.answer_begun = false;
     bool keep = false;
-    if (run_guarded(n, "request", [&] {
-            keep = handle_request(n, std::move(message), c, y);
-        }))
+    if (run_guarded(n, "request",
+                    [&] { keep = handle_request(n, from, c, y); }))
         return keep;
     c.keep_alive = false;
     if (c.answer_begun)
         return false;
+    if (from.upload)
+        stop_upload(*from.upload, y);
     refusal x;
     x.status = http::status::internal_server_error;
     x.outcome = final_outcome::unknown;
@@ -466,21 +481,27 @@
 
 } // namespace
 
-void serve_caller(node_state& n, beast::tcp_stream stream, const yield& y)
+void serve_caller(node_state& n, beast::tcp_stream connection, const yield& y)
 {
-    beast::flat_buffer buf;
+    const auto link = std::make_shared<caller_link>(std::move(connection));
+    auto& stream = link->stream;
     caller c{stream, true};
     while (c.keep_alive) {
-        auto r = read_caller(n, stream, buf, y);
+        auto r = read_caller(n, link, y);
         if (r.refused) {
             c.keep_alive = false;
             const request_id id{n.self.id, n.next_request++};
             send_refusal(n, c, id, to_text(id), *r.refused, y);
         }
-        if (!r.message)
+        bool keep = false;
+        if (r.message) {
+            c.keep_alive = r.message->keep_alive() && !n.stopping;
+            keep = handle_guarded(n, r, c, y);
+        }
+        r.open.reset();
+        if (r.upload && !skip_upload(*r.upload, y))
             break;
-        c.keep_alive = r.message->keep_alive() && !n.stopping;
-        if (!handle_guarded(n, std::move(*r.message), c, y))
+        if (!keep)
             break;
     }
     beast::error_code ec;
--- a/src/node/entry_server.hpp
+++ b/src/node/entry_server.hpp
@@ -7,7 +7,7 @@
 namespace jasminetray {
 
 /// Serves a caller's connection until it closes.
-void serve_caller(node_state& n, beast::tcp_stream stream, const yield& y);
+void serve_caller(node_state& n, beast::tcp_stream connection, const yield& y);
 
 /// Pings avoided paths whose next probe is due.
 void probe_avoided_paths(node_state& n, mono_us now);
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -8,6 +8,7 @@
 #include "gate/gate_query.hpp"
 #include "gate/gate_queue.hpp"
 #include "node/announce.hpp"
+#include "node/body_room.hpp"
 #include "node/crash_watch.hpp"
 #include "node/entry_stop.hpp"
 #include "node/entry_team.hpp"
@@ -43,6 +44,7 @@
     std::optional<reported_limit> limit; ///< that the entry node remembers
     std::optional<span_us> leaving_age;  ///< as hop_request
     std::uint32_t source = 0;            ///< see node_state::source_index
+    arriving_upload* upload = nullptr;   ///< body that isn't in the message
 };
 
 std::uint32_t source_index_of(node_state& n, std::uint32_t id)
@@ -256,7 +258,7 @@
         apply_reported_limit(n, w.request.worker, *w.limit);
     // Matched by content: a resubmitted request has another id and would crash
     // the next process too.
-    if (is_quarantined(n, w.message, w.fingerprint_cache))
+    if (!w.upload && is_quarantined(n, w.message, w.fingerprint_cache))
         return refuse_quarantined(n, w);
     const auto a = gate_admit(command_mode::apply, n.local_gate, w.request,
                               since, error, n.safeguards.gate);
@@ -268,7 +270,7 @@
     log_queue_wait(n, w, since, error);
     if (error == gate_error::moved)
         log_move(n, w, mono_now() - since);
-    if (error == gate_error::none &&
+    if (error == gate_error::none && !w.upload &&
         is_quarantined(n, w.message, w.fingerprint_cache))
         return withdraw_quarantined(n, w);
     return error;
@@ -364,10 +366,11 @@
         if (!finished)
             run_guarded(n, "work", [&] { abandon_work(n, w, a, started_at); });
     });
-    a = execute_on_worker(n, w.message, w.request, w.source, stream, y);
+    a = execute_on_worker(n, w.message, w.request, w.source, stream, w.upload,
+                          y);
     // Done before the response is sent, as the response carries the estimate.
     record_gate_outcome(n, w.request.worker, a.outcome,
-                        mono_now() - started_at);
+                        mono_now() - started_at - a.body_time);
     bool alive = true;
     if (a.result == work_result::answered) {
         alive = send_answer(n, w, a, stream, y);
@@ -378,14 +381,16 @@
             a.result = work_result::lost;
             a.closed_by_worker = a.link && peer_closed(a.link->stream.socket());
         }
-        if (a.closed_by_worker)
+        if (a.closed_by_worker && !w.upload)
             record_lost_work(n, w.request.worker, w.message, true);
-        if (whole && a.parser->get().result_int() < first_server_error)
+        if (whole && !w.upload &&
+            a.parser->get().result_int() < first_server_error)
             clear_answered_request(n, w.message, w.fingerprint_cache);
         finish_on_worker(n, w.request, a, whole);
     }
     const auto now = mono_now();
-    gate_finish(n.local_gate, w.request, a.result, now - started_at, now);
+    gate_finish(n.local_gate, w.request, a.result,
+                now - started_at - a.body_time, now);
     finished = true;
     n.events.write(
         event_id::work_ended, logged_id(n, w),
@@ -431,12 +436,36 @@
            " left_ms=" + std::to_string((w.request.deadline - now) / us_per_ms);
 }
 
-bool handle_work(node_state& n, string_request message,
+/// Refuses an upload at once. Non-idempotent work is revoked too, as after
+/// refuse_quarantined().
+bool refuse_upload(node_state& n, const exit_request& w,
+                   beast::tcp_stream& stream, const yield& y)
+{
+    if (!w.request.idempotent)
+        gate_revoke(n.local_gate, w.request.attempt, w.request.boot, mono_now(),
+                    n.safeguards.gate);
+    increment_counter(*n.metrics.gate, "decision", body_memory_reason);
+    n.events.write(event_id::body_memory_full, logged_id(n, w),
+                   "side=exit held=" + std::to_string(n.bodies.held));
+    return send_refusal(n, w, stream, hop_outcome::not_run, body_memory_reason,
+                        false, y);
+}
+
+/// @param upload body that the entry node holds back; null when the message is
+///        complete
+bool handle_work(node_state& n, string_request message, arriving_upload* upload,
                  beast::tcp_stream& stream, const yield& y)
 {
     auto w = parse_exit_request(n, std::move(message), mono_now());
     if (!w)
         return false; // not sent by an entry node
+    w->upload = upload;
+    body_room room;
+    if (upload != nullptr) {
+        room = body_room(n, stream_window_bytes);
+        if (!room.has_value())
+            return refuse_upload(n, *w, stream, y);
+    }
     const auto refused = admit_work(n, *w, stream, y);
     if (refused == gate_error::none)
         return execute_admitted(n, *w, stream, y);
@@ -474,11 +503,33 @@
 {
     hop_answer a;
     a.outcome = hop_outcome::answer;
+    a.takes_streams = n.bodies.limit > 0;
     a.boot = n.local_gate.boot;
     a.stamp = mono_now();
     return send_peer_reply(to, to_text(a), y);
 }
 
+/// Returns whether a request's body is to be asked for.
+bool is_streamed(const request_parser& parser)
+{
+    const auto h = parse_hop_request(header_value(parser.get(), hop_header));
+    return h && h->streamed;
+}
+
+/// @return false when the connection can't be used any more
+bool handle_upload(node_state& n, request_parser& parser,
+                   beast::flat_buffer& buf, beast::tcp_stream& stream,
+                   const yield& y)
+{
+    stream.expires_never();
+    arriving_upload upload{stream, buf, parser};
+    string_request message;
+    message.base() = parser.get().base();
+    const bool alive = handle_work(n, std::move(message), &upload, stream, y);
+    end_upload(upload, y);
+    return alive && !upload.cut;
+}
+
 } // namespace
 
 void serve_exit_connection(node_state& n, beast::tcp_stream stream,
@@ -493,7 +544,13 @@
         stream.expires_after(
             std::chrono::microseconds(connection_idle_timeout));
         beast::error_code ec;
-        http::async_read(stream, buf, parser, y[ec]);
+        http::async_read_header(stream, buf, parser, y[ec]);
+        if (!ec && is_streamed(parser)) {
+            alive = handle_upload(n, parser, buf, stream, y);
+            continue;
+        }
+        if (!ec)
+            http::async_read(stream, buf, parser, y[ec]);
         if (ec)
             break;
         stream.expires_never();
@@ -507,7 +564,7 @@
         else if (message.target() == shorten_path)
             alive = handle_shorten_notice(n, message, stream, y);
         else
-            alive = handle_work(n, std::move(message), stream, y);
+            alive = handle_work(n, std::move(message), nullptr, stream, y);
     }
 }
 
--- a/src/node/hop_func.cpp
+++ b/src/node/hop_func.cpp
@@ -28,6 +28,7 @@
 constexpr std::uint64_t limit_bit = 16;
 constexpr std::uint64_t leaving_bit = 32;
 constexpr std::uint64_t may_move_bit = 128;
+constexpr std::uint64_t streamed_bit = 1ULL << 56U;
 /// Of the longest wait in a request for a grant; beyond the values of a
 /// duration, so that earlier builds drop it.
 constexpr std::uint64_t wants_pressure_bit = 1ULL << 63U;
@@ -42,6 +43,7 @@
 constexpr std::uint64_t failed_bit = 1;
 constexpr std::uint64_t reached_bit = 2;
 constexpr std::uint64_t suspect_bit = 4;
+constexpr std::uint64_t takes_streams_bit = 8;
 
 void append_number(std::string& out, std::uint64_t n)
 {
@@ -156,7 +158,8 @@
                            (r.may_probe ? probe_bit : 0) |
                            (r.is_fallback ? fallback_bit : 0) |
                            (r.entry_stopping ? stopping_bit : 0) |
-                           (r.may_move ? may_move_bit : 0) | notice_bits(r));
+                           (r.may_move ? may_move_bit : 0) |
+                           (r.streamed ? streamed_bit : 0) | notice_bits(r));
     append_number(out, static_cast<std::uint64_t>(r.priority) |
                            pressure_steps(r.pressure) << pressure_shift);
     append_number(out, r.route_class);
@@ -177,7 +180,8 @@
     append_number(out, a.echo);
     append_number(out, (a.failed ? failed_bit : 0) |
                            (a.reached ? reached_bit : 0) |
-                           (a.suspect ? suspect_bit : 0));
+                           (a.suspect ? suspect_bit : 0) |
+                           (a.takes_streams ? takes_streams_bit : 0));
     append_number(out,
                   static_cast<std::uint64_t>(std::lround(load_scale * a.load)));
     append_duration(out, a.baseline_work / us_per_ms);
@@ -342,6 +346,7 @@
     r.is_fallback = (bits & fallback_bit) != 0;
     r.entry_stopping = (bits & stopping_bit) != 0;
     r.may_move = (bits & may_move_bit) != 0;
+    r.streamed = (bits & streamed_bit) != 0;
     r.limit = limit_of(bits);
     if ((bits & leaving_bit) != 0)
         r.leaving_age = age_of(bits);
@@ -375,6 +380,7 @@
     a.failed = (bits & failed_bit) != 0;
     a.reached = (bits & reached_bit) != 0;
     a.suspect = (bits & suspect_bit) != 0;
+    a.takes_streams = (bits & takes_streams_bit) != 0;
     a.load = static_cast<double>(in.number()) / load_scale;
     a.baseline_work = in.duration() * us_per_ms;
     a.failure_percent = static_cast<int>(in.number() & INT32_MAX);
--- a/src/node/hop_type.hpp
+++ b/src/node/hop_type.hpp
@@ -34,6 +34,9 @@
     bool is_fallback = false;    ///< all other gates refused it
     bool entry_stopping = false; ///< the entry node stops at the deadline
     bool may_move = false;       ///< another gate may be tried if it waits
+    /// The body follows once the exit node has asked for it. Only sent to nodes
+    /// that say that they take it.
+    bool streamed = false;
     /// Limit of starts that the entry node remembers, for a gate that started
     /// after it was named. Earlier builds ignore it.
     std::optional<reported_limit> limit;
@@ -67,17 +70,18 @@
 {
     std::uint32_t echo = 0; ///< hash of the attempt
     hop_outcome outcome{};
-    bool failed = false;       ///< the backend server reported a failure
-    bool reached = false;      ///< not run: the backend server rejected it
-    double load = 0;           ///< of the server's gate, per slot
-    span_us baseline_work = 0; ///< baseline duration of work
-    int failure_percent = 0;   ///< failure probability
-    bool suspect = false;      ///< the server only gets probe traffic
-    int severity = 0;          ///< of the ejection request for the server
-    span_us retry_after = 0;   ///< of a refusal
-    std::string reason;        ///< of a refusal
-    boot_id boot{};            ///< exit node's process; 0 when absent
-    mono_us stamp = 0;         ///< clock of that process
+    bool failed = false;        ///< the backend server reported a failure
+    bool reached = false;       ///< not run: the backend server rejected it
+    double load = 0;            ///< of the server's gate, per slot
+    span_us baseline_work = 0;  ///< baseline duration of work
+    int failure_percent = 0;    ///< failure probability
+    bool suspect = false;       ///< the server only gets probe traffic
+    bool takes_streams = false; ///< sent in answers to pings
+    int severity = 0;           ///< of the ejection request for the server
+    span_us retry_after = 0;    ///< of a refusal
+    std::string reason;         ///< of a refusal
+    boot_id boot{};             ///< exit node's process; 0 when absent
+    mono_us stamp = 0;          ///< clock of that process
 };
 
 /// An entry node's request to a team's owner node for one grant.
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -97,6 +97,12 @@
                             "Attempts that the gate remembers.");
     m->dropped_lines = gauge(r, "jasminetray_log_lines_dropped",
                              "Log lines left out by the rate limit.");
+    m->body_bytes =
+        gauge(r, "jasminetray_body_bytes", "Bytes reserved for large bodies.");
+    m->body_bytes_peak = gauge(r, "jasminetray_body_bytes_peak",
+                               "Most bytes reserved for large bodies.");
+    m->bodies_refused = gauge(r, "jasminetray_bodies_refused",
+                              "Large bodies that found no room.");
     return m;
 }
 
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -55,6 +55,9 @@
     prometheus::Gauge* start_rate;      ///< lowest limit; 0 without one
     prometheus::Gauge* window_starts;   ///< most starts at one backend server
     prometheus::Gauge* dropped_lines;
+    prometheus::Gauge* body_bytes;      ///< reserved for large bodies
+    prometheus::Gauge* body_bytes_peak; ///< most since the start
+    prometheus::Gauge* bodies_refused;  ///< for lack of room
 };
 
 std::unique_ptr<node_metrics> make_node_metrics();
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -326,6 +326,7 @@
     n.local_gate.limits.stamp_bound = s.stamp_bound;
     n.local_gate.limits.fair.on = s.gate.fair_queues;
     n.local_gate.limits.move.on = s.gate.move_waiting;
+    n.bodies.limit = static_cast<std::uint64_t>(s.body_memory);
     n.rng.value = random_nonzero();
     // Starts at a random number, so that request ids stay unique over restarts
     // without stored state.
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -15,6 +15,7 @@
 #include "gate/gate_cmd.hpp"
 #include "hosted/incarnation_type.hpp"
 #include "limit/limit_type.hpp"
+#include "memory/body_budget_type.hpp"
 #include "node/dialect_type.hpp"
 #include "node/http_type.hpp"
 #include "node/node_metrics.hpp"
@@ -230,6 +231,7 @@
     std::unordered_map<std::string, retry_budget> retry_budgets;
     std::unordered_map<std::string, int> in_flight_by_service;
     int in_flight = 0; ///< requests that callers wait for; see open_call
+    body_budget bodies;
     std::set<grant_wait*> grant_waits; ///< of requests in flight
     allowance_table local_allowances;  ///< of teams without keys
     /// Position of each route's next request within its traffic split.
--- a/src/node/worker_request.cpp
+++ b/src/node/worker_request.cpp
@@ -30,9 +30,10 @@
 /// Returns an idle or a new connection to a backend server. Non-idempotent work
 /// gets only a recently used one: it can't be sent again when a stale
 /// connection turns out to be closed, and a new one takes only 1 ms.
+/// @param fresh for work that can't be sent again at all
 std::unique_ptr<http_connection> connect_worker(node_state& n, local_worker& w,
                                                 const gate_request& r,
-                                                const yield& y)
+                                                bool fresh, const yield& y)
 {
     const auto now = mono_now();
     const auto since =
@@ -41,7 +42,8 @@
     // proof, non-idempotent work could not be sent again.
     const auto* c = n.config ? find_service(*n.config, w.service) : nullptr;
     const bool has_ids = c == nullptr || c->echo_required;
-    const bool may_reuse = r.idempotent || (has_ids && !w.sends_bare_refusals);
+    const bool may_reuse =
+        !fresh && (r.idempotent || (has_ids && !w.sends_bare_refusals));
     if (auto link = may_reuse ? take_idle_connection(w.idle, since) : nullptr)
         return link;
     auto link = std::make_unique<http_connection>(n.ctx);
@@ -265,10 +267,38 @@
     return ec;
 }
 
+/// Notes that a request is at its backend server, whose silence counts from now
+/// on.
+void record_sent(node_state& n, const gate_request& r, const worker_exchange& a)
+{
+    const auto it = n.workers.find(r.worker);
+    if (it != n.workers.end())
+        health_record_sent(it->second.health,
+                           {a.evidence_key, a.started_at, a.source,
+                            a.route_class, r.target, false});
+}
+
+/// Streams an upload to its backend server. Its time is the caller's: it moves
+/// the deadline, and is no evidence about the backend server.
+std::size_t send_streamed(arriving_upload& u, const string_request& head,
+                          gate_request& r, worker_exchange& a,
+                          beast::error_code& ec, const yield& y)
+{
+    const auto sent = forward_upload(u, *a.link, head, ec, y);
+    a.body_time = u.took;
+    a.body_cut = u.cut;
+    a.started_at += u.took;
+    r.deadline += u.took;
+    const auto left = std::max<span_us>(1, r.deadline - mono_now());
+    a.link->stream.expires_after(
+        std::chrono::microseconds(left + answer_margin));
+    return sent;
+}
+
 void exchange_with_worker(node_state& n, local_worker& w,
-                          const string_request& message, const gate_request& r,
+                          const string_request& message, gate_request& r,
                           worker_exchange& a, beast::tcp_stream& entry,
-                          const yield& y)
+                          arriving_upload* upload, const yield& y)
 {
     auto q = make_worker_message(n, w, message, r, mono_now());
     const auto expected = make_expected_answer(n, w, q, r);
@@ -277,10 +307,10 @@
     a.link->stream.expires_after(
         std::chrono::microseconds(left + answer_margin));
     std::shared_ptr<caller_watch> watch;
-    if (r.idempotent)
+    if (r.idempotent && upload == nullptr)
         watch = watch_caller(entry, *a.link);
     w.busy.insert(a.link.get());
-    const on_exit leave([&n, &a, watch, id] {
+    const on_exit leave([&n, &a, &watch, id] {
         if (watch)
             watch->link = nullptr;
         const auto at = n.workers.find(id);
@@ -288,8 +318,14 @@
             at->second.busy.erase(a.link.get());
     });
     beast::error_code ec;
-    const auto sent = http::async_write(a.link->stream, q, y[ec]);
+    const auto sent = upload != nullptr
+                          ? send_streamed(*upload, q, r, a, ec, y)
+                          : http::async_write(a.link->stream, q, y[ec]);
     const bool written = !ec;
+    if (upload != nullptr)
+        record_sent(n, r, a);
+    if (written && upload != nullptr && r.idempotent)
+        watch = watch_caller(entry, *a.link);
     if (written)
         ec = read_answer(n, expected, a, message.method() == http::verb::head,
                          y);
@@ -301,7 +337,8 @@
     const auto it = n.workers.find(id);
     if (!ec)
         return record_answer(n, expected, r, a);
-    const bool caller_left = watch && watch->left;
+    const bool caller_left =
+        (watch && watch->left) || (upload != nullptr && upload->source_failed);
     a.result = !written && sent == 0 ? work_result::unsent : work_result::lost;
     a.reason = caller_left ? "caller-left"
                : written   ? "worker-silent"
@@ -316,7 +353,8 @@
                            " limit=" + std::to_string(max_answer_head));
         return;
     }
-    if (a.result == work_result::lost && (caller_left || a.closed_by_worker))
+    if (upload == nullptr && a.result == work_result::lost &&
+        (caller_left || a.closed_by_worker))
         record_lost_work(n, id, message, a.closed_by_worker);
     if (it != n.workers.end() && !caller_left)
         a.outcome = written ? classify_missing_answer(it->second, a.route_class,
@@ -328,8 +366,9 @@
 } // namespace
 
 worker_exchange execute_on_worker(node_state& n, const string_request& message,
-                                  const gate_request& r, std::uint32_t source,
-                                  beast::tcp_stream& entry, const yield& y)
+                                  gate_request& r, std::uint32_t source,
+                                  beast::tcp_stream& entry,
+                                  arriving_upload* upload, const yield& y)
 {
     worker_exchange a;
     a.source = source;
@@ -342,17 +381,17 @@
     a.route_class =
         health_route_class(it->second.health, r.route_class, a.started_at);
     a.evidence_key = ++it->second.next_work_key;
-    health_record_sent(it->second.health, {a.evidence_key, a.started_at, source,
-                                           a.route_class, r.target, false});
+    if (upload == nullptr)
+        record_sent(n, r, a);
     bool returned = false;
     const on_exit abandon([&] {
         if (!returned)
             run_guarded(n, "work", [&] { finish_on_worker(n, r, a, false); });
     });
-    a.link = connect_worker(n, it->second, r, y);
+    a.link = connect_worker(n, it->second, r, upload != nullptr, y);
     it = n.workers.find(r.worker); // may have been removed meanwhile
     if (it != n.workers.end() && a.link) {
-        exchange_with_worker(n, it->second, message, r, a, entry, y);
+        exchange_with_worker(n, it->second, message, r, a, entry, upload, y);
     } else {
         a.outcome = outcome_kind::failed;
         a.reason = "worker-connect";
@@ -376,8 +415,8 @@
     record_worker_outcome(
         n, it->second, a.evidence_key,
         {a.outcome, now - a.started_at, a.source, a.route_class}, now);
-    const bool keep =
-        whole && a.parser->keep_alive() && is_reusable(*a.link, true);
+    const bool keep = whole && !a.body_cut && a.parser->keep_alive() &&
+                      is_reusable(*a.link, true);
     if (a.link && (keep || !n.safeguards.close_incomplete))
         return_connection(it->second.idle, std::move(a.link),
                           max_idle_connections, now);
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -126,6 +126,19 @@
               "The cost of bytes between data centres in force has changed.",
               "None; `source` says whether the setting or the configuration "
               "decided."},
+    event_row{event_id::body_memory_full, "body_memory_full",
+              "A request with a large body was refused as not run, because "
+              "the node's memory for bodies was in use.",
+              "If it repeats, raise [node] body_memory, or add VMs."},
+    event_row{event_id::upload_ended, "upload_ended",
+              "A large body was not streamed to its end; the line says which "
+              "side ended it. The work may have run.",
+              "None; many with end=sink-slow point at a backend server that "
+              "reads too slowly."},
+    event_row{event_id::upload_held, "upload_held",
+              "A large body was held whole, as the other node is of a build or "
+              "has a setting that takes no streams.",
+              "Update that node, or set its [node] body_memory."},
     event_row{event_id::work_moved, "work_moved",
               "Queued work that would be late left for another backend server; "
               "the line has what the gate expected and the free slots that it "
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -178,6 +178,17 @@
                   },
                   "a path",
                   "file that receives the bound ports once the node serves"}},
+    settings_row{"node",
+                 {"body_memory",
+                  [](node_settings& s, std::string_view v) {
+                      constexpr int least = 1 << 20;
+                      return set_int(s.body_memory, v, 0, 1 << 30) &&
+                             (s.body_memory == 0 || s.body_memory >= least);
+                  },
+                  "0, or 1048576 to 1073741824 bytes",
+                  "memory for large request bodies, which are then streamed; "
+                  "0: they are held whole, without a bound; takes effect at "
+                  "the next start"}},
     settings_row{"admin",
                  {"ip",
                   [](node_settings& s, std::string_view v) {
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -145,8 +145,10 @@
                 self.close_connection = worker.cut_after is not None
 
             def serve(self):
-                body = self.rfile.read(int(self.headers.get(
-                    "Content-Length", 0)))
+                body = worker.read_body(self)
+                if body is None:
+                    self.close_connection = True
+                    return None
                 load = {"X-Server-Load": "%d,0,%d" % (worker.running,
                                                       worker.slots)}
                 if self.path == "/up":
@@ -202,6 +204,22 @@
     def cold_left_s(self):
         return max(0, self.started + self.cold_s - time.monotonic())
 
+    def read_body(self, handler):
+        """Returns the body, or None if the connection is to end."""
+        if handler.headers.get("Transfer-Encoding") != "chunked":
+            size = int(handler.headers.get("Content-Length", 0))
+            body = handler.rfile.read(size)
+            return body if len(body) == size else None
+        parts = []
+        while True:
+            size = int(handler.rfile.readline() or "-1", 16)
+            if size < 0:
+                return None
+            parts.append(handler.rfile.read(size))
+            handler.rfile.readline()
+            if size == 0:
+                return b"".join(parts)
+
     def work(self, request, _body):
         seconds = self.durations.get(request, self.work_s)
         time.sleep(seconds * (COLD_FACTOR if self.cold_left_s() else 1))
--- a/test/test_hop.cpp
+++ b/test/test_hop.cpp
@@ -23,6 +23,7 @@
         r.may_probe = *rc::gen::arbitrary<bool>();
         r.entry_stopping = *rc::gen::arbitrary<bool>();
         r.may_move = *rc::gen::arbitrary<bool>();
+        r.streamed = *rc::gen::arbitrary<bool>();
         r.priority = *rc::gen::inRange(0, 1000);
         r.pressure = *rc::gen::inRange(0, 256) * pressure_unit;
         r.centre = *rc::gen::arbitrary<std::uint32_t>();
@@ -45,6 +46,7 @@
         RC_ASSERT(back->may_probe == r.may_probe);
         RC_ASSERT(back->entry_stopping == r.entry_stopping);
         RC_ASSERT(back->may_move == r.may_move);
+        RC_ASSERT(back->streamed == r.streamed);
         RC_ASSERT(back->priority == r.priority);
         RC_ASSERT(back->pressure == r.pressure);
         RC_ASSERT(back->centre == r.centre);
@@ -141,6 +143,7 @@
     a.outcome = hop_outcome::not_run;
     a.reached = true;
     a.suspect = true;
+    a.takes_streams = true;
     a.load = 1.25;
     a.baseline_work = 520 * us_per_ms;
     a.failure_percent = 93;
