--- a/src/config/node_settings.hpp
+++ b/src/config/node_settings.hpp
@@ -41,6 +41,11 @@
     bool move_waiting = false; ///< offer late queued work to other gates
 };
 
+struct retry_settings
+{
+    bool learned_hedges = false; ///< hedges by what they were worth lately
+};
+
 struct quarantine_settings
 {
     int crashes = 3; ///< crashes until a request is refused
@@ -83,12 +88,14 @@
     int max_body = 1048576;               ///< bytes of a request body
     int body_memory = 0; ///< bytes for large bodies; 0: not bounded
     int max_attempts = 3;
+    int memory_reserve = 16777216;    ///< bytes; 0 for none
     int max_in_flight = 4096;         ///< requests at the entry side
     int service_in_flight = 1024;     ///< the same, per service
     int log_lines_per_second = 20000; ///< per event
     std::string safeguards_off;       ///< for tests; names separated by commas
     hosted_settings hosted;
     gate_settings gate;
+    retry_settings retry;
     quarantine_settings quarantine;
     placement_settings placement;
     experiment_settings experiment;
--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -49,6 +49,7 @@
     upload_ended = 1041,
     upload_held = 1042,
     work_moved = 1045,
+    hedge_decided = 1046,
     worker_ejected = 2001,
     worker_returned = 2002,
     ejection_held_by_floor = 2003,
@@ -105,6 +106,7 @@
     settings_reloaded = 6004,
     settings_refused = 6005,
     handler_failed = 6006,
+    memory_low = 6007,
 };
 
 /// Subject area of an event. Each family has its own ring, so that a flood of
--- a/src/node/node_metrics.cpp
+++ b/src/node/node_metrics.cpp
@@ -51,6 +51,10 @@
     m->grants_returned =
         counter(r, "jasminetray_grants_returned_total",
                 "Team grants given back for requests that didn't run.");
+    m->hedges = counter(r, "jasminetray_hedges_total",
+                        "Hedges that were sent or answered first, and requests "
+                        "whose hedge was denied for the reserve of failures "
+                        "or the allowance, by result.");
     auto& bytes = prometheus::BuildCounter()
                       .Name("jasminetray_datagram_bytes_total")
                       .Help("Bytes of datagrams by direction.")
@@ -95,6 +99,8 @@
               "Most starts at a backend server of this VM within 4 s.");
     m->gate_records = gauge(r, "jasminetray_gate_records",
                             "Attempts that the gate remembers.");
+    m->memory_reserve = gauge(r, "jasminetray_memory_reserve_bytes",
+                              "Memory set aside that is not in use.");
     m->dropped_lines = gauge(r, "jasminetray_log_lines_dropped",
                              "Log lines left out by the rate limit.");
     m->body_bytes =
--- a/src/node/node_metrics.hpp
+++ b/src/node/node_metrics.hpp
@@ -37,6 +37,8 @@
     prometheus::Family<prometheus::Counter>* handler_failures; ///< by part
     /// By outcome: added to the team's bucket, late, or failed.
     prometheus::Family<prometheus::Counter>* grants_returned;
+    /// By result: sent, won, denied for the reserve or the allowance.
+    prometheus::Family<prometheus::Counter>* hedges;
     bounded_counter carried_bytes;   ///< by route
     prometheus::Counter* bytes_in;   ///< of datagrams
     prometheus::Counter* bytes_out;  ///< of datagrams
@@ -54,6 +56,7 @@
     prometheus::Gauge* limited_workers; ///< that named a limit of starts
     prometheus::Gauge* start_rate;      ///< lowest limit; 0 without one
     prometheus::Gauge* window_starts;   ///< most starts at one backend server
+    prometheus::Gauge* memory_reserve;  ///< bytes held
     prometheus::Gauge* dropped_lines;
     prometheus::Gauge* body_bytes;      ///< reserved for large bodies
     prometheus::Gauge* body_bytes_peak; ///< most since the start
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "attempt/attempt_type.hpp"
+#include "attempt/hedge_policy_type.hpp"
 #include "balance/carried_bytes.hpp"
 #include "balance/load_update.hpp"
 #include "balance/placement_type.hpp"
@@ -177,6 +178,7 @@
     std::uint64_t next_request = 1;
     mono_us started_at = 0;
     bool stopping = false;
+    bool memory_low = false;             ///< as last logged
     mono_us refuse_at = mono_never;      ///< shutdown: new requests are refused
     mono_us last_answer_at = mono_never; ///< shutdown: deadline of all answers
     std::set<entry_request*> open_requests;
@@ -229,6 +231,9 @@
     mono_us last_failure_reported_at = 0;
     std::unordered_map<node_id, connection_pool> exit_connections;
     std::unordered_map<std::string, retry_budget> retry_budgets;
+    hedge_memory hedges; ///< learned while hedges.policy.learned
+    std::unordered_map<std::string, hedge_loan_pace>
+        hedge_loans; ///< by service
     std::unordered_map<std::string, int> in_flight_by_service;
     int in_flight = 0; ///< requests that callers wait for; see open_call
     body_budget bodies;
--- a/src/table/settings_table.hpp
+++ b/src/table/settings_table.hpp
@@ -306,6 +306,14 @@
              return set_int(s.max_attempts, v, 1, 8);
          },
          "1 to 8", "maximum attempts per request"}},
+    settings_row{"limits",
+                 {"memory_reserve",
+                  [](node_settings& s, std::string_view v) {
+                      return set_int(s.memory_reserve, v, 0, 268435456);
+                  },
+                  "0 to 268435456",
+                  "bytes set aside at the start for a lack of memory; 0: none, "
+                  "and a failed allocation may end the process"}},
     settings_row{
         "limits",
         {"most_in_flight",
@@ -455,6 +463,16 @@
                   "queued work that would be late is offered to a backend "
                   "server with room; off: it stays until it is served or "
                   "refused"}},
+    settings_row{"retry",
+                 {"hedge_policy",
+                  [](node_settings& s, std::string_view v) {
+                      s.retry.learned_hedges = v == "learned";
+                      return s.retry.learned_hedges || v == "fixed";
+                  },
+                  "learned, fixed",
+                  "learned: hedges leave a reserve of the retries to failures "
+                  "and wait as long as their route's answers take; fixed: both "
+                  "share the retries as they come"}},
     settings_row{"quarantine",
                  {"crashes",
                   [](node_settings& s, std::string_view v) {
