--- a/src/attempt/attempt_type.hpp
+++ b/src/attempt/attempt_type.hpp
@@ -145,6 +145,7 @@
     /// No candidate was left for the last attempt. Open attempts ask again.
     bool out_of_workers = false;
     bool quarantined = false; ///< must not be sent again
+    bool body_spent = false;  ///< its body went to an attempt and is gone
     bool fallback_tried = false;
     hedge_share hedges;              ///< of the retry budget
     std::uint32_t denied_hedges = 0; ///< for lack of a retry
--- a/src/gate/gate_admit.cpp
+++ b/src/gate/gate_admit.cpp
@@ -161,17 +161,24 @@
     return start ? admission::started : admission::queued;
 }
 
-gate_error gate_refuse_quarantined(gate& g, const gate_request& r, mono_us now,
-                                   const gate_safeguards& on)
+bool gate_record_refusal(gate& g, const gate_request& r, mono_us now,
+                         const gate_safeguards& on)
 {
     if (r.idempotent)
-        return gate_error::quarantined;
+        return true;
     // The former copy remains: its slot or its place in the queue has a
     // coroutine that waits for it.
     if (check_known_attempt(g, r, on) == gate_error::duplicate)
-        return gate_error::duplicate;
+        return false;
     gate_revoke(g, r.attempt, r.boot, now, on);
-    return gate_error::quarantined;
+    return true;
+}
+
+gate_error gate_refuse_quarantined(gate& g, const gate_request& r, mono_us now,
+                                   const gate_safeguards& on)
+{
+    return gate_record_refusal(g, r, now, on) ? gate_error::quarantined
+                                              : gate_error::duplicate;
 }
 
 } // namespace jasminetray
--- a/src/node/entry_placement.cpp
+++ b/src/node/entry_placement.cpp
@@ -4,6 +4,7 @@
 #include "balance/room_query.hpp"
 #include "base/text_func.hpp"
 #include "node/entry_hedge.hpp"
+#include "node/entry_upload.hpp"
 
 namespace jasminetray {
 
@@ -31,7 +32,7 @@
     const carrying_cost cost{place.byte_cost, place.far_share};
     const auto bytes = expected_bytes(
         r.n.answer_sizes, text_hash(r.route->name), r.route->large_answers,
-        static_cast<double>(r.message.body().size()));
+        static_cast<double>(request_body_bytes(r)));
     return crossing_loss(cost, bytes, r.tried_workers.size());
 }
 
@@ -121,7 +122,8 @@
     t.exit = x.exit;
     t.far = !x.near;
     t.cold = mono_now() < x.cold_until;
-    set_hedge_delay(r, t, count);
+    if (!r.upload) // its only attempt has the body
+        set_hedge_delay(r, t, count);
     const auto far_loss = find_far_loss(r);
     t.boot = node->second.record.boot;
     t.address = node->second.record.address;
--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -315,6 +315,7 @@
     n.local_gate.limits.stamp_bound = s.stamp_bound;
     n.local_gate.limits.fair.on = s.gate.fair_queues;
     n.local_gate.limits.move.on = s.gate.move_waiting;
+    n.bodies.limit = static_cast<std::uint64_t>(s.body_memory);
     n.hedges.policy.learned =
         s.retry.learned_hedges &&
         s.experiment.is_enabled(mechanism::learned_hedges);
