Mend what the reviews of uploads and speeds found

Uploads: a head that was written in part no longer counts as not sent; the exit node's limit for the first window ends after the entry node's, which would otherwise blame the path for a slow caller; the stamp is renewed after a body that was read whole; a body without a length reserves what it may become; a backend server that ended while its caller was awaited gets no head; a broken hop connection is closed at once. Without the setting the exit side reads hop messages as before.

Found by reading; 294 unit tests and 27 of bodies, bytes, downloads and paths pass.

--- a/src/balance/balance_type.hpp
+++ b/src/balance/balance_type.hpp
@@ -34,8 +34,9 @@
     failure_estimate estimate; ///< as last reported by the exit node
     int record_failure_percent = 0; ///< failure probability in its record
     span_us work_us = 500000;       ///< normal duration of its work
-    double speed = 1;     ///< time of its work relative to the service's mean
-    int knee = 0;         ///< concurrency above which it is slower; 0 for none
+    double speed = 1; ///< time of its work relative to the service's mean
+    int knee =
+        0; ///< highest concurrency at which it is not slower yet; 0 for none
     mono_us speed_at = 0; ///< when these two were told; 0 for never
 };
 
--- a/src/balance/room_query.cpp
+++ b/src/balance/room_query.cpp
@@ -25,8 +25,11 @@
     double sum = 0;
     for (const auto& c : all) {
         const bool known = c.load_at != 0 && now - c.load_at <= p.load_decay;
-        if (c.id != self && known && takes_any_work(c, p, now))
-            sum += std::max(0.0, std::floor((1 - c.load) * c.slots));
+        if (c.id == self || !known || !takes_any_work(c, p, now))
+            continue;
+        const double room =
+            c.knee > 0 ? std::min<double>(c.knee, c.slots) : c.slots;
+        sum += std::max(0.0, std::floor(room - c.load * c.slots));
     }
     return sum;
 }
--- a/src/balance/speed_func.cpp
+++ b/src/balance/speed_func.cpp
@@ -279,9 +279,10 @@
 {
     if (t.factor == 0)
         return speed_news::absent;
+    constexpr double rounding = 1.001; // of a float on the wire
     const bool in_bounds = std::isfinite(t.factor) &&
-                           t.factor <= p.max_factor &&
-                           t.factor >= 1 / p.max_factor;
+                           t.factor <= p.max_factor * rounding &&
+                           t.factor * p.max_factor * rounding >= 1;
     if (!in_bounds || t.knee < 0 || t.age < 0)
         return speed_news::malformed;
     return t.age > p.sample_ttl ? speed_news::too_old : speed_news::applied;
--- a/src/node/body_relay.cpp
+++ b/src/node/body_relay.cpp
@@ -122,9 +122,9 @@
     return !ec;
 }
 
-void send_streamed_head(http_connection& to, const string_request& head,
-                        const request_parser& parser, beast::error_code& ec,
-                        const yield& y)
+std::size_t send_streamed_head(http_connection& to, const string_request& head,
+                               const request_parser& parser,
+                               beast::error_code& ec, const yield& y)
 {
     http::request_header<> fields = head.base();
     http::request<http::empty_body> m(std::move(fields));
@@ -133,7 +133,7 @@
     else
         m.chunked(true);
     http::request_serializer<http::empty_body> serializer(m);
-    http::async_write_header(to.stream, serializer, y[ec]);
+    return http::async_write_header(to.stream, serializer, y[ec]);
 }
 
 } // namespace jasminetray
--- a/src/node/body_relay.hpp
+++ b/src/node/body_relay.hpp
@@ -47,7 +47,7 @@
 };
 
 /// Streams the rest of the body. The head must have been sent, as framed by
-/// set_body_framing(). Bytes that the parser holds already are sent first.
+/// send_streamed_head(). Bytes that the parser holds already are sent first.
 relay_end relay_body(const std::shared_ptr<body_relay>& x, const yield& y);
 
 /// Ends a relay from another coroutine.
@@ -60,8 +60,9 @@
 
 /// Sends the head of a request whose body follows by relay_body().
 /// @param parser of the request that the body belongs to
-void send_streamed_head(http_connection& to, const string_request& head,
-                        const request_parser& parser, beast::error_code& ec,
-                        const yield& y);
+/// @return bytes written, also on an error
+std::size_t send_streamed_head(http_connection& to, const string_request& head,
+                               const request_parser& parser,
+                               beast::error_code& ec, const yield& y);
 
 } // namespace jasminetray
--- a/src/node/caller_read.cpp
+++ b/src/node/caller_read.cpp
@@ -161,6 +161,8 @@
                   const std::shared_ptr<request_parser>& parser, read_result& r)
 {
     r.upload = std::make_shared<caller_upload>(n.ctx, link, parser);
+    r.upload->limit = static_cast<std::uint64_t>(
+        n.config ? n.config->limits.body_bytes : caller_limits{}.body_bytes);
     r.upload->awaits_continue =
         parser->content_length() &&
         beast::iequals(parser->get()[http::field::expect], "100-continue");
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -260,7 +260,7 @@
 
 /// Finds out whether the exit node takes a streamed body. The connection leads
 /// to one process, so what it says holds for the attempt. Otherwise the body is
-/// held as before.
+/// read whole first.
 std::optional<attempt_result> prepare_upload(entry_request& r, entry_attempt& t,
                                              const yield& y)
 {
@@ -270,9 +270,14 @@
             record_path_result(r.n, t.exit, true);
         return attempt_result{attempt_event_kind::unsent, "exit-unreachable"};
     }
-    if (reply->takes_streams || hold_upload(r, y))
+    if (reply->takes_streams)
         return std::nullopt;
-    return attempt_result{attempt_event_kind::unsent, body_memory_reason};
+    if (!hold_upload(r, y))
+        return attempt_result{attempt_event_kind::unsent, body_memory_reason};
+    // The exit node's stamp has aged while the body was read.
+    if (t.cancelled || !ping(r.n, *t.connection, t.exit, y))
+        return attempt_result{attempt_event_kind::unsent, "exit-unreachable"};
+    return std::nullopt;
 }
 
 /// Sends a request, unless the exit node has answered before that. A streamed
--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -420,6 +420,9 @@
         keep = deliver_answer(*r, delivered, c, y);
     else if (r->machine.outcome == final_outcome::not_run)
         return_grant(n, *r);
+    // What the caller failed to send can't be read past.
+    if (r->upload && r->upload->failed != http::status::unknown)
+        c.keep_alive = false;
     if (delivered == 0 && r->machine.outcome != final_outcome::disconnected)
         keep = send_refusal(n, c, r->id, r->label, final_refusal(*r), y);
     return keep;
--- a/src/node/entry_upload.cpp
+++ b/src/node/entry_upload.cpp
@@ -15,8 +15,8 @@
 
 constexpr span_us skip_timeout = 5 * us_per_s;
 
-/// Moves a request's deadline by the time that its body takes: before bodies
-/// were streamed, the time of a request began with their last byte.
+/// Moves a request's deadline by the time that its body takes: the time of a
+/// request begins with the last byte of its body.
 class body_time
 {
 public:
@@ -137,7 +137,7 @@
             "body-" + std::string(name_of(relay_end_names, end))};
 }
 
-/// Waits for the exit node's leave to send the body.
+/// Waits for the exit node's permission to send the body.
 /// @return nothing when it was given
 std::optional<upload_result> await_admission(entry_request& r, entry_attempt& t,
                                              const string_request& head,
@@ -152,7 +152,9 @@
         http::async_read_header(t.connection->stream, t.connection->buf,
                                 *answer, y[ec]);
     if (ec) {
-        // Without a byte of the body the exit node starts nothing.
+        // Without a byte of the body the exit node starts nothing. Its slot is
+        // free once the connection closes.
+        t.connection->stream.close();
         if (!t.cancelled)
             record_path_result(r.n, t.exit, true);
         return upload_result{upload_end::unsent, "exit-lost"};
@@ -227,8 +229,7 @@
         return u.held;
     constexpr std::uint64_t copies = 2; // the request's and its attempt's
     const auto length = u.parser->content_length();
-    const auto bytes =
-        length.value_or(static_cast<std::uint64_t>(r.n.settings.max_body));
+    const auto bytes = length.value_or(u.limit);
     body_room room(r.n, copies * bytes);
     if (!room.has_value())
         return false;
@@ -281,6 +282,7 @@
         return true;
     if (u.awaits_continue)
         return false;
+    std::string().swap(u.parser->get().body());
     return discard_body(u.link->stream, u.link->buf, *u.parser, skip_timeout,
                         y);
 }
--- a/src/node/entry_upload.hpp
+++ b/src/node/entry_upload.hpp
@@ -37,6 +37,7 @@
 
     std::shared_ptr<caller_link> link;
     std::shared_ptr<request_parser> parser; ///< its header is complete
+    std::uint64_t limit = 0; ///< largest body that is accepted, bytes
     body_room room;
     bool awaits_continue = false;      ///< the caller sends it when asked to
     bool taken = false;                ///< an attempt has begun to read it
@@ -77,7 +78,7 @@
 upload_result send_upload(entry_request& r, entry_attempt& t,
                           const string_request& head, const yield& y);
 
-/// Reads the body into the message, for exit nodes of former builds.
+/// Reads the body into the message, for exit nodes that take no streams.
 /// @return false when it could not be read
 bool hold_upload(entry_request& r, const yield& y);
 
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -488,7 +488,7 @@
 }
 
 /// Returns whether a request's body is to be asked for.
-bool is_streamed(const request_parser& parser)
+bool asks_to_stream(const request_parser& parser)
 {
     const auto h = parse_hop_request(header_value(parser.get(), hop_header));
     return h && h->streamed;
@@ -514,6 +514,7 @@
                            const yield& y)
 {
     beast::flat_buffer buf;
+    const bool takes_streams = n.bodies.limit > 0;
     bool alive = true;
     while (alive) {
         request_parser parser;
@@ -522,8 +523,9 @@
         stream.expires_after(
             std::chrono::microseconds(connection_idle_timeout));
         beast::error_code ec;
-        http::async_read_header(stream, buf, parser, y[ec]);
-        if (!ec && is_streamed(parser)) {
+        if (takes_streams)
+            http::async_read_header(stream, buf, parser, y[ec]);
+        if (!ec && takes_streams && asks_to_stream(parser)) {
             alive = handle_upload(n, parser, buf, stream, y);
             continue;
         }
--- a/src/node/exit_upload.cpp
+++ b/src/node/exit_upload.cpp
@@ -2,6 +2,7 @@
 #include "node/exit_upload.hpp"
 
 #include "base/on_exit.hpp"
+#include "node/http_func.hpp"
 
 namespace jasminetray {
 
@@ -9,6 +10,9 @@
 
 /// For the entry node to close after an answer that came early.
 constexpr span_us close_timeout = us_per_s;
+/// Beyond body_timeout, so that the entry node's ends first: it knows that the
+/// caller is slow, and not the path.
+constexpr span_us first_window_margin = us_per_s;
 
 /// Asks for the body and reads its first part. A backend server learns of the
 /// request only then.
@@ -16,9 +20,10 @@
                        const yield& y)
 {
     u.begun = true;
-    http::response<http::empty_body> leave(http::status::continue_, 11);
-    u.entry.expires_after(std::chrono::microseconds(body_timeout));
-    http::async_write(u.entry, leave, y[ec]);
+    http::response<http::empty_body> go_ahead(http::status::continue_, 11);
+    u.entry.expires_after(
+        std::chrono::microseconds(body_timeout + first_window_margin));
+    http::async_write(u.entry, go_ahead, y[ec]);
     while (!ec && !u.parser.is_done() && u.parser.get().body().empty())
         http::async_read_some(u.entry, u.buf, u.parser, y[ec]);
     u.entry.expires_never();
@@ -57,12 +62,15 @@
     const on_exit note_time([&] { u.took = mono_now() - since; });
     u.cut = true;
     read_first_window(u, ec, y);
+    // Meanwhile nothing was read from the backend server, which may have ended.
+    if (!ec && peer_closed(to.stream.socket()))
+        ec = asio::error::connection_reset;
     if (ec)
         return 0;
     to.stream.expires_after(std::chrono::microseconds(body_timeout));
-    send_streamed_head(to, head, u.parser, ec, y);
+    const auto head_bytes = send_streamed_head(to, head, u.parser, ec, y);
     if (ec)
-        return 0;
+        return head_bytes;
     const auto x = std::shared_ptr<body_relay>(
         new body_relay{u.entry, u.buf, u.parser, to});
     const auto end = relay_body(x, y);
@@ -71,7 +79,7 @@
     u.source_failed =
         end == relay_end::source_failed || end == relay_end::source_slow;
     ec = relay_error(*x, end);
-    return 1 + static_cast<std::size_t>(x->bytes);
+    return head_bytes + static_cast<std::size_t>(x->bytes);
 }
 
 void end_upload(arriving_upload& u, const yield& y)
