Keep what is learned by route in one table

Sizes of answers and results of hedges each had a list by last use, an index and a decay of their own. recent_routes holds both; behaviour is unchanged.

--- a/src/attempt/hedge_policy_func.cpp
+++ b/src/attempt/hedge_policy_func.cpp
@@ -33,37 +33,11 @@
         std::pow(bucket_growth, static_cast<double>(bucket)));
 }
 
-double kept_share(const route_hedges& x, const hedge_policy& p, mono_us now)
-{
-    const auto age = static_cast<double>(std::max<span_us>(0, now - x.at));
-    return std::exp2(-age / static_cast<double>(p.half_life));
-}
-
-const route_hedges* find_route_hedges(const hedge_memory& m,
-                                      std::uint64_t route)
-{
-    const auto it = m.index.find(route);
-    return it == m.index.end() ? nullptr : &*it->second;
-}
-
 /// Returns the route's sums, decayed to now.
 route_hedges& touch_route(hedge_memory& m, std::uint64_t route, mono_us now)
 {
-    const auto it = m.index.find(route);
-    if (it != m.index.end()) {
-        m.routes.splice(m.routes.begin(), m.routes, it->second);
-    } else {
-        // Bounds memory: configurations add and remove routes for the lifetime
-        // of the process.
-        if (m.routes.size() >= m.policy.max_routes) {
-            m.index.erase(m.routes.back().route);
-            m.routes.pop_back();
-        }
-        m.routes.push_front({route, 0, 0, now, {}});
-        m.index[route] = m.routes.begin();
-    }
-    auto& x = m.routes.front();
-    const double kept = kept_share(x, m.policy, now);
+    auto& x = use_route(m, route, m.policy.max_routes, now);
+    const double kept = kept_share(x.at, m.policy.half_life, now);
     x.hedges *= kept;
     x.wins *= kept;
     for (auto& d : x.durations)
@@ -122,7 +96,7 @@
 {
     // Assumes that one more attempt ran as long and never ended.
     constexpr double hung = 1;
-    const auto* x = find_route_hedges(m, route);
+    const auto* x = find_route(m, route);
     if (x == nullptr)
         return 1;
     const auto now_at = bucket_of(elapsed) + 1;
@@ -134,10 +108,10 @@
                           mono_us now)
 {
     const auto& p = m.policy;
-    const auto* x = find_route_hedges(m, route);
+    const auto* x = find_route(m, route);
     if (x == nullptr)
         return p.prior_share;
-    const double kept = kept_share(*x, p, now);
+    const double kept = kept_share(x->at, p.half_life, now);
     return (kept * x->wins + p.prior_weight * p.prior_share) /
            (kept * x->hedges + p.prior_weight);
 }
@@ -156,7 +130,7 @@
     const auto fixed = r.policy.response_timeout;
     const auto left = r.deadline - sent_at - expected_duration(r.policy) -
                       r.policy.hedge_recheck_interval;
-    const auto* x = find_route_hedges(m, route);
+    const auto* x = find_route(m, route);
     const double all = x == nullptr ? 0 : count_from(*x, 0);
     if (all < p.min_durations)
         return fixed;
--- a/src/attempt/hedge_policy_type.hpp
+++ b/src/attempt/hedge_policy_type.hpp
@@ -5,12 +5,10 @@
 // hedges leave, and how long an attempt may take before its hedge.
 #pragma once
 
-#include "base/time_type.hpp"
+#include "base/recent_routes.hpp"
 
 #include <array>
 #include <cstdint>
-#include <list>
-#include <unordered_map>
 
 namespace jasminetray {
 
@@ -50,13 +48,10 @@
 };
 
 /// Not stored: a node that starts learns anew.
-struct hedge_memory
+// Invariant: routes.size() <= policy.max_routes.
+struct hedge_memory : recent_routes<route_hedges>
 {
     hedge_policy policy;
-    // Invariant: `index` has one entry for each element of `routes`, which is
-    // sorted by last use, and size <= policy.max_routes.
-    std::list<route_hedges> routes;
-    std::unordered_map<std::uint64_t, std::list<route_hedges>::iterator> index;
     double position = 0; ///< of the next request in the sequence of draws
 };
 
--- a/src/balance/carried_bytes.cpp
+++ b/src/balance/carried_bytes.cpp
@@ -2,7 +2,6 @@
 #include "balance/carried_bytes.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace jasminetray {
 
@@ -20,23 +19,8 @@
 void add_answer_bytes(carried_bytes& c, std::uint64_t route, double bytes,
                       mono_us now)
 {
-    const auto it = c.index.find(route);
-    if (it != c.index.end()) {
-        c.routes.splice(c.routes.begin(), c.routes, it->second);
-    } else {
-        // Bounds memory: configurations add and remove routes for the lifetime
-        // of the process.
-        if (c.routes.size() >= c.policy.max_routes) {
-            c.index.erase(c.routes.back().route);
-            c.routes.pop_back();
-        }
-        c.routes.push_front({route, 0, 0, now});
-        c.index[route] = c.routes.begin();
-    }
-    auto& x = c.routes.front();
-    const auto age = static_cast<double>(std::max<span_us>(0, now - x.at));
-    const double kept =
-        std::exp2(-age / static_cast<double>(c.policy.half_life));
+    auto& x = use_route(c, route, c.policy.max_routes, now);
+    const double kept = kept_share(x.at, c.policy.half_life, now);
     x.weight = x.weight * kept + 1;
     x.sum = x.sum * kept + std::clamp(bytes, 0.0, max_answer_bytes);
     x.at = now;
@@ -45,10 +29,10 @@
 double expected_bytes(const carried_bytes& c, std::uint64_t route,
                       bool large_answers, double request_bytes)
 {
-    const auto it = c.index.find(route);
+    const auto* x = find_route(c, route);
     double answer = large_answers ? c.policy.large_answer : 0;
-    if (it != c.index.end())
-        answer = it->second->sum / it->second->weight;
+    if (x != nullptr)
+        answer = x->sum / x->weight;
     return c.policy.head_bytes + request_bytes + answer;
 }
 
--- a/src/balance/carried_bytes.hpp
+++ b/src/balance/carried_bytes.hpp
@@ -5,12 +5,10 @@
 // lookup; by size, what has to cross is what carries least.
 #pragma once
 
-#include "base/time_type.hpp"
+#include "base/recent_routes.hpp"
 
 #include <cstdint>
-#include <list>
 #include <optional>
-#include <unordered_map>
 
 namespace jasminetray {
 
@@ -36,13 +34,10 @@
 
 /// Sizes as learned by one entry node. Not stored: a node that starts learns
 /// anew.
-struct carried_bytes
+// Invariant: routes.size() <= policy.max_routes.
+struct carried_bytes : recent_routes<route_bytes>
 {
     carried_bytes_policy policy;
-    // Invariant: `index` has one entry for each element of `routes`, which is
-    // sorted by last use, and size <= policy.max_routes.
-    std::list<route_bytes> routes;
-    std::unordered_map<std::uint64_t, std::list<route_bytes>::iterator> index;
 };
 
 /// Costs of crossing, as shares of a request's value.
