--- a/src/limit/limit_func.cpp
+++ b/src/limit/limit_func.cpp
@@ -60,6 +60,25 @@
     return now < b.granted_until ? b.granted : 0;
 }
 
+/// Returns the retries left of this node's own part.
+int own_left(const retry_budget& b, mono_us now)
+{
+    const auto c = counts_of(b, now);
+    const auto own = static_cast<int>(allowance_of(b, c.requests)) - c.retries;
+    return std::max(0, own);
+}
+
+/// Takes a retry of this node's own part for a hedge, if the reserve stays.
+bool take_own_hedge(retry_budget& b, const hedge_share& share, mono_us now)
+{
+    if (own_left(b, now) <= hedge_reserve(b, share, now))
+        return false;
+    auto& s = slice_at(b, now);
+    ++s.retries;
+    ++s.hedges;
+    return true;
+}
+
 } // namespace
 
 void apply_fleet_allowance(retry_budget& b, const fleet_allowance& a,
@@ -82,9 +101,7 @@
 
 int retries_left(const retry_budget& b, mono_us now)
 {
-    const auto c = counts_of(b, now);
-    const auto own = static_cast<int>(allowance_of(b, c.requests)) - c.retries;
-    return std::max(0, own) + granted_left(b, now);
+    return own_left(b, now) + granted_left(b, now);
 }
 
 bool may_retry(const retry_budget& b, mono_us now)
@@ -115,14 +132,9 @@
 
 bool take_hedge(retry_budget& b, const hedge_share& share, mono_us now)
 {
-    const int granted = granted_left(b, now);
-    if (retries_left(b, now) - granted > hedge_reserve(b, share, now)) {
-        auto& s = slice_at(b, now);
-        ++s.retries;
-        ++s.hedges;
+    if (take_own_hedge(b, share, now))
         return true;
-    }
-    if (granted <= 0)
+    if (granted_left(b, now) <= 0)
         return false;
     --b.granted;
     return true;
@@ -133,10 +145,7 @@
 {
     int lent = 0;
     // Granted ones aren't lent on: another node has counted them.
-    while (lent < wanted &&
-           retries_left(b, now) - granted_left(b, now) >
-               hedge_reserve(b, share, now) &&
-           take_hedge(b, share, now))
+    while (lent < wanted && take_own_hedge(b, share, now))
         ++lent;
     return lent;
 }
