Ask for room, knees and changes of concurrency in one place each

has_room(), slots_up_to_knee() and change_before() replace copies; a decision by expected loss filters its indices in place instead of copying them. The choices of 5,000 decisions at 24 to 2,000 candidates are those of the code before (bench_placement, index_sum).

--- a/src/balance/balance_func.cpp
+++ b/src/balance/balance_func.cpp
@@ -57,6 +57,11 @@
     return c.weight * (p.ramp_start + (1 - p.ramp_start) * share);
 }
 
+double slots_up_to_knee(const candidate& c)
+{
+    return c.knee > 0 ? std::min<double>(c.knee, c.slots) : c.slots;
+}
+
 double cost_of(const candidate& c, const balance_policy& p, mono_us now)
 {
     const double age = static_cast<double>(now - c.load_at) /
--- a/src/balance/balance_type.hpp
+++ b/src/balance/balance_type.hpp
@@ -35,8 +35,8 @@
     int record_failure_percent = 0; ///< failure probability in its record
     span_us work_us = 500000;       ///< normal duration of its work
     double speed = 1; ///< time of its work relative to the service's mean
-    int knee =
-        0; ///< highest concurrency at which it is not slower yet; 0 for none
+    /// Highest concurrency at which it is not slower yet; 0 for none.
+    int knee = 0;
     mono_us speed_at = 0; ///< when these two were told; 0 for never
 };
 
@@ -61,6 +61,9 @@
 /// Returns whether a request was sent to a backend server already.
 bool was_tried(const std::vector<worker_id>& tried, worker_id id);
 
+/// Returns the slots up to the knee, if there is one.
+double slots_up_to_knee(const candidate& c);
+
 /// Returns the expected delay of a candidate, in units of its service time.
 double cost_of(const candidate& c, const balance_policy& p, mono_us now);
 
--- a/src/balance/placement_func.cpp
+++ b/src/balance/placement_func.cpp
@@ -166,6 +166,13 @@
                            share_of(unproven, p.probe_share), rng);
 }
 
+std::vector<std::size_t> indices_of(const std::vector<candidate>& all)
+{
+    std::vector<std::size_t> indices(all.size());
+    std::iota(indices.begin(), indices.end(), 0);
+    return indices;
+}
+
 /// Returns all candidates, or for placement by completion a random part of
 /// many. The part is empty only if hardly any candidate is usable.
 std::vector<std::size_t> draw_considered(const std::vector<candidate>& all,
@@ -173,15 +180,12 @@
                                          const std::vector<worker_id>& tried,
                                          random_state& rng)
 {
-    std::vector<std::size_t> drawn;
     const auto count = p.speeds.max_near + p.speeds.max_far;
     constexpr std::size_t all_below = 4; // times the count
     constexpr std::size_t max_draws = 8; // times the count
-    if (!p.speeds.on || all.size() <= all_below * count) {
-        drawn.resize(all.size());
-        std::iota(drawn.begin(), drawn.end(), 0);
-        return drawn;
-    }
+    if (!p.speeds.on || all.size() <= all_below * count)
+        return indices_of(all);
+    std::vector<std::size_t> drawn;
     std::size_t near = 0;
     std::size_t far = 0;
     drawn.reserve(count);
@@ -246,20 +250,23 @@
 }
 
 /// Returns the candidate with the lowest expected loss.
-std::optional<choice> choose_least_loss(
-    const std::vector<candidate>& all,
-    const std::vector<std::size_t>& considered, const placement_policy& p,
-    const balance_policy& b, const placement_request& r,
-    const std::vector<worker_id>& tried, random_state& rng, mono_us now)
+/// @param usable indices, of which those that can't be used are left out
+std::optional<choice> choose_least_loss(const std::vector<candidate>& all,
+                                        std::vector<std::size_t> usable,
+                                        const placement_policy& p,
+                                        const balance_policy& b,
+                                        const placement_request& r,
+                                        const std::vector<worker_id>& tried,
+                                        random_state& rng, mono_us now)
 {
-    std::vector<std::size_t> usable;
-    usable.reserve(considered.size());
-    for (const auto n : considered) {
-        const auto& c = all[n];
-        if ((c.weight > 0 || c.path_bad) && !was_tried(tried, c.id) &&
-            !would_refuse(c, p, now))
-            usable.push_back(n);
-    }
+    usable.erase(std::remove_if(usable.begin(), usable.end(),
+                                [&](std::size_t n) {
+                                    const auto& c = all[n];
+                                    return (c.weight <= 0 && !c.path_bad) ||
+                                           was_tried(tried, c.id) ||
+                                           would_refuse(c, p, now);
+                                }),
+                 usable.end());
     if (r.by_completion)
         drop_equals(usable, all, p, b, r, rng, now);
     std::optional<choice> best;
@@ -286,8 +293,7 @@
                            const balance_policy& b, mono_us now)
 {
     const bool known = has_speed(c, p, now);
-    const double room =
-        known && c.knee > 0 ? std::min<double>(c.knee, c.slots) : c.slots;
+    const double room = known ? slots_up_to_knee(c) : c.slots;
     const double work = load_of(c, p, b, now) * c.slots + 1;
     return std::pow(known ? c.speed : 1, speed_exponent) * work / room;
 }
@@ -350,13 +356,12 @@
         choose_probe_target(all, considered, p, b, r, tried, rng, now);
     if (probe)
         return probe;
+    const bool has_all = considered.size() == all.size();
     const auto best =
-        choose_least_loss(all, considered, p, b, r, tried, rng, now);
-    if (best || considered.size() == all.size())
+        choose_least_loss(all, std::move(considered), p, b, r, tried, rng, now);
+    if (best || has_all)
         return best;
-    considered.resize(all.size());
-    std::iota(considered.begin(), considered.end(), 0);
-    return choose_least_loss(all, considered, p, b, r, tried, rng, now);
+    return choose_least_loss(all, indices_of(all), p, b, r, tried, rng, now);
 }
 
 } // namespace jasminetray
--- a/src/balance/room_query.cpp
+++ b/src/balance/room_query.cpp
@@ -27,9 +27,8 @@
         const bool known = c.load_at != 0 && now - c.load_at <= p.load_decay;
         if (c.id == self || !known || !takes_any_work(c, p, now))
             continue;
-        const double room =
-            c.knee > 0 ? std::min<double>(c.knee, c.slots) : c.slots;
-        sum += std::max(0.0, std::floor(room - c.load * c.slots));
+        sum +=
+            std::max(0.0, std::floor(slots_up_to_knee(c) - c.load * c.slots));
     }
     return sum;
 }
--- a/src/balance/speed_func.cpp
+++ b/src/balance/speed_func.cpp
@@ -35,6 +35,20 @@
     return median_error * s.spread / std::sqrt(static_cast<double>(s.count));
 }
 
+/// Returns the change of the concurrency `n` before the last one.
+const level_change& change_before(const speed_estimate& s, std::size_t n)
+{
+    return s.history[(s.history_next + level_history_size - 1 - n) %
+                     level_history_size];
+}
+
+/// Returns the integral of the concurrency until `at`, which is before the next
+/// change.
+double area_until(const level_change& c, mono_us at)
+{
+    return c.area + c.level * static_cast<double>(at - c.at);
+}
+
 /// Returns the mean concurrency since `from`; nothing when the history is
 /// shorter.
 std::optional<double> mean_level(const speed_estimate& s, mono_us from,
@@ -42,17 +56,11 @@
 {
     if (s.history_count == 0 || from >= now)
         return std::nullopt;
-    const auto back = [&s](std::size_t n) -> const level_change& {
-        const auto size = level_history_size;
-        return s.history[(s.history_next + size - 1 - n) % size];
-    };
-    const auto area_at = [](const level_change& c, mono_us at) {
-        return c.area + c.level * static_cast<double>(at - c.at);
-    };
-    const double area = area_at(back(0), now);
+    const double area = area_until(change_before(s, 0), now);
     for (std::size_t n = 0; n < s.history_count; ++n) {
-        if (back(n).at <= from)
-            return (area - area_at(back(n), from)) /
+        const auto& c = change_before(s, n);
+        if (c.at <= from)
+            return (area - area_until(c, from)) /
                    static_cast<double>(now - from);
     }
     return std::nullopt;
@@ -124,11 +132,8 @@
 void speed_set_level(speed_estimate& s, int level, mono_us now)
 {
     level_change c{now, level, 0};
-    if (s.history_count > 0) {
-        const auto& last = s.history[(s.history_next + level_history_size - 1) %
-                                     level_history_size];
-        c.area = last.area + last.level * static_cast<double>(now - last.at);
-    }
+    if (s.history_count > 0)
+        c.area = area_until(change_before(s, 0), now);
     s.history[s.history_next] = c;
     s.history_next = (s.history_next + 1) % level_history_size;
     s.history_count = std::min(s.history_count + 1, level_history_size);
--- a/src/gate/gate_slot.cpp
+++ b/src/gate/gate_slot.cpp
@@ -21,10 +21,9 @@
 {
     // Moves take turns; more than these would wait beside free slots.
     constexpr std::size_t max_held = 4;
-    const auto& room = w.elsewhere;
     return l.speeds.on && may_move && w.queue.size() <= max_held &&
            w.speed.knee > 0 && w.in_flight + w.inherited >= w.speed.knee &&
-           room.at != 0 && now - room.at <= l.move.room_ttl && room.slots >= 1;
+           has_room(l.move, w.elsewhere, now);
 }
 
 void store_record(gate& g, const attempt_id& a, gate_state state, mono_us now)
--- a/src/gate/move_waiting.cpp
+++ b/src/gate/move_waiting.cpp
@@ -8,13 +8,17 @@
 {
     if (!p.on || x.due == mono_never)
         return false;
-    const bool known = r.at != 0 && now - r.at <= p.room_ttl;
-    if (!known || r.slots < 1 || !may_move_now(p, r, now))
+    if (!has_room(p, r, now) || !may_move_now(p, r, now))
         return false;
     return x.begin_here + x.work > x.due &&
            now + p.offer_time + x.work <= x.due;
 }
 
+bool has_room(const move_policy& p, const room_elsewhere& r, mono_us now)
+{
+    return r.at != 0 && now - r.at <= p.room_ttl && r.slots >= 1;
+}
+
 bool may_move_now(const move_policy& p, const room_elsewhere& r, mono_us now)
 {
     return now - r.moved_at >= p.interval;
--- a/src/gate/move_waiting.hpp
+++ b/src/gate/move_waiting.hpp
@@ -43,6 +43,9 @@
 bool should_move(const move_policy& p, const room_elsewhere& r,
                  const move_candidate& x, mono_us now);
 
+/// Returns whether another backend server has a free slot by recent news.
+bool has_room(const move_policy& p, const room_elsewhere& r, mono_us now);
+
 /// Returns whether the interval since the last move has passed.
 bool may_move_now(const move_policy& p, const room_elsewhere& r, mono_us now);
 
