One watch for peers that close; one look at the loss by crossing

Relayed answers and requests to backend servers each had a watch of the reader. The loss by crossing was worked out twice for each attempt, and the limit of bodies read twice from the configuration. Behaviour is unchanged.

--- a/src/node/caller_read.cpp
+++ b/src/node/caller_read.cpp
@@ -157,12 +157,13 @@
 }
 
 /// Leaves a large body with its caller.
+/// @param limit largest body that is accepted, bytes
 void begin_upload(node_state& n, const std::shared_ptr<caller_link>& link,
-                  const std::shared_ptr<request_parser>& parser, read_result& r)
+                  const std::shared_ptr<request_parser>& parser,
+                  std::uint64_t limit, read_result& r)
 {
     r.upload = std::make_shared<caller_upload>(n.ctx, link, parser);
-    r.upload->limit = static_cast<std::uint64_t>(
-        n.config ? n.config->limits.body_bytes : caller_limits{}.body_bytes);
+    r.upload->limit = limit;
     r.upload->awaits_continue =
         parser->content_length() &&
         beast::iequals(parser->get()[http::field::expect], "100-continue");
@@ -197,7 +198,8 @@
     auto& parser = *owner;
     parser.header_limit(static_cast<std::uint32_t>(
         std::min(limits.header_bytes, max_head_bytes)));
-    parser.body_limit(static_cast<std::uint64_t>(limits.body_bytes));
+    const auto max_body = static_cast<std::uint64_t>(limits.body_bytes);
+    parser.body_limit(max_body);
     stream.expires_never();
     beast::error_code ec;
     r.refused = read_head(n, stream, buf, parser, limits.header_us, ec, y);
@@ -210,7 +212,7 @@
         return r;
     }
     if (is_large(n, parser))
-        begin_upload(n, link, owner, r);
+        begin_upload(n, link, owner, max_body, r);
     else
         r.message = parser.release();
     if (r.message)
--- a/src/node/entry_placement.cpp
+++ b/src/node/entry_placement.cpp
@@ -37,7 +37,8 @@
 }
 
 placement_request make_placement_request(entry_request& r,
-                                         const entry_attempt& t)
+                                         const entry_attempt& t,
+                                         std::optional<double> far_loss)
 {
     placement_request p;
     p.retryable = t.may_probe;
@@ -51,11 +52,12 @@
         it->second = next_position(it->second);
         p.idle_draw = it->second;
     }
-    p.far_loss = find_far_loss(r);
+    p.far_loss = far_loss;
     return p;
 }
 
-std::optional<choice> choose_candidate(entry_request& r, const entry_attempt& t)
+std::optional<choice> choose_candidate(entry_request& r, const entry_attempt& t,
+                                       std::optional<double> far_loss)
 {
     const auto it = r.n.view.services.find(r.service_key);
     if (it == r.n.view.services.end())
@@ -67,7 +69,7 @@
                                mono_now());
     if (!r.pinned_worker && r.n.placing.on)
         return choose_by_expected_loss(candidates, r.n.placing, r.n.balance,
-                                       make_placement_request(r, t),
+                                       make_placement_request(r, t, far_loss),
                                        r.tried_workers, r.n.rng, mono_now());
     if (!r.pinned_worker)
         return choose_worker(candidates, r.n.balance,
@@ -111,7 +113,8 @@
 
 bool select_target(entry_request& r, entry_attempt& t, std::uint32_t count)
 {
-    const auto c = choose_candidate(r, t);
+    const auto far_loss = find_far_loss(r);
+    const auto c = choose_candidate(r, t, far_loss);
     if (!c)
         return false;
     auto& x = r.n.view.services[r.service_key].candidates[c->index];
@@ -124,7 +127,6 @@
     t.cold = mono_now() < x.cold_until;
     if (!r.upload) // its only attempt has the body
         set_hedge_delay(r, t, count);
-    const auto far_loss = find_far_loss(r);
     t.boot = node->second.record.boot;
     t.address = node->second.record.address;
     ++x.in_flight;
--- a/src/node/http_func.cpp
+++ b/src/node/http_func.cpp
@@ -34,25 +34,6 @@
     return !ec;
 }
 
-/// Cancels the source of an answer when its reader has closed.
-struct reader_watch
-{
-    http_connection* from = nullptr; ///< null when the answer has ended
-};
-
-std::shared_ptr<reader_watch> watch_reader(beast::tcp_stream& to,
-                                           http_connection& from)
-{
-    auto watch = std::make_shared<reader_watch>();
-    watch->from = &from;
-    to.socket().async_wait(
-        tcp::socket::wait_read, [watch, &to](beast::error_code ec) {
-            if (!ec && watch->from && peer_closed(to.socket()))
-                watch->from->stream.cancel();
-        });
-    return watch;
-}
-
 } // namespace
 
 void set_path_timeouts(tcp::socket& s, bool on)
@@ -129,11 +110,11 @@
                   http::response_header<> head, beast::tcp_stream& to,
                   const relay_limits& limits, const yield& y)
 {
-    const auto watch = limits.watch_reader ? watch_reader(to, from) : nullptr;
+    const auto watch = limits.watch_reader ? watch_peer(to, from) : nullptr;
     const on_exit unwatch([&] {
         beast::error_code ignored;
         if (watch) {
-            watch->from = nullptr;
+            watch->link = nullptr;
             to.socket().cancel(ignored);
         }
     });
@@ -165,6 +146,21 @@
     return !ec;
 }
 
+std::shared_ptr<peer_watch> watch_peer(beast::tcp_stream& peer,
+                                       http_connection& link)
+{
+    auto watch = std::make_shared<peer_watch>();
+    watch->link = &link;
+    peer.socket().async_wait(
+        tcp::socket::wait_read, [watch, &peer](beast::error_code ec) {
+            if (ec || !watch->link || !peer_closed(peer.socket()))
+                return;
+            watch->left = true;
+            watch->link->stream.cancel();
+        });
+    return watch;
+}
+
 bool peer_closed(tcp::socket& s)
 {
     char c = 0;
--- a/src/node/http_func.hpp
+++ b/src/node/http_func.hpp
@@ -108,4 +108,15 @@
 /// Returns whether the peer of a readable socket has closed or reset it.
 bool peer_closed(tcp::socket& s);
 
+/// Cancels a connection to a source once the peer that waits for its answer has
+/// closed.
+struct peer_watch
+{
+    http_connection* link = nullptr; ///< null when the work has ended
+    bool left = false;               ///< the peer has closed
+};
+
+std::shared_ptr<peer_watch> watch_peer(beast::tcp_stream& peer,
+                                       http_connection& link);
+
 } // namespace jasminetray
--- a/src/node/worker_request.cpp
+++ b/src/node/worker_request.cpp
@@ -77,28 +77,6 @@
     return q;
 }
 
-/// Cancels `link` when the entry node's connection closes.
-struct caller_watch
-{
-    http_connection* link = nullptr; ///< null when the work has ended
-    bool left = false;
-};
-
-std::shared_ptr<caller_watch> watch_caller(beast::tcp_stream& entry,
-                                           http_connection& link)
-{
-    auto watch = std::make_shared<caller_watch>();
-    watch->link = &link;
-    entry.socket().async_wait(
-        tcp::socket::wait_read, [watch, &entry](beast::error_code ec) {
-            if (ec || !watch->link || !peer_closed(entry.socket()))
-                return;
-            watch->left = true;
-            watch->link->stream.cancel();
-        });
-    return watch;
-}
-
 outcome_kind classify_missing_answer(const local_worker& w,
                                      std::uint32_t route_class, span_us target,
                                      const beast::error_code& ec,
@@ -306,9 +284,9 @@
     const auto left = std::max<span_us>(1, r.deadline - mono_now());
     a.link->stream.expires_after(
         std::chrono::microseconds(left + answer_margin));
-    std::shared_ptr<caller_watch> watch;
+    std::shared_ptr<peer_watch> watch;
     if (r.idempotent && upload == nullptr)
-        watch = watch_caller(entry, *a.link);
+        watch = watch_peer(entry, *a.link);
     w.busy.insert(a.link.get());
     const on_exit leave([&n, &a, &watch, id] {
         if (watch)
@@ -325,7 +303,7 @@
     if (upload != nullptr)
         record_sent(n, r, a);
     if (written && upload != nullptr && r.idempotent)
-        watch = watch_caller(entry, *a.link);
+        watch = watch_peer(entry, *a.link);
     if (written)
         ec = read_answer(n, expected, a, message.method() == http::verb::head,
                          y);
