--- a/test/platform_bodies.py
+++ b/test/platform_bodies.py
@@ -17,8 +17,6 @@
 import platform_hosted as hosted
 from platform_hosted import expect, wait_for
 
-import fleet
-
 MB = 1 << 20
 WINDOW = 256 << 10  # bytes that a node reserves for a streamed body
 BUDGET = 16 * MB
@@ -350,13 +348,5 @@
           "slow": check_slow, "stop": check_stop, "mixed": check_mixed}
 
 
-def main(names):
-    for name in names or CHECKS:
-        print("-- " + name)
-        with fleet.Fleet(cluster="bodies-" + name) as f:
-            CHECKS[name](f)
-    return hosted.summarize("bodies")
-
-
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(hosted.run_checks("bodies", CHECKS, sys.argv[1:]))
--- a/test/platform_bytes.py
+++ b/test/platform_bytes.py
@@ -12,8 +12,6 @@
 import platform_hosted as hosted
 from platform_hosted import expect, wait_for
 
-import fleet
-
 NAMED = 1500 * 10 ** 12  # bytes; beyond all memory
 
 
@@ -227,13 +225,5 @@
           "heads": check_heads}
 
 
-def main(names):
-    for name in names or CHECKS:
-        print("-- " + name)
-        with fleet.Fleet(cluster="bytes-" + name) as f:
-            CHECKS[name](f)
-    return hosted.summarize("bytes")
-
-
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    sys.exit(hosted.run_checks("bytes", CHECKS, sys.argv[1:]))
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -384,6 +384,15 @@
     return 1 if FAILED else 0
 
 
+def run_checks(label, checks, names):
+    """Runs the named checks, or all, each with a fleet of its own."""
+    for name in names or checks:
+        print("-- " + name)
+        with fleet.Fleet(cluster="%s-%s" % (label, name)) as f:
+            checks[name](f)
+    return summarize(label)
+
+
 def expect(good, what):
     print("%s %s" % ("ok  " if good else "FAIL", what), flush=True)
     if not good:
--- a/test/platform_stop_turns.py
+++ b/test/platform_stop_turns.py
@@ -64,15 +64,19 @@
     time.sleep(2)  # the team's bucket fills
 
 
+def stop_while_waiting(h, drain_ms):
+    """Stops a node while requests wait for their team's turn."""
+    start_entry(h, drain_ms)
+    charges = Charges(h)
+    time.sleep(0.2)
+    stop.stop_entry(h)
+    return charges.wait()
+
 
 # Guards against a node that takes itself for idle while requests wait for
 # their team's turn, and closes their connections.
 def check_turn_before_the_end(h):
-    start_entry(h, 3000)
-    charges = Charges(h)
-    time.sleep(0.2)
-    stop.stop_entry(h)
-    results = charges.wait()
+    results = stop_while_waiting(h, 3000)
     expect([r[0] for r in results] == [200] * CALLERS,
            "requests whose turn comes before the node ends are served: %s" %
            results)
@@ -81,11 +85,7 @@
 # Guards against requests that are held until the end though their turn comes
 # too late.
 def check_turn_after_the_end(h):
-    start_entry(h, 300)
-    charges = Charges(h)
-    time.sleep(0.2)
-    stop.stop_entry(h)
-    results = charges.wait()
+    results = stop_while_waiting(h, 300)
     late = [r for r in results if r[0] != 200]
     expect(late and all(r[0] == 503 and float(r[1] or 0) > 0 and
                         r[2] < TARGET_OF_REFUSALS_S for r in late),
