Bound what the framing of messages brings

What callers saw: a peer that sends the line of a chunk or a trailer that doesn't end takes the memory of a node, and with it all that the node has at work.

Cause: a parser bounds head and body; what it can't read yet stays in the buffer of the connection, which had no bound. The limits were set by hand at each place that reads.

Change: apply_limits() sets the limits of a message on the parser and on the buffer, everywhere; lines of chunks and trailers have the limit of the head. One event names the side, the part, the limit and the bytes held. Calls between nodes are bounded by message size.

--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -52,6 +52,7 @@
     knee_changed = 1043,
     work_moved = 1045,
     hedge_decided = 1046,
+    message_too_long = 1047,
     worker_ejected = 2001,
     worker_returned = 2002,
     ejection_held_by_floor = 2003,
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -2,6 +2,7 @@
 #include "http/http_client.hpp"
 
 #include "http/arriving_body.hpp"
+#include "http/message_limits.hpp"
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -17,7 +18,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-constexpr std::uint64_t max_body_bytes = 64 << 20;
+constexpr message_limits limits{65536, 64 << 20};
 
 /// Runs one asynchronous operation to completion; the stream's timer bounds it.
 template <typename Start>
@@ -74,9 +75,9 @@
     if (!run_operation(
             ctx, [&](auto done) { http::async_write(stream, message, done); }))
         return std::nullopt;
-    beast::flat_buffer buf;
+    beast::flat_buffer buf(limits.head_bytes);
     http::response_parser<arriving_body> parser;
-    parser.body_limit(max_body_bytes);
+    apply_limits(parser, buf, limits);
     if (!run_operation(ctx, [&](auto done) {
             http::async_read(stream, buf, parser, done);
         }))
--- a/src/node/admin_server.cpp
+++ b/src/node/admin_server.cpp
@@ -125,9 +125,10 @@
     if (ec)
         return;
     const bool loopback = from.address().is_loopback();
-    serve_http(stream, y, [&](const string_request& q) {
-        return handle_request(n, q, loopback);
-    });
+    serve_http(n, message_side::administration, stream, y,
+               [&](const string_request& q) {
+                   return handle_request(n, q, loopback);
+               });
 }
 
 } // namespace jasminetray
--- a/src/node/caller_read.cpp
+++ b/src/node/caller_read.cpp
@@ -40,6 +40,8 @@
     if (ec == http::error::header_limit)
         return bad_request(http::status::request_header_fields_too_large,
                            "head-too-large");
+    if (ec == http::error::buffer_overflow)
+        return bad_request(http::status::bad_request, "framing-too-long");
     if (ec == http::error::body_limit)
         return bad_request(http::status::payload_too_large, "body-too-large");
     if (ec == boost::system::errc::not_enough_memory)
@@ -147,10 +149,12 @@
     if (parser.is_done())
         return std::nullopt;
     const step_timeout timer(stream, body_timeout);
+    head_fields head(parser);
     if (n.bodies.limit == 0)
         http::async_read(stream, buf, parser, y[ec]);
     while (!ec && !parser.is_done() && !is_large(n, parser))
         http::async_read_some(stream, buf, parser, y[ec]);
+    head.drop_trailer(parser);
     if (timer.expired())
         return bad_request(http::status::request_timeout, "slow-body");
     return std::nullopt;
@@ -196,15 +200,16 @@
     r.open.emplace(n);
     const auto owner = std::make_shared<request_parser>();
     auto& parser = *owner;
-    parser.header_limit(static_cast<std::uint32_t>(
-        std::min(limits.header_bytes, max_head_bytes)));
-    const auto max_body = static_cast<std::uint64_t>(limits.body_bytes);
-    parser.body_limit(max_body);
+    const message_limits most{static_cast<std::uint32_t>(std::min(
+                                  limits.header_bytes, max_head_bytes)),
+                              static_cast<std::uint64_t>(limits.body_bytes)};
+    apply_limits(parser, buf, most);
     stream.expires_never();
     beast::error_code ec;
     r.refused = read_head(n, stream, buf, parser, limits.header_us, ec, y);
     if (!ec && !r.refused && !is_large(n, parser))
         r.refused = read_body(n, stream, buf, parser, ec, y);
+    log_too_long(n, message_side::caller, ec, most, buf);
     if (r.refused)
         return r;
     if (ec) {
@@ -212,7 +217,7 @@
         return r;
     }
     if (is_large(n, parser))
-        begin_upload(n, link, owner, max_body, r);
+        begin_upload(n, link, owner, *most.body_bytes, r);
     else
         r.message = parser.release();
     if (r.message)
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -330,8 +330,7 @@
         return *failed;
     if (!ec && !t.parser) {
         t.parser = std::make_unique<response_parser>();
-        t.parser->body_limit(boost::none);
-        t.parser->header_limit(max_hop_answer_head);
+        apply_limits(*t.parser, t.connection->buf, hop_answer_limits);
         if (r.message.method() == http::verb::head)
             t.parser->skip(true);
     }
@@ -340,6 +339,8 @@
             read_buffered(*t.connection, *t.parser,
                           static_cast<std::size_t>(n.settings.max_buffered), y);
     if (ec) {
+        log_too_long(n, message_side::node, ec, hop_answer_limits,
+                     t.connection->buf);
         if (!t.cancelled)
             record_path_result(n, t.exit, true);
         return {attempt_event_kind::lost, "exit-lost"};
--- a/src/node/entry_upload.cpp
+++ b/src/node/entry_upload.cpp
@@ -92,6 +92,9 @@
                                 const beast::error_code& ec)
 {
     auto& u = *r.upload;
+    log_too_long(r.n, message_side::caller, ec,
+                 {static_cast<std::uint32_t>(u.link->buf.max_size()), u.limit},
+                 u.link->buf);
     if (end == relay_end::source_slow) {
         u.failed = http::status::request_timeout;
         return "slow-body";
@@ -146,11 +149,12 @@
     beast::error_code ec;
     send_streamed_head(*t.connection, head, *r.upload->parser, ec, y);
     auto answer = std::make_unique<response_parser>();
-    answer->body_limit(boost::none);
-    answer->header_limit(max_hop_answer_head);
+    apply_limits(*answer, t.connection->buf, hop_answer_limits);
     if (!ec)
         http::async_read_header(t.connection->stream, t.connection->buf,
                                 *answer, y[ec]);
+    log_too_long(r.n, message_side::node, ec, hop_answer_limits,
+                 t.connection->buf);
     if (ec) {
         // Without a byte of the body the exit node starts nothing. Its slot is
         // free once the connection closes.
--- a/src/node/entry_upload.hpp
+++ b/src/node/entry_upload.hpp
@@ -22,7 +22,8 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buf; ///< bytes read but not parsed yet
+    /// Bytes read but not parsed yet; each request sets its own bound.
+    beast::flat_buffer buf{static_cast<std::size_t>(max_head_bytes)};
 };
 
 /// Body that its caller is still sending.
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -513,13 +513,14 @@
 void serve_exit_connection(node_state& n, beast::tcp_stream stream,
                            const yield& y)
 {
-    beast::flat_buffer buf;
+    const message_limits limits{
+        max_hop_head, static_cast<std::uint64_t>(n.settings.max_body)};
+    beast::flat_buffer buf(limits.head_bytes);
     const bool takes_streams = n.bodies.limit > 0;
     bool alive = true;
     while (alive) {
         request_parser parser;
-        parser.header_limit(max_hop_head);
-        parser.body_limit(static_cast<std::uint64_t>(n.settings.max_body));
+        apply_limits(parser, buf, limits);
         stream.expires_after(
             std::chrono::microseconds(connection_idle_timeout));
         beast::error_code ec;
@@ -531,6 +532,7 @@
         }
         if (!ec)
             http::async_read(stream, buf, parser, y[ec]);
+        log_too_long(n, message_side::node, ec, limits, buf);
         if (ec)
             break;
         stream.expires_never();
--- a/src/node/hosted_worker.cpp
+++ b/src/node/hosted_worker.cpp
@@ -226,11 +226,15 @@
     q.keep_alive(false);
     if (!ec)
         http::async_write(link.stream, q, y[ec]);
-    string_response r;
+    response_parser parser;
+    apply_limits(parser, link.buf, health_answer_limits);
     if (!ec)
-        http::async_read(link.stream, link.buf, r, y[ec]);
+        http::async_read(link.stream, link.buf, parser, y[ec]);
+    log_too_long(n, message_side::backend_server, ec, health_answer_limits,
+                 link.buf);
     if (ec)
         return p;
+    const auto& r = parser.get();
     p.reached = true;
     p.healthy = r.result() == http::status::ok;
     p.name = header_value(r, n.dialect.worker);
--- a/src/node/http_func.cpp
+++ b/src/node/http_func.cpp
@@ -101,8 +101,12 @@
 {
     beast::error_code ec;
     http::async_read_header(connection.stream, connection.buf, parser, y[ec]);
+    if (ec)
+        return ec;
+    head_fields head(parser);
     while (!ec && !parser.is_done() && parser.get().body().size() <= max_body)
         http::async_read_some(connection.stream, connection.buf, parser, y[ec]);
+    head.drop_trailer(parser);
     return ec;
 }
 
--- a/src/node/http_func.hpp
+++ b/src/node/http_func.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/memory_reserve.hpp"
-#include "node/http_type.hpp"
+#include "node/message_side.hpp"
 
 #include <optional>
 
@@ -32,18 +32,20 @@
 /// Serves small requests on a connection until it closes.
 /// @param answer returns the response to a request
 template <typename Answer>
-void serve_http(beast::tcp_stream& stream, const yield& y, Answer answer)
+void serve_http(node_state& n, message_side side, beast::tcp_stream& stream,
+                const yield& y, Answer answer)
 {
-    constexpr std::uint64_t max_request = 65536;
+    constexpr message_limits limits{8192, 65536};
     constexpr std::chrono::seconds idle_timeout(60);
-    beast::flat_buffer buf;
+    beast::flat_buffer buf(limits.head_bytes);
     bool keep = true;
     while (keep) {
         request_parser parser;
-        parser.body_limit(max_request);
+        apply_limits(parser, buf, limits);
         stream.expires_after(idle_timeout);
         beast::error_code ec;
         http::async_read(stream, buf, parser, y[ec]);
+        log_too_long(n, side, ec, limits, buf);
         if (ec)
             break;
         string_response r = answer(parser.get());
@@ -79,8 +81,8 @@
 /// Removes hop-by-hop header fields and the field between nodes.
 void strip_hop_fields(http::fields& f);
 
-/// Reads an answer until it is complete or its body exceeds `max_body` bytes;
-/// parser.is_done() distinguishes the two.
+/// Reads an answer until it is complete, without its trailer, or its body
+/// exceeds `max_body` bytes; parser.is_done() distinguishes the two.
 beast::error_code read_buffered(http_connection& connection,
                                 response_parser& parser, std::size_t max_body,
                                 const yield& y);
--- a/src/node/http_type.hpp
+++ b/src/node/http_type.hpp
@@ -5,6 +5,7 @@
 #include "base/id_type.hpp"
 #include "base/time_type.hpp"
 #include "http/arriving_body.hpp"
+#include "http/message_limits.hpp"
 #include "node/hop_type.hpp"
 
 #include <boost/asio/detached.hpp>
@@ -64,6 +65,15 @@
 inline constexpr std::uint32_t max_hop_answer_head =
     max_answer_head + 4096; // bytes
 
+/// Limits of answers. Whoever reads one holds no more of its body than it has
+/// room for.
+inline constexpr message_limits answer_limits{max_answer_head, std::nullopt};
+inline constexpr message_limits hop_answer_limits{max_hop_answer_head,
+                                                  std::nullopt};
+
+/// Limits of answers to health probes, of which only the head matters.
+inline constexpr message_limits health_answer_limits{max_answer_head, 65536};
+
 /// A connection that carries one request at a time.
 struct http_connection
 {
@@ -72,7 +82,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buf;
+    beast::flat_buffer buf{max_hop_answer_head}; ///< bytes not parsed yet
     mono_us last_used = 0; ///< when its last exchange ended
     bool used = false;     ///< carried a request before
 };
--- a/src/node/peer_request.cpp
+++ b/src/node/peer_request.cpp
@@ -8,10 +8,12 @@
 
 namespace {
 
-std::optional<std::string> exchange_messages(http_connection& link,
-                                             const char* path,
-                                             const std::string& text,
-                                             mono_us deadline, const yield& y)
+/// A small answer in one field.
+constexpr message_limits reply_limits{8192, 0};
+
+std::optional<std::string>
+exchange_messages(node_state& n, http_connection& link, const char* path,
+                  const std::string& text, mono_us deadline, const yield& y)
 {
     http::request<http::empty_body> q(http::verb::get, path, 11);
     q.set(hop_header, text);
@@ -20,12 +22,14 @@
         std::chrono::microseconds(std::max<span_us>(1, deadline - mono_now())));
     beast::error_code ec;
     http::async_write(link.stream, q, y[ec]);
-    string_response m;
+    response_parser parser;
+    apply_limits(parser, link.buf, reply_limits);
     if (!ec)
-        http::async_read(link.stream, link.buf, m, y[ec]);
+        http::async_read(link.stream, link.buf, parser, y[ec]);
+    log_too_long(n, message_side::node, ec, reply_limits, link.buf);
     if (ec)
         return std::nullopt;
-    return header_value(m, hop_header);
+    return header_value(parser.get(), hop_header);
 }
 
 } // namespace
@@ -37,11 +41,11 @@
 {
     auto link = take_idle_connection(n.exit_connections[to],
                                      mono_now() - exit_idle_timeout);
-    auto answer = link ? exchange_messages(*link, path, text(), deadline, y)
+    auto answer = link ? exchange_messages(n, *link, path, text(), deadline, y)
                        : std::nullopt;
     if (!answer && mono_now() < deadline) {
         link = connect_exit(n, at, deadline, y);
-        answer = link ? exchange_messages(*link, path, text(), deadline, y)
+        answer = link ? exchange_messages(n, *link, path, text(), deadline, y)
                       : std::nullopt;
     }
     if (answer)
--- a/src/node/worker_request.cpp
+++ b/src/node/worker_request.cpp
@@ -227,8 +227,7 @@
     beast::error_code ec;
     for (int k = 0; k < max_duplicate_answers; ++k) {
         a.parser = std::make_unique<response_parser>();
-        a.parser->body_limit(boost::none);
-        a.parser->header_limit(max_answer_head);
+        apply_limits(*a.parser, a.link->buf, answer_limits);
         a.parser->skip(head_only);
         ec =
             read_buffered(*a.link, *a.parser,
@@ -321,7 +320,10 @@
     a.reason = caller_left ? "caller-left"
                : written   ? "worker-silent"
                            : "worker-write";
-    a.closed_by_worker = !caller_left && ec != beast::error::timeout;
+    a.closed_by_worker =
+        !caller_left && ec != beast::error::timeout && !exceeds_limit(ec);
+    log_too_long(n, message_side::backend_server, ec, answer_limits,
+                 a.link->buf);
     if (ec == http::error::header_limit) {
         // The backend server works, but its answer can't be passed on.
         a.closed_by_worker = false;
--- a/src/rpc/peer_rpc.cpp
+++ b/src/rpc/peer_rpc.cpp
@@ -19,6 +19,19 @@
 constexpr std::uint8_t no_revoke_reply = 255;
 constexpr std::chrono::milliseconds restart_delay(100);
 
+/// Largest message, in bytes. The library takes memory for a message as soon as
+/// its length is known. Requests are ids and queries; answers are chunks of the
+/// configuration and the results of queries.
+constexpr std::uint64_t max_call_bytes = 65536;
+constexpr std::uint64_t max_result_bytes = 8 << 20;
+
+capnp::ReaderOptions message_options(std::uint64_t bytes)
+{
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = bytes / sizeof(capnp::word);
+    return options;
+}
+
 class peer_service_impl final : public wire::Peer::Server
 {
 public:
@@ -80,7 +93,8 @@
         return result;
     // EzRpcClient throws when the connection fails.
     const auto failed = kj::runCatchingExceptions([&] {
-        capnp::EzRpcClient client(to_dotted_decimal(ip), port);
+        capnp::EzRpcClient client(to_dotted_decimal(ip), port,
+                                  message_options(max_result_bytes));
         auto peer = client.getMain<wire::Peer>();
         auto& timer = client.getIoProvider().getTimer();
         result = timer.timeoutAfter(timeout * kj::MICROSECONDS, call(peer))
@@ -116,7 +130,7 @@
     bool listened = false;
     const auto failed = kj::runCatchingExceptions([&] {
         capnp::EzRpcServer rpc_server(kj::heap<peer_service_impl>(handlers), ip,
-                                      port);
+                                      port, message_options(max_call_bytes));
         auto& scope = rpc_server.getWaitScope();
         const auto bound =
             static_cast<std::uint16_t>(rpc_server.getPort().wait(scope));
--- a/test/platform_bytes.py
+++ b/test/platform_bytes.py
@@ -20,12 +20,12 @@
             % (request, "".join(f + "\r\n" for f in fields))).encode()
 
 
-def start(f, nodes=2, limits=None, timeout=3):
+def start(f, nodes=2, limits=None, timeout=3, extra=()):
     f.start_platform()
     h = hosted.Hosted(f)
     for k in range(nodes):
         h.start_node("n%d" % k, "billing",
-                     extra=["limits.most_body=67108864"])
+                     extra=["limits.most_body=67108864", *extra])
     rules = [hosted.route("read", "/read/", "billing", timeout=timeout),
              hosted.route("charge", "/charge/", "billing", "non_idempotent",
                           timeout=timeout)]
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -100,6 +100,7 @@
         self.padding = 0  # bytes added to each answer
         self.cut_after = None  # bytes of an answer's body before it breaks off
         self.notices_in_health = True
+        self.flood_health, self.health_floods = False, 0
         self.said = []  # (time, notices) whenever answers named other ones
         self.connections = set()
         self.born = int(time.time() * 1000)
@@ -151,6 +152,8 @@
                     return None
                 load = {"X-Server-Load": "%d,0,%d" % (worker.running,
                                                       worker.slots)}
+                if self.path == "/up" and worker.flood_health:
+                    return worker.flood(self)
                 if self.path == "/up":
                     healthy = worker.state == "ready"
                     return self.reply(200 if healthy else 503, {
@@ -224,6 +227,19 @@
         seconds = self.durations.get(request, self.work_s)
         time.sleep(seconds * (COLD_FACTOR if self.cold_left_s() else 1))
 
+    def flood(self, handler):
+        """Answers with the line of a chunk that doesn't end."""
+        handler.close_connection = True
+        try:
+            handler.wfile.write(b"HTTP/1.1 200 OK\r\nX-Instance-Id: " +
+                                self.name.encode() +
+                                b"\r\nTransfer-Encoding: chunked\r\n\r\n1;")
+            for _ in range(400):
+                handler.wfile.write(b"x" * (1 << 20))
+        except OSError:
+            pass  # closed by the node
+        self.health_floods += 1
+
     def call(self, method, body=None):
         request = urllib.request.Request(
             "http://%s/api/instances/%s" % (self.control, self.name),
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -17,6 +17,7 @@
                          "numbers"),
     "fuzz_freshness": ("uptime", "sent", "version"),
     "fuzz_answer": ("echo", "refusal"),
+    "fuzz_framing": ("head", "body", "buffer", "trailer"),
 }
 SAFEGUARD_SEQUENCES = 400000
 
