Skip interim answers of backend servers

What callers saw: of a backend server that sends 103 before its answer, they got the 103 as the answer, and no other: 2 of 2 charges, which ran.

Cause: the parser takes a 1xx answer for a whole message without a body, and as it bears the request's id the exit side took it for the answer.

Change: the exit side skips up to eight interim answers of a request; with more the attempt is lost. Ruled out: 100, as Expect isn't passed on.

Before: platform_bytes interim: [103, 103] after 1, 3 and 1,000 interim answers. After: [200, 200], [200, 200], [504, 504].

--- a/src/node/worker_request.cpp
+++ b/src/node/worker_request.cpp
@@ -216,22 +216,36 @@
         it->second.sends_bare_refusals = true;
 }
 
+/// Returns whether an answer only announces the final one. It isn't passed on:
+/// the caller's next bytes may be another backend server's answer.
+bool is_interim(const response_parser& parser)
+{
+    return parser.get().result_int() / 100 == 1;
+}
+
 /// Reads an answer up to the number of bytes that are held in memory. Answers
-/// that belong to earlier requests or to none are skipped; the current
-/// request's own limits bound the wait for its answer.
+/// that belong to earlier requests or to none are skipped, and interim ones;
+/// the current request's own limits bound the wait for its answer.
 beast::error_code read_answer(node_state& n, const expected_answer& f,
                               worker_exchange& a, bool head_only,
                               const yield& y)
 {
     constexpr int max_duplicate_answers = 4;
+    constexpr int max_interim_answers = 8;
+    int interim = 0;
     beast::error_code ec;
-    for (int k = 0; k < max_duplicate_answers; ++k) {
+    for (int k = 0; k < max_duplicate_answers + interim; ++k) {
         a.parser = std::make_unique<response_parser>();
         apply_limits(*a.parser, a.link->buf, answer_limits);
         a.parser->skip(head_only);
         ec =
             read_buffered(*a.link, *a.parser,
                           static_cast<std::size_t>(n.settings.max_buffered), y);
+        if (!ec && is_interim(*a.parser)) {
+            if (++interim > max_interim_answers)
+                return http::error::bad_status;
+            continue;
+        }
         if (!ec)
             note_bare_refusal(n, f, a.parser->get());
         if (ec || !is_stray(n, f, a))
--- a/test/platform_bytes.py
+++ b/test/platform_bytes.py
@@ -220,9 +220,36 @@
                (size, wanted, got))
 
 
+# Guards against an interim answer (1xx) that is taken for the answer itself.
+def check_interim(f):
+    h = start(f)
+
+    def answer(count):
+        def write(handler, request):
+            text = ("%s by x" % request).encode()
+            for _ in range(count):
+                handler.wfile.write(("HTTP/1.1 103 Early Hints\r\nX-Attempt-Id: "
+                                     "%s\r\n\r\n" % request).encode())
+            handler.wfile.write(head(request, "Content-Length: %d" % len(text))
+                                + text)
+            return True
+        return write
+
+    for count, wanted in ((1, 200), (3, 200), (1000, 504)):
+        for w in h.workers.values():
+            w.spoil = answer(count)
+        got = [ask_or_closed(h, n, "/charge/", "POST") for n in h.nodes]
+        expect(got == [wanted] * 2, "charges after %d interim answers: %s" %
+               (count, got))
+    for w in h.workers.values():
+        w.spoil = None
+    expect(all(wait_for(lambda n=n: ask_or_closed(h, n, "/read/") == 200)
+               for n in h.nodes), "and serve")
+
+
 CHECKS = {"length": check_length, "memory": check_memory,
           "refusal": check_refusal, "silence": check_silence,
-          "heads": check_heads}
+          "heads": check_heads, "interim": check_interim}
 
 
 if __name__ == "__main__":
