Be ready only when each service can be found

What callers saw: a restarted node that said ready before it had found its own backend server, the only one of its service, answered 503 no-worker.

Cause: readiness asked for any service with a known backend server. Change: for one of each service in the configuration; 3 s after the start (two check-ins) for any, so that a service that has none keeps no node from serving the others.

--- a/src/node/node_state.cpp
+++ b/src/node/node_state.cpp
@@ -50,6 +50,19 @@
     return r;
 }
 
+/// How long after its start a node waits to know a backend server of each
+/// service. Covers two check-ins; one that has none then has none anywhere.
+constexpr span_us service_wait = 3 * us_per_s;
+
+bool knows_all_services(const node_state& n)
+{
+    const auto& services = n.config->services;
+    return std::all_of(services.begin(), services.end(), [&n](const auto& c) {
+        const auto it = n.view.services.find(service_of(c.name));
+        return it != n.view.services.end() && !it->second.candidates.empty();
+    });
+}
+
 } // namespace
 
 int percent_of(double share)
@@ -60,8 +73,10 @@
 
 bool is_ready(const node_state& n)
 {
-    return n.config != nullptr && !n.view.services.empty() && !n.stopping &&
-           n.config_proven;
+    if (n.config == nullptr || n.view.services.empty() || n.stopping ||
+        !n.config_proven)
+        return false;
+    return mono_now() - n.started_at >= service_wait || knows_all_services(n);
 }
 
 centre_id scope_centre(const node_state& n, std::uint32_t scope)
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -255,9 +255,9 @@
 /// Returns a share of 1 as rounded percent.
 int percent_of(double share);
 
-/// Returns whether the node can serve callers: it is not stopping, and has a
-/// configuration in force that is fresh enough and at least one service with a
-/// known backend server.
+/// Returns whether the node can serve callers: it is not stopping, has a
+/// configuration in force that is fresh enough, and knows a backend server of
+/// each service; some time after its start, of one.
 bool is_ready(const node_state& n);
 
 /// Returns the data centre of an ejection's scope; 0 for all.
