--- a/src/node/http_type.hpp
+++ b/src/node/http_type.hpp
@@ -72,7 +72,7 @@
                                                   std::nullopt};
 
 /// Limits of answers to health probes, of which only the head matters.
-inline constexpr message_limits health_answer_limits{max_answer_head, 65536};
+inline constexpr message_limits health_answer_limits{max_answer_head, 1 << 20};
 
 /// A connection that carries one request at a time.
 struct http_connection
