Drop the trailers of health answers

What callers saw: a backend server whose health answer names Server-Leaving in its trailer was drained; with the other one of its service full, reads got 503.

Cause: as for answers, the fields of a trailer passed for fields of the head. Change: health answers are read by the function that drops them.

Before: platform_framing probe_trailer, 'it serves on' failed. After: it passes.

--- a/src/node/hosted_worker.cpp
+++ b/src/node/hosted_worker.cpp
@@ -229,7 +229,7 @@
     response_parser parser;
     apply_limits(parser, link.buf, health_answer_limits);
     if (!ec)
-        http::async_read(link.stream, link.buf, parser, y[ec]);
+        ec = read_buffered(link, parser, *health_answer_limits.body_bytes, y);
     log_too_long(n, message_side::backend_server, ec, health_answer_limits,
                  link.buf);
     if (ec)
--- a/test/platform_framing.py
+++ b/test/platform_framing.py
@@ -232,6 +232,21 @@
            seen[0][4] == b"x", "without the trailer")
 
 
+# Guards against the same in a health answer.
+def check_probe_trailer(f):
+    h = start(f)
+    worker, node = h.workers["w0"], h.f.nodes["n0"]
+    worker.health_trailer = "Server-Leaving: 1\r\n"
+    worker.muted = True
+    node.send(hosted.signal.SIGKILL)
+    node.popen.wait()
+    h.start_node("n0", "billing")
+    expect(wait_for(lambda: h.ready("n0")), "its node is ready")
+    h.workers["w1"].mode = "shed"
+    expect(wait_for(lambda: ask_or_closed(h, "n0", "/read/") == 200, 5),
+           "it serves on")
+
+
 # Guards against a health answer that never ends.
 def check_health(f):
     h = start(f)
@@ -296,7 +311,7 @@
 CHECKS = {"callers": check_callers, "streamed": check_streamed,
           "kept": check_kept, "ports": check_ports, "calls": check_calls,
           "datagrams": check_datagrams, "answers": check_answers, "trailers": check_trailers,
-          "health": check_health, "store": check_store,
+          "probe_trailer": check_probe_trailer, "health": check_health, "store": check_store,
           "together": check_together}
 
 
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -101,6 +101,7 @@
         self.cut_after = None  # bytes of an answer's body before it breaks off
         self.notices_in_health = True
         self.flood_health, self.health_floods = False, 0
+        self.health_trailer = ""  # fields after the body of a health answer
         self.said = []  # (time, notices) whenever answers named other ones
         self.connections = set()
         self.born = int(time.time() * 1000)
@@ -154,6 +155,8 @@
                                                       worker.slots)}
                 if self.path == "/up" and worker.flood_health:
                     return worker.flood(self)
+                if self.path == "/up" and worker.health_trailer:
+                    return worker.reply_with_trailer(self)
                 if self.path == "/up":
                     healthy = worker.state == "ready"
                     return self.reply(200 if healthy else 503, {
@@ -240,6 +243,12 @@
             pass  # closed by the node
         self.health_floods += 1
 
+    def reply_with_trailer(self, handler):
+        handler.wfile.write(("HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n"
+                             "2\r\nok\r\n0\r\n%s\r\n" % (
+                                 self.name, self.health_trailer)).encode())
+
     def call(self, method, body=None):
         request = urllib.request.Request(
             "http://%s/api/instances/%s" % (self.control, self.name),
