--- a/test/platform_framing.py
+++ b/test/platform_framing.py
@@ -78,8 +78,8 @@
         expect(got == b"" or got.startswith(b"HTTP/1.1 400"),
                "a caller's %s is refused: %s" % (what, got[:40]))
         expect_bounded(h, "a caller's " + what)
-    expect("side=caller" in log_of(h, "n0") and EVENT in log_of(h, "n0"),
-           "and logged")
+    expect(wait_for(lambda: EVENT in log_of(h, "n0") and
+                    "side=caller" in log_of(h, "n0")), "and logged")
 
 
 # Guards against a caller whose chunk line or trailer never ends and takes the
@@ -140,9 +140,9 @@
         flood(h.nodes["n0"][port],
               request("PUT", path) + b"1\r\nx\r\n0\r\n", FIELD)
         expect_bounded(h, "a trailer at port " + port)
-    log = log_of(h, "n0")
     for side in ("node", "platform"):
-        expect("side=" + side in log, "side=%s is logged" % side)
+        expect(wait_for(lambda s=side: "side=" + s in log_of(h, "n0")),
+               "side=%s is logged" % side)
 
 
 # Guards against a message of another node that names a size far beyond any call.
@@ -200,7 +200,8 @@
         for w in h.workers.values():
             w.spoil = None
         expect_bounded(h, "an answer's " + what)
-    expect(any("side=backend-server" in log_of(h, n) for n in h.nodes), "and logged")
+    expect(wait_for(lambda: any("side=backend-server" in log_of(h, n)
+                                for n in h.nodes)), "and logged")
 
 
 # Guards against trailer fields that pass for fields of the head.
