--- a/src/balance/placement_func.cpp
+++ b/src/balance/placement_func.cpp
@@ -58,17 +58,6 @@
                stale_share * b.estimate.unhealthy_share;
 }
 
-/// Returns whether a suspect or ejected candidate is idle and its last failure
-/// so long ago that idempotent work finds out whether it is well again.
-bool may_have_recovered(const candidate& c, const placement_policy& p,
-                        const balance_policy& b, mono_us now)
-{
-    return p.recovered_share > 0 && (c.probe_only || c.estimate.suspect) &&
-           c.load <= 0 && c.in_flight == 0 && !would_refuse(c, p, now) &&
-           estimate_failure_probability(c.estimate, b.estimate, now) <
-               b.estimate.idempotent_threshold;
-}
-
 bool is_cold(const candidate& c, const placement_policy& p, mono_us now)
 {
     return p.cold_starts && now < c.cold_until;
@@ -138,7 +127,6 @@
 {
     std::vector<std::size_t> idle;
     std::vector<std::size_t> unproven;
-    std::vector<std::size_t> recovered;
     std::vector<std::size_t> cold;
     for (const auto n : considered) {
         const auto& c = all[n];
@@ -149,8 +137,6 @@
                 cold.push_back(n);
         } else if (is_idle(c, b, now))
             idle.push_back(n);
-        else if (may_have_recovered(c, p, b, now))
-            recovered.push_back(n);
         else if (wants_probe(c, b, now))
             unproven.push_back(n);
     }
@@ -159,14 +145,6 @@
             p.probe_share_per_candidate * static_cast<double>(targets.size());
         return std::clamp(by_count, lowest, p.max_probe_share);
     };
-    if ((r.idempotent || r.retryable) && !recovered.empty()) {
-        const double share =
-            std::min(p.max_recovered_share,
-                     p.recovered_share * static_cast<double>(recovered.size()));
-        const auto c = draw_for(recovered, random_unit(rng), share, rng);
-        if (c)
-            return c;
-    }
     const double draw = random_unit(rng);
     // Idle candidates are trusted, so that no retry is needed to use them.
     if (r.idempotent || r.retryable) {
--- a/src/balance/placement_type.hpp
+++ b/src/balance/placement_type.hpp
@@ -50,11 +50,6 @@
     /// a release, half of a service may be without recent successes.
     double probe_share_per_candidate = 0.06;
     double max_probe_share = 0.5;
-    /// Share of idempotent work, retryable or not, sent to each near candidate
-    /// that may be well again, and to all of them. Else only nodes with retries
-    /// left would find out.
-    double recovered_share = 0.3;
-    double max_recovered_share = 0.9;
     /// Min share of idempotent work sent to near trusted candidates that are
     /// idle.
     double idle_share = 0.2;
--- a/src/config/mechanism_type.hpp
+++ b/src/config/mechanism_type.hpp
@@ -40,16 +40,15 @@
     move_waiting,        ///< offer late queued work to other gates
     learned_hedges,      ///< hedge by what hedges were worth lately
     speeds,              ///< place by the speeds of backend servers
-    recovery_probes,     ///< try suspects again with any idempotent work
 };
 
-inline constexpr std::array<std::string_view, 24> mechanism_names = {
+inline constexpr std::array<std::string_view, 23> mechanism_names = {
     "doubt",           "quick-probe",     "last-resort",   "late-forecast",
     "short-first",     "placing",         "probe-work",    "refusal-memory",
     "load-news",       "retries",         "path-guard",    "verdicts",
     "survival",        "allowance-homes", "quarantine",    "start-limits",
     "leaving-answers", "cold-starts",     "carried-bytes", "fair-queues",
-    "move-waiting",    "learned-hedges",  "speeds",        "recovery-probes"};
+    "move-waiting",    "learned-hedges",  "speeds"};
 
 using mechanism_set = std::bitset<mechanism_names.size()>;
 
--- a/src/gate/gate_admit.cpp
+++ b/src/gate/gate_admit.cpp
@@ -45,9 +45,8 @@
 }
 
 /// Returns whether a suspect backend server refuses the work, so that it is
-/// retried elsewhere. Retryable work is admitted at intervals as probe traffic;
-/// as the failure probability decays, first all idempotent work is and then
-/// any.
+/// retried elsewhere. Idempotent work is admitted at intervals as probe
+/// traffic; once the failure probability has decayed, any work is.
 bool is_held_back(const gate& g, const gate_worker& w, const gate_request& r,
                   mono_us now)
 {
@@ -59,10 +58,9 @@
     // does no harm. A suspect answers about one request in seven.
     if (r.is_fallback && r.idempotent)
         return false;
-    const double unhealthy = estimate_failure_probability(w.estimate, p, now);
     const bool may =
-        r.may_probe || unhealthy < (r.idempotent ? p.idempotent_threshold
-                                                 : p.any_work_threshold);
+        r.may_probe ||
+        estimate_failure_probability(w.estimate, p, now) < p.any_work_threshold;
     return !may || now < w.estimate.probe_at;
 }
 
--- a/src/node/experiment_func.cpp
+++ b/src/node/experiment_func.cpp
@@ -33,10 +33,6 @@
         n.placing.probe_share = 0;
         n.placing.probe_share_per_candidate = 0;
     }
-    if (!e.is_enabled(mechanism::recovery_probes)) {
-        n.placing.recovered_share = 0;
-        gate.estimate.idempotent_threshold = gate.estimate.any_work_threshold;
-    }
     n.placing.cold_starts = e.is_enabled(mechanism::cold_starts);
     if (!e.is_enabled(mechanism::refusal_memory))
         n.placing.refusal_memory = 0;
--- a/src/outlier/estimate_type.hpp
+++ b/src/outlier/estimate_type.hpp
@@ -27,9 +27,6 @@
     /// idempotent work would otherwise never detect the recovery. One failure
     /// decays to it in 10 s, longer than most failure phases.
     double any_work_threshold = 0.4;
-    /// The same for idempotent work, which a failure does no harm. One failure
-    /// decays to it in 1.3 s.
-    double idempotent_threshold = 0.72;
     span_us probe_every = us_per_s / 2; ///< interval of probes of a suspect
     /// Time within which a fast failure ends. A probe that outlives it lets
     /// the next probe in; waiting for whole answers would keep a healthy
--- a/test/test_spread.cpp
+++ b/test/test_spread.cpp
@@ -16,8 +16,7 @@
 constexpr span_us window = 2 * us_per_s;
 constexpr std::size_t servers = 45;
 constexpr double slots = 15;
-constexpr double each_rate = 1.4;       ///< requests per second and server
-constexpr double retryable_share = 0.6; ///< of requests, if nodes have retries
+constexpr double each_rate = 1.4; ///< requests per second and server
 constexpr span_us work = 1700 * us_per_ms;
 constexpr span_us at_once = 2 * us_per_ms; ///< duration of a failure
 constexpr span_us failure_span = 7 * us_per_s;
@@ -49,7 +48,6 @@
     std::vector<simulated_server> all{servers};
     std::vector<candidate> view{servers};
     random_state rng;
-    double idempotent_share = 0; ///< of work that isn't retryable
 
     explicit simulated_service(std::uint64_t seed) : rng{seed}
     {
@@ -87,17 +85,14 @@
     }
 
     /// Returns whether the gate of a backend server admits work.
-    bool is_admitted(simulated_server& x, bool retryable, bool idempotent,
-                     mono_us now)
+    bool is_admitted(simulated_server& x, bool retryable, mono_us now)
     {
         const auto& p = balance.estimate;
         if (!estimate_withholds_work(x.estimate, p, now))
             return true;
-        const double unhealthy =
-            estimate_failure_probability(x.estimate, p, now);
         const bool may_probe =
-            retryable || unhealthy < (idempotent ? p.idempotent_threshold
-                                                 : p.any_work_threshold);
+            retryable || estimate_failure_probability(x.estimate, p, now) <
+                             p.any_work_threshold;
         return may_probe && estimate_take_probe(x.estimate, p, now);
     }
 
@@ -114,19 +109,17 @@
     /// Routes one request, at up to four gates.
     void route(mono_us now)
     {
+        constexpr double retryable_share = 0.6;
         constexpr int max_gates = 4;
-        const bool retryable =
-            idempotent_share == 0 && random_unit(rng) < retryable_share;
-        const bool idempotent =
-            idempotent_share > 0 && random_unit(rng) < idempotent_share;
+        const bool retryable = random_unit(rng) < retryable_share;
         std::vector<worker_id> tried;
         for (int k = 0; k < max_gates; ++k) {
             const auto c = choose_by_expected_loss(
-                view, placement_policy{}, balance,
-                {retryable, 4 * us_per_s, idempotent}, tried, rng, now);
+                view, placement_policy{}, balance, {retryable, 4 * us_per_s},
+                tried, rng, now);
             if (!c)
                 return;
-            if (is_admitted(all[c->index], retryable, idempotent, now))
+            if (is_admitted(all[c->index], retryable, now))
                 return run(all[c->index], now);
             tried.push_back(view[c->index].id);
         }
@@ -153,13 +146,14 @@
     }
 };
 
-constexpr span_us duration = 40 * us_per_s;
-constexpr span_us warm_up = 4 * us_per_s;
-
-void simulate(simulated_service& s)
+/// Returns the lowest share over all windows.
+double min_reached(std::uint64_t seed)
 {
+    constexpr span_us duration = 40 * us_per_s;
+    constexpr span_us warm_up = 4 * us_per_s;
     const double share =
         each_rate * servers * static_cast<double>(step) / us_per_s;
+    simulated_service s(seed);
     mono_us updated_at = 0;
     for (mono_us now = start; now < start + duration; now += step) {
         s.end_work(now);
@@ -170,13 +164,6 @@
         if (random_unit(s.rng) < share)
             s.route(now);
     }
-}
-
-/// Returns the lowest share over all windows.
-double min_reached(std::uint64_t seed)
-{
-    simulated_service s(seed);
-    simulate(s);
     double lowest = 1;
     for (mono_us at = start + warm_up; at < start + duration - window;
          at += us_per_s)
@@ -192,43 +179,6 @@
         EXPECT_GE(min_reached(seed), min_share) << "seed " << seed;
 }
 
-/// Returns the share of backend servers that got no work in the window that
-/// follows `healthy_after` the end of a failure phase, of all that recovered.
-double share_left_out(const simulated_service& s)
-{
-    double recovered = 0;
-    double without = 0;
-    for (const auto& x : s.all) {
-        for (mono_us at = start + warm_up; at < start + duration - window;
-             at += step) {
-            const auto healthy = x.healthy_for(at);
-            if (healthy < healthy_after || healthy >= healthy_after + step)
-                continue;
-            ++recovered;
-            without += std::none_of(x.began.begin(), x.began.end(),
-                                    [at](mono_us t) {
-                                        return t >= at && t < at + window;
-                                    })
-                           ? 1
-                           : 0;
-        }
-    }
-    return without / recovered;
-}
-
-// Guards against backend servers that are well again and get no work, as only
-// nodes with retries left would try them.
-TEST(spread, recovered_server_gets_work_without_retries)
-{
-    constexpr double max_left_out = 1 - min_share;
-    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        simulated_service s(seed);
-        s.idempotent_share = retryable_share;
-        simulate(s);
-        EXPECT_LE(share_left_out(s), max_left_out) << "seed " << seed;
-    }
-}
-
 /// Returns how many of a node's reads go elsewhere before the first one goes
 /// to a backend server that has just started.
 int reads_before_new_server(bool retryable, std::uint64_t seed)
