--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -166,12 +166,13 @@
               "the retries that they may take, and the reserve that they "
               "leave to failures.",
               "None; result=allowance means that the retries are used up."},
-    event_row{event_id::message_too_long, "message_too_long",
-              "A part of a message is longer than its limit, and its connection "
-              "was closed; the line names who sent it, the part, the limit and "
-              "the bytes that were held.",
-              "Find the sender; a caller's limits are those of the "
-              "configuration."},
+    event_row{
+        event_id::message_too_long, "message_too_long",
+        "A part of a message is longer than its limit, and its connection "
+        "was closed; the line names who sent it, the part, the limit and "
+        "the bytes that were held.",
+        "Find the sender; a caller's limits are those of the "
+        "configuration."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "The evidence against a backend server exceeded its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
