--- a/test/platform_framing.py
+++ b/test/platform_framing.py
@@ -311,8 +311,9 @@
 
 CHECKS = {"callers": check_callers, "streamed": check_streamed,
           "kept": check_kept, "ports": check_ports, "calls": check_calls,
-          "datagrams": check_datagrams, "answers": check_answers, "trailers": check_trailers,
-          "probe_trailer": check_probe_trailer, "health": check_health, "store": check_store,
+          "datagrams": check_datagrams, "answers": check_answers,
+          "trailers": check_trailers, "probe_trailer": check_probe_trailer,
+          "health": check_health, "store": check_store,
           "together": check_together}
 
 
