Review: two owners of one tenant's allowance (QUOTA)

A node writes its presence row once. After the store came back from a copy of before the fleet's start, no row is left and none is written again. A machine added later finds nobody, is ready, and grants each tenant's whole allowance beside the fleet's owner, for good.

--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -91,13 +91,17 @@
     def __init__(self, record):
         self.record = record
         self.rows, self.log = {}, []
-        self.version = 100
+        self.version, self.era = 100, 1
+        self.away = False
         self.changed = threading.Condition()
         store = self
 
         class Handler(Quiet):
             def send(self, status, body):
-                self.reply(status, {"Content-Type": "application/json"},
+                if store.away:
+                    raise OSError("away")
+                self.reply(status, {"Content-Type": "application/json",
+                                    "Store-Era": str(store.era)},
                            json.dumps(body).encode())
 
             def do_GET(self):
@@ -106,7 +110,7 @@
                 if u.path == "/api/rows-get":
                     return self.send(200, store.read(q))
                 if u.path == "/api/rows-feed":
-                    return self.send(200, store.feed(q))
+                    return self.send(*store.feed(q))
                 return self.send(404, {})
 
             def do_POST(self):
@@ -139,11 +143,13 @@
         after = int(q.get("after", 0))
         with self.changed:
             while True:
+                if after > self.version or self.away:
+                    return 410, {}
                 found = [r for r in self.log if r["Ver"] > after and
                          r["Table"] == q.get("Table")]
                 left = end - time.monotonic()
                 if found or left <= 0:
-                    return self.answer(found)
+                    return 200, self.answer(found)
                 self.changed.wait(left)
 
     def write(self, tx):
@@ -161,6 +167,30 @@
             self.apply(tx)
             return 200, self.answer([])
 
+    def copy(self):
+        with self.changed:
+            return dict(self.rows), list(self.log), self.version
+
+    def drill(self, copy, away_s):
+        """Is away for a moment and comes back from an older copy. What the
+        operator wrote is written again."""
+        with self.changed:
+            self.away = True
+            self.changed.notify_all()
+        self.record("store: away")
+        time.sleep(away_s)
+        with self.changed:
+            op = [r for r in self.rows.values() if r["Table"] == "op"]
+            lost = sorted(r["Key"] for r in self.rows.values()
+                          if r["Ver"] > copy[2] and r["Table"] != "op")
+            self.rows, self.log, self.version = (
+                dict(copy[0]), list(copy[1]), copy[2])
+            self.era += 1
+            self.away = False
+            self.apply({"Writes": op})
+        self.record("store: back in era %d, without what the system wrote: %s"
+                    % (self.era, ", ".join(lost)))
+
     def apply(self, tx):
         self.version += 1
         for w in tx.get("Writes", []):
