--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
-"""A check-in of another writer names a service that isn't named here. Later
-the worker of that id leaves, and its node acknowledges that."""
+"""Several users upload large bodies at once, within MaxBodyBytes. The platform
+kills a process that exceeds MemoryMb."""
 
+import http.client
 import os
 import sys
 import threading
@@ -10,65 +11,143 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import stand_ins_2 as s  # noqa: E402
 
-BURST = 6  # requests at once
-BURST_GAP_S = 4.4
+MEMORY_MB = 260
+MAX_BODY_BYTES = 67108864
+LINK_BYTES_S = 1000e6 / 8  # LinkMbps, shared by the uploads
+UPLOADS = 3
+LARGE, SMALL = 60000000, 360000  # bytes; the site's longest upload is SMALL
+CHARGES = 6
+DEADLINE_MS = 15000
+
+
+class MemoryLimit(threading.Thread):
+    """Kills the process of a machine that exceeds MemoryMb, and starts it
+    again. Counts less than the pages do: received bytes that were not yet read
+    are left out."""
+
+    def __init__(self, record, machine):
+        super().__init__(daemon=True)
+        self.record, self.machine = record, machine
+        self.most_mb, self.kills, self.over = 0, 0, False
+        self.start()
+
+    def resident_mb(self):
+        with open("/proc/%d/statm" % self.machine.process.pid) as f:
+            return int(f.read().split()[1]) * os.sysconf("SC_PAGESIZE") / 1e6
+
+    def run(self):
+        while not self.over:
+            try:
+                mb = self.resident_mb()
+            except (OSError, IndexError):
+                mb = 0
+            self.most_mb = max(self.most_mb, mb)
+            if mb > MEMORY_MB:
+                self.kills += 1
+                self.record("platform: %s has %.0f MB of %d: killed" % (
+                    self.machine.name, mb, MEMORY_MB))
+                self.machine.process.kill()
+                self.machine.process.wait()
+                time.sleep(0.3)
+                self.machine.start()
+            time.sleep(0.005)
+
+
+class KeptConnection:
+    """A requester's connection that has served a request before."""
+
+    def __init__(self, client, machine):
+        self.client, self.machine = client, machine
+        self.c = http.client.HTTPConnection(
+            machine.ip, machine.ports["Outbound"],
+            timeout=DEADLINE_MS / 1000 + 0.5)
+
+    def ask(self, path, body):
+        """Returns the request's id and its status, or an error's name."""
+        with self.client.lock:
+            self.client.count += 1
+            request = "%s%08x" % (self.client.tag, self.client.count)
+        head = {"Host": s.HOST, "X-Attempt-Id": request,
+                "X-Deadline-Ms": str(DEADLINE_MS),
+                "Content-Length": str(len(body))}
+        record = self.client.record
+        record("client: sends %s POST %s, %d bytes, to %s" % (
+            request, path, len(body), self.machine.name))
+        try:
+            self.c.putrequest("POST", path, skip_host=True,
+                              skip_accept_encoding=True)
+            for key, value in head.items():
+                self.c.putheader(key, value)
+            self.c.endheaders()
+            step = 1 << 18
+            began = time.monotonic()
+            for at in range(0, len(body), step):
+                self.c.send(body[at:at + step])
+                due = began + (at + step) * UPLOADS / LINK_BYTES_S
+                if len(body) > step:
+                    time.sleep(max(0, due - time.monotonic()))
+            r = self.c.getresponse()
+            r.read()
+            got = r.status
+        except (OSError, http.client.HTTPException) as e:
+            got = type(e).__name__
+        record("client: %s gets %s" % (request, got))
+        return request, got
 
 
 def case(record, directory, machines):
     store = s.Store(record)
-    store.put_config(s.config(7, [
-        s.route("charge", "/pay/", "billing", "non_idempotent")], ["billing"]))
-    for number in (1, 2):
-        machines.append(s.Machine(record, directory, store, number, "billing"))
+    version = s.config(7, [
+        s.route("upload", "/tickets/", "archivio", "upload", 15, 2.5),
+        s.route("book", "/book/", "consegne", "non_idempotent", 10, 1.5)],
+        ["archivio", "consegne"])
+    version["Limits"]["MaxBodyBytes"] = MAX_BODY_BYTES
+    store.put_config(version)
+    services = ["archivio", "archivio", "consegne", "consegne"]
+    for number, service in enumerate(services, 1):
+        machines.append(s.Machine(record, directory, store, number, service))
         machines[-1].start()
+    limits = [MemoryLimit(record, m) for m in machines]
     workers = [s.Worker(record, m, "i-%08x" % (0x7f3a0000 + m.number))
                for m in machines]
     if not s.wait_for(lambda: all(m.ready() for m in machines), 20):
         return None
     client = s.Client(record)
-    time.sleep(4)  # StabilityS from the start
-
-    def burst():
-        return client.ask_at_once([(m, "/pay/1", "POST")
-                                   for m in machines] * (BURST // 2))
-
-    leaving, stays = workers
-    over = threading.Event()
-
-    def other_writer():
-        born, seq = int(time.time() * 1000), 0
-        while not over.is_set():
-            seq += 1
-            status = s.check_in(leaving.machine, leaving.name, "nobody-here",
-                                born, leaving.machine.at("app"), "ready", seq,
-                                6)
-            record("another writer: check-in of %s, service nobody-here: %s" %
-                   (leaving.name, status))
-            over.wait(s.HEARTBEAT_S)
-
-    if s.trouble():
-        threading.Thread(target=other_writer, daemon=True).start()
-    for w in workers:
-        w.work_s = 0.6
-    time.sleep(3)
-    if not all(got[0] == 200 for _, got in burst()):
+    time.sleep(5)
+    front = machines[0]
+    booking = [KeptConnection(client, front) for _ in range(CHARGES)]
+    if any(k.ask("/book/0", b"x")[1] != 200 for k in booking):
+        return None
+    for w in workers[2:]:
+        w.work_s = 6
+    results, threads = [], []
+
+    def begin(connection, path, body):
+        threads.append(threading.Thread(target=lambda: results.append(
+            (path, connection.ask(path, body)))))
+        threads[-1].start()
+
+    for k in booking:
+        begin(k, "/book/1", b"x")
+    if not s.wait_for(lambda: sum(w.running for w in workers[2:]) == CHARGES,
+                      4):
         return None
-    time.sleep(1)
-    acked = leaving.drain()
-    if acked is None:
-        return True  # not acknowledged: nothing was promised
-    time.sleep(max(0, acked + 2.3 - time.monotonic()))
-    ends = threading.Timer(0.3, leaving.end)
-    ends.start()
-    results = burst()
-    ends.join()
-    over.set()
-    late = [a for a in leaving.arrivals
-            if a[0] > acked + s.BOUNDS["DrainS"]]
-    lost = [r for r, got in results if got[0] != 200]
-    record("reached the leaving worker later than DrainS after the ack: %d; "
-           "not answered by a worker: %d" % (len(late), len(lost)))
-    return not late
+    size = LARGE if s.trouble() else SMALL
+    for k in range(UPLOADS):
+        begin(KeptConnection(client, front), "/tickets/%d" % k, bytes(size))
+    for t in threads:
+        t.join()
+    for x in limits:
+        x.over = True
+        record("%s: at most %.0f MB, killed %d times" % (
+            x.machine.name, x.most_mb, x.kills))
+    lost = [x for path, x in results
+            if path == "/book/1" and not isinstance(x[1], int)]
+    ran = {a[1] for w in workers[2:] for a in w.arrivals}
+    lost = [r for r, _ in lost if r in ran]
+    record("bookings at work at sound workers whose connection ended without "
+           "an answer: %d of %d" % (len(lost), CHARGES))
+    return len(lost) <= 3
 
 
 sys.exit(s.run_case(FOLDER, case))
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -171,9 +171,9 @@
         with self.changed:
             return dict(self.rows), list(self.log), self.version
 
-    def drill(self, copy, away_s, again_s=0):
+    def drill(self, copy, away_s):
         """Is away for a moment and comes back from an older copy. What the
-        operator wrote is written again, `again_s` after that."""
+        operator wrote is written again."""
         with self.changed:
             self.away = True
             self.changed.notify_all()
@@ -187,15 +187,9 @@
                 dict(copy[0]), list(copy[1]), copy[2])
             self.era += 1
             self.away = False
-            if again_s == 0:
-                self.apply({"Writes": op})
+            self.apply({"Writes": op})
         self.record("store: back in era %d, without what the system wrote: %s"
-                    % (self.era, ", ".join(lost) or "nothing lost"))
-        if again_s > 0:
-            time.sleep(again_s)
-            with self.changed:
-                self.apply({"Writes": op})
-            self.record("operator: writes again what it wrote")
+                    % (self.era, ", ".join(lost)))
 
     def apply(self, tx):
         self.version += 1
