--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -8,7 +8,6 @@
 import os
 import random
 import re
-import signal
 import socket
 import subprocess
 import tempfile
@@ -23,7 +22,37 @@
           "ConfigApplyS": 2, "RetryBudgetRatio": 0.2, "BudgetWindowS": 10,
           "BudgetSlack": 60, "FloorShare": 0.7}
 HOST = "jepu9.example"
-NETWORK = "127.%d.%d." % (random.randint(2, 250), random.randint(2, 250))
+PORTS = {"Inbound": 8624, "Outbound": 8629, "ReadyAddr": 8625,
+         "Control": 8620, "app": 8628}
+PORT_RANGE = [7600, 7615]
+ADMIN_PORT = 9464  # of the deploy file's template
+MOST_MACHINES = 6
+STORE_ANSWER_S = 0.004
+
+
+def is_free(ip, port):
+    with socket.socket() as s:
+        try:
+            s.bind((ip, port))
+            return True
+        except OSError:
+            return False
+
+
+def free_network():
+    """Returns the beginning of loopback addresses on which all ports that the
+    machines use are free."""
+    ports = [*PORTS.values(), ADMIN_PORT,
+             *range(PORT_RANGE[0], PORT_RANGE[1] + 1)]
+    while True:
+        network = "127.%d.%d." % (random.randint(2, 250),
+                                  random.randint(2, 250))
+        if all(is_free(network + str(10 + k), port) for port in ports
+               for k in range(1, MOST_MACHINES + 1)):
+            return network
+
+
+NETWORK = free_network()
 
 
 def trouble():
@@ -105,6 +134,7 @@
                            json.dumps(body).encode())
 
             def do_GET(self):
+                time.sleep(STORE_ANSWER_S)
                 u = urlsplit(self.path)
                 q = {k: v[0] for k, v in parse_qs(u.query).items()}
                 if u.path == "/api/rows-get":
@@ -114,6 +144,7 @@
                 return self.send(404, {})
 
             def do_POST(self):
+                time.sleep(STORE_ANSWER_S)
                 return self.send(*store.write(json.loads(self.body())))
 
             def do_PUT(self):
@@ -237,12 +268,10 @@
         self.record, self.number, self.service = record, number, service
         self.ip = NETWORK + str(10 + number)
         self.name = "sidecar-hall-a-%d" % number
-        self.ports = dict(zip(("Inbound", "Outbound", "ReadyAddr", "Control",
-                               "app", "first"), (8624, 8629, 8625, 8620, 8628,
-                                                 7600)))
+        self.ports = PORTS
         self.fields = {
             "Node": self.name, "Zone": "hall-a", "Ip": self.ip,
-            "PortRange": [7600, 7615], "Service": service,
+            "PortRange": PORT_RANGE, "Service": service,
             "AppAddr": self.at("app"), "Platform": {"Address": store.address},
             "Listen": {k: self.at(k) for k in ("Inbound", "Outbound",
                                                "ReadyAddr", "Control")},
@@ -250,6 +279,8 @@
         self.file = os.path.join(directory, self.name + ".ini")
         self.log = os.path.join(directory, self.name + ".log")
         self.process = None
+        self.ended = False
+        self.lock = threading.Lock()
 
     def at(self, port):
         return "%s:%d" % (self.ip, self.ports[port])
@@ -282,17 +313,17 @@
         os.rename(self.file + ".new", self.file)
 
     def start(self):
-        self.fill_in()
-        with open(self.log, "ab") as log:
-            self.process = subprocess.Popen(
-                [os.path.join(ROOT, "target", "jasminetray-node"),
-                 "--settings=" + self.file], cwd=ROOT, stdout=log, stderr=log)
+        with self.lock:
+            if self.ended:
+                return
+            self.fill_in()
+            with open(self.log, "ab") as log:
+                self.process = subprocess.Popen(
+                    [os.path.join(ROOT, "target", "jasminetray-node"),
+                     "--settings=" + self.file], cwd=ROOT, stdout=log,
+                    stderr=log)
         self.record("%s: node started" % self.name)
 
-    def send(self, number):
-        self.record("%s: %s" % (self.name, signal.Signals(number).name))
-        self.process.send_signal(number)
-
     def ready(self):
         try:
             c = http.client.HTTPConnection(self.ip, self.ports["ReadyAddr"],
@@ -305,14 +336,19 @@
             return False
 
     def stop(self):
+        with self.lock:
+            self.ended = True
         if self.process and self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
             self.process.kill()
             self.process.wait()
 
 
 class Worker:
-    """A worker of the pages."""
+    """A worker of the pages: it runs as many requests as it has slots, lets a
+    few wait and rejects the rest, stops work at the time that it was given, and
+    says in all its answers that it leaves."""
+
+    MOST_WAITING = 8
 
     def __init__(self, record, machine, name, service=None, slots=6,
                  work_s=0.05, born=None):
@@ -320,8 +356,10 @@
         self.service = service or machine.service
         self.slots, self.work_s = slots, work_s
         self.born = born or int(time.time() * 1000)
-        self.state, self.seq, self.running = "ready", 0, 0
+        self.state, self.seq = "ready", 0
+        self.running = self.waiting = 0
         self.lock = threading.Lock()
+        self.free = threading.Condition(self.lock)
         self.arrivals = []  # (time, request, method, path, headers)
         self.finished = []  # requests that ran to their end
         self.connections = set()
@@ -335,7 +373,8 @@
 
             def answer(self, status, headers, body=b""):
                 with worker.lock:
-                    load = "%d,0,%d" % (worker.running, worker.slots)
+                    load = "%d,%d,%d" % (worker.running, worker.waiting,
+                                         worker.slots)
                 headers = {**headers, "X-Server-Load": load}
                 if worker.state == "draining":
                     headers["Server-Leaving"] = "1"
@@ -355,10 +394,9 @@
                     return self.answer(421, {"X-Instance-Id": worker.name})
                 if not request:
                     return self.answer(400, {"X-Not-Executed": "1"})
-                with worker.lock:
-                    full = worker.running >= worker.slots
-                    worker.running += 0 if full else 1
-                if full:
+                ms = self.headers.get("X-Deadline-Ms", "10000")
+                end = time.monotonic() + int(ms) / 1000
+                if not worker.take_slot(end):
                     return self.answer(503, {"X-Not-Executed": "1"})
                 worker.arrivals.append((time.monotonic(), request,
                                         self.command, self.path,
@@ -366,16 +404,18 @@
                 worker.record("worker %s (%s): runs %s %s %s" % (
                     worker.name, worker.service, request, self.command,
                     self.path))
-                time.sleep(worker.work_s)
-                with worker.lock:
-                    worker.running -= 1
+                left = end - time.monotonic()
+                time.sleep(max(0, min(worker.work_s, left)))
+                worker.give_slot()
                 if worker.ended:
                     return None
+                own = {"X-Attempt-Id": request,
+                       "X-Server-Seal": "s.%s" % worker.name}
+                if worker.work_s > left:
+                    return self.answer(504, own)
                 worker.finished.append(request)
                 return self.answer(
-                    200, {"X-Attempt-Id": request,
-                          "X-Server-Seal": "s.%s" % worker.name},
-                    ("%s by %s" % (request, worker.name)).encode() + body)
+                    200, own, ("%s by %s" % (request, worker.name)).encode())
 
             do_GET = do_POST = do_PUT = do_DELETE = serve
 
@@ -386,8 +426,25 @@
         record("worker %s (%s): starts at %s" % (name, self.service,
                                                  machine.at("app")))
 
+    def take_slot(self, end):
+        """@return whether there was a slot before the end of the time"""
+        with self.free:
+            if self.waiting >= self.MOST_WAITING:
+                return False
+            self.waiting += 1
+            got = self.free.wait_for(lambda: self.running < self.slots,
+                                     max(0, end - time.monotonic()))
+            self.waiting -= 1
+            self.running += 1 if got else 0
+            return got
+
+    def give_slot(self):
+        with self.free:
+            self.running -= 1
+            self.free.notify()
+
     def beat(self):
-        while not self.ended and self.state != "gone":
+        while not self.ended:
             self.check_in()
             time.sleep(HEARTBEAT_S)
 
@@ -408,15 +465,14 @@
         return at if status and 200 <= status < 300 else None
 
     def delete(self):
-        self.state = "gone"
         status = call(self.machine, "DELETE", self.name, {"born": self.born})
         self.record("worker %s: DELETE, acknowledged with %s" % (self.name,
                                                                  status))
-        return time.monotonic()
 
-    def end(self):
-        """Exits: its connections close."""
+    def leave(self):
+        """Says that it is gone and exits: its connections close."""
         self.ended = True
+        self.delete()
         self.record("worker %s: exits" % self.name)
         self.server.shutdown()
         self.server.server_close()
@@ -508,10 +564,10 @@
     return False
 
 
-def run_case(folder, case):
-    """Runs `case(record, directory)`, which returns whether the rule was kept,
-    or None if it couldn't run. Returns the exit code."""
-    record = Record(os.path.join(folder, "record.txt"))
+def run_case(record_file, case):
+    """Runs `case(record, directory, machines)`, which returns whether the rule
+    was kept, or None if it couldn't run. Returns the exit code."""
+    record = Record(record_file)
     machines = []
     result = None
     with tempfile.TemporaryDirectory(prefix="review-") as directory:
@@ -522,10 +578,6 @@
         finally:
             for m in machines:
                 m.stop()
-            keep = os.environ.get("KEEP_LOGS")
-            if keep:
-                for m in machines:
-                    os.system("cp %s %s" % (m.log, keep))
     text = {True: "held", False: "BROKEN", None: "could not run"}[result]
     record("the rule: " + text)
     print("the rule: " + text)
