End answers without an end by the request's deadline

Callers of a backend server whose answer never ends got bytes for as long as they read, long past the time limit of their request; its slot and its connections were used all the while.

Cause: relay_answer() limited the time between parts of a late answer, not the late answer. Steady bytes never met the limit.

The allowance now counts from the deadline, for reads and writes. Ruled out: memory (14 MB before, too), refusals, interim and health answers.

With the change all callers get an end and all connections close. platform_framing health now has an endless body besides an endless line; it held before.

--- a/src/node/entry_server.cpp
+++ b/src/node/entry_server.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 constexpr span_us write_timeout = 10 * us_per_s;
-constexpr span_us late_silence = us_per_s; // in an answer past its deadline
+constexpr span_us late_time = us_per_s; // for an answer past its deadline
 constexpr span_us overload_retry_after = 100 * us_per_ms;
 /// Gates that a request is offered to. Gates queue work themselves, so that
 /// repeated offers would only cost traffic between data centres.
@@ -211,7 +211,7 @@
         c.answer_begun = true;
         const auto held = answer.body().size();
         // The exit node, nearer to the source, ends a silent answer first.
-        const relay_limits limits{r.machine.deadline + us_per_s, late_silence,
+        const relay_limits limits{r.machine.deadline + us_per_s, late_time,
                                   write_timeout, true};
         if (relay_answer(*t.connection, *t.parser, answer.base(), c.stream,
                          limits, y)) {
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -27,8 +27,8 @@
 
 /// Allows an answer that was sent at the deadline to arrive.
 constexpr span_us answer_margin = 30 * us_per_ms;
-/// Between parts of an answer that goes on past its deadline.
-constexpr span_us late_silence = 250 * us_per_ms;
+/// For an answer that goes on past its deadline.
+constexpr span_us late_time = 250 * us_per_ms;
 constexpr span_us connection_idle_timeout = 60 * us_per_s;
 /// An unhealthy backend server may answer 500 without running the request, so
 /// such an answer doesn't clear a request of suspicion.
@@ -305,9 +305,8 @@
     answer.set(hop_header, to_text(h));
     if (!whole) {
         const auto left = std::max<span_us>(0, w.request.deadline - mono_now());
-        const relay_limits limits{w.request.deadline + answer_margin,
-                                  late_silence, left + us_per_s,
-                                  w.request.idempotent};
+        const relay_limits limits{w.request.deadline + answer_margin, late_time,
+                                  left + us_per_s, w.request.idempotent};
         return relay_answer(*a.link, *a.parser, answer.base(), to, limits, y);
     }
     string_response r(answer.base(), std::move(answer.body()));
--- a/src/node/http_func.cpp
+++ b/src/node/http_func.cpp
@@ -131,20 +131,24 @@
         start.chunked(true);
     http::response_serializer<http::empty_body> serializer(start);
     beast::error_code ec;
-    to.expires_after(std::chrono::microseconds(limits.write_timeout));
+    // An answer without an end is cut, however steadily its bytes come.
+    const auto end = limits.deadline + limits.late_time;
+    const auto write_timeout = [&limits, end] {
+        return std::clamp<span_us>(end - mono_now(), 1, limits.write_timeout);
+    };
+    to.expires_after(std::chrono::microseconds(write_timeout()));
     http::async_write_header(to, serializer, y[ec]);
-    while (!ec && send_buffered(parser, to, !length, limits.write_timeout, y)) {
+    while (!ec && send_buffered(parser, to, !length, write_timeout(), y)) {
         if (parser.is_done())
             break;
-        const auto silence =
-            std::max(limits.deadline - mono_now(), limits.late_silence);
-        from.stream.expires_after(std::chrono::microseconds(silence));
+        const auto left = std::max<span_us>(1, end - mono_now());
+        from.stream.expires_after(std::chrono::microseconds(left));
         to.expires_never();
         http::async_read_some(from.stream, from.buf, parser, y[ec]);
     }
     if (ec || !parser.is_done() || !parser.get().body().empty())
         return false;
-    to.expires_after(std::chrono::microseconds(limits.write_timeout));
+    to.expires_after(std::chrono::microseconds(write_timeout()));
     if (!length)
         asio::async_write(to, http::make_chunk_last(), y[ec]);
     return !ec;
--- a/src/node/http_func.hpp
+++ b/src/node/http_func.hpp
@@ -90,10 +90,10 @@
 /// Time limits of an answer that is streamed.
 struct relay_limits
 {
-    /// The source may be silent until the request's own limit, and for
-    /// `late_silence` between bytes after it.
+    /// The source may be silent until the request's own limit. The answer ends
+    /// `late_time` after it at the latest: its caller has gone by then.
     mono_us deadline = 0;
-    span_us late_silence = 0;
+    span_us late_time = 0;
     /// For a reader that takes nothing of what is ready for it. Unlike a silent
     /// source it is no work in progress, and it holds memory and a slot.
     span_us write_timeout = 0;
--- a/test/platform_framing.py
+++ b/test/platform_framing.py
@@ -10,9 +10,11 @@
 import struct
 import sys
 import threading
+import time
 
 import platform_hosted as hosted
-from platform_bytes import all_run, ask_or_closed, head, log_of, start
+from platform_bytes import (all_run, ask_or_closed, head, in_threads, log_of,
+                            start)
 from platform_hosted import expect, wait_for
 
 SENT = 400 << 20  # bytes of each flood
@@ -204,6 +206,96 @@
                                 for n in h.nodes)), "and logged")
 
 
+ENDLESS_PART = b"10000\r\n" + b"z" * 65536 + b"\r\n"
+ENDLESS_TIMEOUT_S = 2  # of the route
+CALLER_WAITS_S = 15  # longer than any answer may last
+
+
+class EndlessAnswers:
+    """Backend servers that answer without an end, until they are closed."""
+
+    def __init__(self, h):
+        self.open, self.ended = 0, 0
+        self.status, self.fields, self.part = 200, (), ENDLESS_PART
+        for w in h.workers.values():
+            w.spoil = self.answer
+
+    def answer(self, handler, request_id):
+        self.open += 1
+        text = head(request_id, *self.fields).replace(
+            b"200 OK", b"%d Status" % self.status)
+        handler.close_connection = True
+        try:
+            handler.wfile.write(text)
+            end = time.monotonic() + 2 * CALLER_WAITS_S
+            while time.monotonic() < end:
+                handler.wfile.write(self.part)
+                time.sleep(0.002)
+        except OSError:
+            self.ended += 1
+        self.open -= 1
+        return True
+
+    def all_closed(self):
+        return wait_for(lambda: self.open == 0, 2 * ENDLESS_TIMEOUT_S + 3)
+
+
+def read_endless(h, node, method, path, most=None):
+    """Returns whether the answer ended, read up to `most` bytes."""
+    h.requests += 1
+    with socket.create_connection(
+            ("127.0.0.1", h.nodes[node]["entry"]), 20) as s:
+        s.sendall(("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: r%d\r\n"
+                   "Content-Length: 0\r\n\r\n" % (
+                       method, path, hosted.HOST, h.requests)).encode())
+        got, end = 0, time.monotonic() + CALLER_WAITS_S
+        s.settimeout(CALLER_WAITS_S)
+        while time.monotonic() < end and (most is None or got < most):
+            try:
+                part = s.recv(1 << 18)
+            except ConnectionResetError:
+                return True
+            except OSError:
+                return False
+            if not part or part.endswith(b"Content-Length: 0\r\n\r\n"):
+                return True
+            got += len(part)
+        return False
+
+
+# Guards against an answer without an end that holds its slot and its
+# connections, and carries bytes, for as long as its caller reads.
+def check_endless(f):
+    h = start(f, timeout=ENDLESS_TIMEOUT_S)
+    x = EndlessAnswers(h)
+    asks = [(n, m, p) for n in h.nodes
+            for m, p in (("GET", "/read/"), ("POST", "/charge/"))]
+    for status, framing in ((200, "chunked"), (200, "none"), (500, "chunked"),
+                            (503, "none"), (421, "chunked")):
+        x.status = status
+        chunked = framing == "chunked"
+        x.fields = ("Transfer-Encoding: chunked",) if chunked else ()
+        x.fields += ("X-Not-Executed: 1",) if status == 503 else ()
+        x.part = ENDLESS_PART if chunked else b"z" * 65536
+        got = []
+        for t in in_threads([lambda a=a: got.append(read_endless(h, *a))
+                             for a in asks]):
+            t.join()
+        what = "%d without an end (%s)" % (status, framing)
+        expect(got == [True] * len(asks), what + ": callers get an end: %s" %
+               got)
+        expect(x.all_closed(), what + ": its connections are closed")
+    x.status, x.fields = 200, ("Transfer-Encoding: chunked",)
+    x.part = ENDLESS_PART
+    for t in in_threads([lambda a=a: read_endless(h, *a, most=1 << 20)
+                         for a in asks]):
+        t.join()
+    expect(x.all_closed(), "and so they are when the caller has left")
+    for w in h.workers.values():
+        w.spoil = None
+    expect_bounded(h, "answers without an end")
+
+
 # Guards against trailer fields that pass for fields of the head.
 def check_trailers(f):
     h = start(f)
@@ -252,14 +344,16 @@
 def check_health(f):
     h = start(f)
     worker = h.workers["w0"]
-    worker.flood_health = True
-    h.f.nodes["n0"].send(hosted.signal.SIGKILL)
-    h.f.nodes["n0"].popen.wait()
-    h.start_node("n0", "billing")
-    expect(wait_for(lambda: worker.health_floods > 0, 60),
-           "a probe was answered")
-    worker.flood_health = False
-    expect_bounded(h, "a health answer")
+    for what, begin in (("line", b"1;"), ("body", b"fffffffffff\r\n")):
+        worker.flood_begin, worker.flood_health = begin, True
+        floods = worker.health_floods
+        h.f.nodes["n0"].send(hosted.signal.SIGKILL)
+        h.f.nodes["n0"].popen.wait()
+        h.start_node("n0", "billing")
+        expect(wait_for(lambda n=floods: worker.health_floods > n, 60),
+               "a probe was answered")
+        worker.flood_health = False
+        expect_bounded(h, "a health answer's " + what)
 
 
 # Guards against a store whose answer never ends.
@@ -312,7 +406,8 @@
 CHECKS = {"callers": check_callers, "streamed": check_streamed,
           "kept": check_kept, "ports": check_ports, "calls": check_calls,
           "datagrams": check_datagrams, "answers": check_answers,
-          "trailers": check_trailers, "probe_trailer": check_probe_trailer,
+          "trailers": check_trailers, "endless": check_endless,
+          "probe_trailer": check_probe_trailer,
           "health": check_health, "store": check_store,
           "together": check_together}
 
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -101,6 +101,7 @@
         self.cut_after = None  # bytes of an answer's body before it breaks off
         self.notices_in_health = True
         self.flood_health, self.health_floods = False, 0
+        self.flood_begin = b"1;"  # of the line of a chunk
         self.health_trailer = ""  # fields after the body of a health answer
         self.said = []  # (time, notices) whenever answers named other ones
         self.connections = set()
@@ -231,12 +232,13 @@
         time.sleep(seconds * (COLD_FACTOR if self.cold_left_s() else 1))
 
     def flood(self, handler):
-        """Answers with the line of a chunk that doesn't end."""
+        """Answers with a chunk that doesn't end."""
         handler.close_connection = True
         try:
             handler.wfile.write(b"HTTP/1.1 200 OK\r\nX-Instance-Id: " +
                                 self.name.encode() +
-                                b"\r\nTransfer-Encoding: chunked\r\n\r\n1;")
+                                b"\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                                self.flood_begin)
             for _ in range(400):
                 handler.wfile.write(b"x" * (1 << 20))
         except OSError:
