--- a/src/node/body_room.hpp
+++ b/src/node/body_room.hpp
@@ -75,7 +75,8 @@
 /// Sent to callers whose request finds no room.
 inline constexpr span_us body_retry_after = us_per_s;
 
-/// Refuses a request for lack of room: logs it if it is the first.
+/// Notes a request that is refused for lack of room. Logs the first one since
+/// there was room.
 /// @param side "entry" or "exit"
 void note_bodies_full(node_state& n, const char* side);
 
