--- a/src/memory/body_budget_type.hpp
+++ b/src/memory/body_budget_type.hpp
@@ -23,9 +23,9 @@
 enum class body_kind : std::uint8_t
 {
     answer, ///< part of an answer that is held; without room it is streamed
-    held,   ///< request body that is held; without room it is streamed
+    held,   ///< request body that is held whole, of a medium size
     window, ///< window of a streamed request body
-    small,  ///< request body that is too small to be streamed
+    small,  ///< small request body, or long head
 };
 
 inline constexpr std::array<std::string_view, 4> body_kind_names = {
