Refuse answers whose status is none

What callers saw: the answer of a backend server in trouble with status 000 (or 001, 099, 600, 999) was passed on as an answer, from every kind of request and framing.

Cause: the parser takes any three digits for a status, and nothing behind it looked. Such an answer counted as no failure either.

Why this works: each reader of answers (exit side, entry side, questions between nodes, pings, health, client of the store) reads the head by one function, which ends with an error for a status outside 100 to 599. An error of a read was already a lost attempt, a failure of the backend server and a closed connection; callers get 502 now where bytes came that are no answer, and event 1049 names the error.

--- a/src/event/event_type.hpp
+++ b/src/event/event_type.hpp
@@ -54,6 +54,7 @@
     hedge_decided = 1046,
     message_too_long = 1047,
     body_memory_free = 1048,
+    answer_malformed = 1049,
     worker_ejected = 2001,
     worker_returned = 2002,
     ejection_held_by_floor = 2003,
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -2,6 +2,7 @@
 #include "http/http_client.hpp"
 
 #include "http/arriving_body.hpp"
+#include "http/message_head.hpp"
 #include "http/message_limits.hpp"
 
 #include <algorithm>
@@ -78,7 +79,24 @@
     beast::flat_buffer buf(limits.head_bytes);
     http::response_parser<arriving_body> parser;
     apply_limits(parser, buf, limits);
-    if (!run_operation(ctx, [&](auto done) {
+    beast::error_code ec;
+    read_answer_head(
+        parser, buf, ec, [&](const auto& to, beast::error_code& failed) {
+            std::size_t bytes = 0;
+            const bool read = run_operation(ctx, [&](auto done) {
+                stream.async_read_some(
+                    to, [&bytes, done](beast::error_code e, std::size_t n) {
+                        bytes = n;
+                        done(e);
+                    });
+            });
+            if (!read)
+                failed = asio::error::timed_out;
+            return bytes;
+        });
+    if (ec)
+        return std::nullopt;
+    if (!parser.is_done() && !run_operation(ctx, [&](auto done) {
             http::async_read(stream, buf, parser, done);
         }))
         return std::nullopt;
--- a/src/node/caller_read.cpp
+++ b/src/node/caller_read.cpp
@@ -3,6 +3,7 @@
 
 #include "base/memory_reserve.hpp"
 #include "base/text_func.hpp"
+#include "http/message_head.hpp"
 #include "node/entry_team.hpp"
 #include "node/held_body.hpp"
 #include "node/http_func.hpp"
@@ -56,10 +57,7 @@
         return bad_request(http::status::payload_too_large, "body-too-large");
     if (ec == boost::system::errc::not_enough_memory)
         return no_memory_refusal();
-    const auto& parser_category =
-        http::make_error_code(http::error::bad_method).category();
-    if (ec.category() == parser_category && ec != http::error::end_of_stream &&
-        ec != http::error::partial_message)
+    if (is_malformed(ec))
         return bad_request(http::status::bad_request, "malformed");
     return std::nullopt;
 }
--- a/src/node/entry_attempt.cpp
+++ b/src/node/entry_attempt.cpp
@@ -6,6 +6,7 @@
 #include "node/entry_upload.hpp"
 #include "node/guard_func.hpp"
 #include "node/http_func.hpp"
+#include "node/peer_request.hpp"
 #include "node/quarantine_driver.hpp"
 #include "node/worker_notice_type.hpp"
 
@@ -85,18 +86,9 @@
 std::optional<hop_answer> ping(node_state& n, http_connection& connection,
                                node_id exit, const yield& y)
 {
-    http::request<http::empty_body> q(http::verb::get, ping_path, 11);
-    q.keep_alive(true);
-    connection.stream.expires_after(std::chrono::microseconds(ping_timeout));
-    beast::error_code ec;
-    http::async_write(connection.stream, q, y[ec]);
-    if (ec)
-        return std::nullopt;
-    string_response r;
-    http::async_read(connection.stream, connection.buf, r, y[ec]);
-    if (ec)
-        return std::nullopt;
-    const auto a = parse_hop_answer(header_value(r, hop_header));
+    const auto reply = exchange_messages(n, connection, ping_path, "",
+                                         mono_now() + ping_timeout, y);
+    const auto a = reply ? parse_hop_answer(*reply) : std::nullopt;
     if (a)
         update_stamp(n, exit, *a);
     return a;
@@ -337,8 +329,8 @@
     if (!ec)
         ec = read_held_answer(n, *t.connection, *t.parser, t.room, y);
     if (ec) {
-        log_too_long(n, message_side::node, ec, hop_answer_limits,
-                     t.connection->buf);
+        log_unreadable(n, message_side::node, ec, hop_answer_limits,
+                       t.connection->buf, r.label);
         if (!t.cancelled)
             record_path_result(n, t.exit, true);
         return {attempt_event_kind::lost, "exit-lost"};
--- a/src/node/entry_refusal.cpp
+++ b/src/node/entry_refusal.cpp
@@ -98,6 +98,9 @@
         if (x.reason == answer_head_reason) {
             x.status = http::status::bad_gateway;
             x.event = event_id::answer_head_too_large;
+        } else if (x.reason == malformed_answer_reason) {
+            x.status = http::status::bad_gateway;
+            x.event = event_id::answer_malformed;
         }
         return x;
     }
--- a/src/node/entry_upload.cpp
+++ b/src/node/entry_upload.cpp
@@ -2,6 +2,7 @@
 #include "node/entry_upload.hpp"
 
 #include "base/on_exit.hpp"
+#include "http/message_head.hpp"
 #include "node/entry_request.hpp"
 #include "node/guard_func.hpp"
 #include "node/http_func.hpp"
@@ -103,10 +104,7 @@
         u.failed = http::status::payload_too_large;
         return "body-too-large";
     }
-    const auto& parsing =
-        http::make_error_code(http::error::bad_method).category();
-    if (ec.category() == parsing && ec != http::error::end_of_stream &&
-        ec != http::error::partial_message) {
+    if (is_malformed(ec)) {
         u.failed = http::status::bad_request;
         return "malformed";
     }
@@ -151,10 +149,9 @@
     auto answer = std::make_unique<response_parser>();
     apply_limits(*answer, t.connection->buf, hop_answer_limits);
     if (!ec)
-        http::async_read_header(t.connection->stream, t.connection->buf,
-                                *answer, y[ec]);
-    log_too_long(r.n, message_side::node, ec, hop_answer_limits,
-                 t.connection->buf);
+        read_head(*t.connection, *answer, ec, y);
+    log_unreadable(r.n, message_side::node, ec, hop_answer_limits,
+                   t.connection->buf, r.label);
     if (ec) {
         // Without a byte of the body the exit node starts nothing. Its slot is
         // free once the connection closes.
--- a/src/node/hosted_worker.cpp
+++ b/src/node/hosted_worker.cpp
@@ -230,8 +230,8 @@
     apply_limits(parser, link.buf, health_answer_limits);
     if (!ec)
         ec = read_buffered(link, parser, *health_answer_limits.body_bytes, y);
-    log_too_long(n, message_side::backend_server, ec, health_answer_limits,
-                 link.buf);
+    log_unreadable(n, message_side::backend_server, ec, health_answer_limits,
+                   link.buf, path);
     if (ec)
         return p;
     const auto& r = parser.get();
--- a/src/node/http_func.cpp
+++ b/src/node/http_func.cpp
@@ -2,6 +2,7 @@
 #include "node/http_func.hpp"
 
 #include "base/on_exit.hpp"
+#include "http/message_head.hpp"
 
 #include <algorithm>
 #include <array>
@@ -108,12 +109,22 @@
     f.erase(hop_header);
 }
 
+void read_head(http_connection& connection, response_parser& parser,
+               beast::error_code& ec, const yield& y)
+{
+    read_answer_head(parser, connection.buf, ec,
+                     [&](const auto& to, beast::error_code& failed) {
+                         return connection.stream.async_read_some(to,
+                                                                  y[failed]);
+                     });
+}
+
 beast::error_code read_buffered(http_connection& connection,
                                 response_parser& parser, std::size_t max_body,
                                 const yield& y)
 {
     beast::error_code ec;
-    http::async_read_header(connection.stream, connection.buf, parser, y[ec]);
+    read_head(connection, parser, ec, y);
     return ec ? ec : read_body_up_to(connection, parser, max_body, y);
 }
 
@@ -122,7 +133,8 @@
                                    const yield& y)
 {
     beast::error_code ec;
-    http::async_read_header(connection.stream, connection.buf, parser, y[ec]);
+    if (!parser.is_header_done())
+        read_head(connection, parser, ec, y);
     if (ec || parser.is_done())
         return ec;
     const auto most = static_cast<std::uint64_t>(n.settings.max_buffered);
--- a/src/node/http_func.hpp
+++ b/src/node/http_func.hpp
@@ -85,6 +85,10 @@
 /// Removes hop-by-hop header fields and the field between nodes.
 void strip_hop_fields(http::fields& f);
 
+/// Reads and checks the head of an answer.
+void read_head(http_connection& connection, response_parser& parser,
+               beast::error_code& ec, const yield& y);
+
 /// Reads an answer until it is complete, without its trailer, or its body
 /// exceeds the bytes that are held of it: `[limits] hold_bytes`, or none where
 /// the budget for bodies has no room. parser.is_done() distinguishes the two.
--- a/src/node/http_type.hpp
+++ b/src/node/http_type.hpp
@@ -62,6 +62,9 @@
 /// Reason of work whose answer has a larger head than max_answer_head.
 inline constexpr char answer_head_reason[] = "answer-head-too-large";
 
+/// Reason of work whose answer isn't one in the protocol.
+inline constexpr char malformed_answer_reason[] = "answer-malformed";
+
 /// Heads of backend servers' answers, and the same with the nodes' fields.
 inline constexpr std::uint32_t max_answer_head = 65536; // bytes
 inline constexpr std::uint32_t max_hop_answer_head =
--- a/src/node/message_side.cpp
+++ b/src/node/message_side.cpp
@@ -1,6 +1,7 @@
 // Log of messages that are longer than their limits; see message_side.hpp.
 #include "node/message_side.hpp"
 
+#include "http/message_head.hpp"
 #include "node/node_state.hpp"
 
 namespace jasminetray {
@@ -32,4 +33,16 @@
                        " held=" + std::to_string(buf.size()));
 }
 
+void log_unreadable(node_state& n, message_side side,
+                    const beast::error_code& ec, const message_limits& limits,
+                    const beast::flat_buffer& buf, const std::string& subject)
+{
+    log_too_long(n, side, ec, limits, buf);
+    if (!exceeds_limit(ec) && is_malformed(ec))
+        n.events.write(
+            event_id::answer_malformed, subject,
+            "side=" + std::string(name_of(message_side_names, side)) +
+                " error=\"" + ec.message() + "\"");
+}
+
 } // namespace jasminetray
--- a/src/node/message_side.hpp
+++ b/src/node/message_side.hpp
@@ -27,4 +27,10 @@
 void log_too_long(node_state& n, message_side side, const beast::error_code& ec,
                   const message_limits& limits, const beast::flat_buffer& buf);
 
+/// Does the same, and logs a read that ended because the bytes are no answer.
+/// @param subject the request that is answered
+void log_unreadable(node_state& n, message_side side,
+                    const beast::error_code& ec, const message_limits& limits,
+                    const beast::flat_buffer& buf, const std::string& subject);
+
 } // namespace jasminetray
--- a/src/node/peer_request.cpp
+++ b/src/node/peer_request.cpp
@@ -11,12 +11,15 @@
 /// A small answer in one field.
 constexpr message_limits reply_limits{8192, 0};
 
+} // namespace
+
 std::optional<std::string>
 exchange_messages(node_state& n, http_connection& link, const char* path,
                   const std::string& text, mono_us deadline, const yield& y)
 {
     http::request<http::empty_body> q(http::verb::get, path, 11);
-    q.set(hop_header, text);
+    if (!text.empty())
+        q.set(hop_header, text);
     q.keep_alive(true);
     link.stream.expires_after(
         std::chrono::microseconds(std::max<span_us>(1, deadline - mono_now())));
@@ -25,15 +28,13 @@
     response_parser parser;
     apply_limits(parser, link.buf, reply_limits);
     if (!ec)
-        http::async_read(link.stream, link.buf, parser, y[ec]);
-    log_too_long(n, message_side::node, ec, reply_limits, link.buf);
+        ec = read_buffered(link, parser, *reply_limits.body_bytes, y);
+    log_unreadable(n, message_side::node, ec, reply_limits, link.buf, path);
     if (ec)
         return std::nullopt;
     return header_value(parser.get(), hop_header);
 }
 
-} // namespace
-
 std::optional<std::string>
 send_peer_request(node_state& n, node_id to, const node_address& at,
                   const char* path, const std::function<std::string()>& text,
--- a/src/node/peer_request.hpp
+++ b/src/node/peer_request.hpp
@@ -5,6 +5,14 @@
 
 namespace jasminetray {
 
+/// Sends a request on a connection and waits for the reply.
+/// @param text the request's hop field; empty for none
+/// @return the reply's hop field, or nothing when there was no reply in time;
+///         the connection can't be used again then
+std::optional<std::string>
+exchange_messages(node_state& n, http_connection& link, const char* path,
+                  const std::string& text, mono_us deadline, const yield& y);
+
 /// Sends a request and waits for the reply. When an idle connection fails, the
 /// request is sent again on a new one.
 /// @param text returns the request's hop field; called once per connection, as
--- a/src/node/worker_request.cpp
+++ b/src/node/worker_request.cpp
@@ -4,6 +4,7 @@
 #include "base/on_exit.hpp"
 #include "base/text_func.hpp"
 #include "config/config_query.hpp"
+#include "http/message_head.hpp"
 #include "node/crash_watch.hpp"
 #include "node/guard_func.hpp"
 #include "node/health_driver.hpp"
@@ -241,7 +242,8 @@
         ec = read_held_answer(n, *a.link, *a.parser, a.room, y);
         if (!ec && is_interim(*a.parser)) {
             if (++interim > max_interim_answers)
-                return http::error::bad_status;
+                return make_error_code(
+                    boost::system::errc::errc_t::protocol_error);
             continue;
         }
         if (!ec)
@@ -335,8 +337,10 @@
                            : "worker-write";
     a.closed_by_worker =
         !caller_left && ec != beast::error::timeout && !exceeds_limit(ec);
-    log_too_long(n, message_side::backend_server, ec, answer_limits,
-                 a.link->buf);
+    log_unreadable(n, message_side::backend_server, ec, answer_limits,
+                   a.link->buf, expected.echo);
+    if (!exceeds_limit(ec) && is_malformed(ec))
+        a.reason = malformed_answer_reason;
     if (ec == http::error::header_limit) {
         // The backend server works, but its answer can't be passed on.
         a.closed_by_worker = false;
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -178,6 +178,12 @@
               "The node's memory for bodies has room again after "
               "body_memory_full.",
               "None."},
+    event_row{event_id::answer_malformed, "answer_malformed",
+              "Bytes that came as an answer are none in the protocol; the line "
+              "names who sent them and the error. Nothing of them is passed "
+              "on: the work may have run and is sent again where it may be, "
+              "else its caller got 502.",
+              "Repair the sender; a backend server's count as failures."},
     event_row{event_id::worker_ejected, "worker_ejected",
               "The evidence against a backend server exceeded its threshold.",
               "`explain ejection` shows evidence, threshold and floor."},
--- /dev/null
+++ b/test/platform_answers.py
@@ -0,0 +1,218 @@
+"""Tests that callers never get an answer of a backend server that isn't one in
+the protocol. Exits non-zero if a check fails.
+
+Arguments: names of checks; all of them without one.
+"""
+
+import re
+import socket
+import sys
+
+import platform_hosted as hosted
+from platform_bytes import all_run, ask_or_closed, log_of, start
+from platform_hosted import expect, wait_for
+
+CALLER_WAITS_S = 6  # longer than any request here may take
+STATUS_LINE = re.compile(rb"HTTP/1\.1 ([1-5][0-9][0-9]) [\t -~\x80-\xff]*\Z")
+FIELD_LINE = re.compile(
+    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t -~\x80-\xff]*)\Z")
+SEAL = b"x-server-seal"
+EVENT = " answer_malformed "
+# All backend servers fail here, which is no subject of these tests.
+NO_EJECTION = ("experiment.off=doubt,verdicts",)
+
+
+def split_answer(data):
+    """Returns status, fields and body of exactly one answer, or None."""
+    end = data.find(b"\r\n\r\n")
+    lines = data[:end].split(b"\r\n")
+    status = STATUS_LINE.match(lines[0])
+    fields = [FIELD_LINE.match(line) for line in lines[1:]]
+    if end < 0 or not status or None in fields:
+        return None
+    fields = {f[1].lower(): f[2].strip() for f in fields}
+    body = data[end + 4:]
+    if fields.get(b"transfer-encoding"):
+        whole, rest = b"", body
+        while True:
+            line, _, rest = rest.partition(b"\r\n")
+            size = int(line or b"-1", 16)
+            if size <= 0 or rest[size:size + 2] != b"\r\n":
+                break
+            whole, rest = whole + rest[:size], rest[size + 2:]
+        if size != 0 or rest != b"\r\n":
+            return None
+        body = whole
+    elif int(fields.get(b"content-length", -1)) != len(body):
+        return None
+    return int(status[1]), fields, body
+
+
+def exchange(h, node, method, path):
+    """Returns the request's id and all bytes that its caller gets."""
+    h.requests += 1
+    request = "r%d" % h.requests
+    got = b""
+    with socket.create_connection(
+            ("127.0.0.1", h.nodes[node]["entry"]), CALLER_WAITS_S) as s:
+        s.sendall(("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\n"
+                   "X-Deadline-Ms: 4000\r\nConnection: close\r\n"
+                   "Content-Length: 0\r\n\r\n" % (
+                       method, path, hosted.HOST, request)).encode())
+        try:
+            while True:
+                part = s.recv(65536)
+                if not part:
+                    break
+                got += part
+        except OSError:
+            pass  # reset, or no end in time: what has arrived is no answer
+    return request, got
+
+
+class Answers:
+    """Backend servers that all write the same bytes as their answers."""
+
+    def __init__(self, h):
+        self.h, self.data = h, None
+        self.written = {}  # request id: body
+        for w in h.workers.values():
+            w.spoil = self.write
+
+    def write(self, handler, request):
+        if self.data is None:
+            return False
+        body = b"of " + request.encode()
+        self.written[request] = body
+        handler.wfile.write(self.data(request.encode(), body))
+        handler.close_connection = True
+        return True
+
+    def count(self, request):
+        return sum(x[0] == request for w in self.h.workers.values()
+                   for x in w.seen)
+
+    def recover(self):
+        """Lets the nodes trust their backend servers again."""
+        self.data = None
+        expect(all(wait_for(lambda n=n, m=m, p=p: ask_or_closed(
+            self.h, n, p, m) == 200) for n in self.h.nodes
+            for m, p in (("GET", "/read/"), ("POST", "/charge/"))),
+            "the nodes serve")
+
+    def ask_all(self, data):
+        self.recover()
+        self.data = data
+        return [(path, *exchange(self.h, n, method, path))
+                for n in self.h.nodes for method, path in (
+                    ("POST", "/charge/"), ("GET", "/read/"))]
+
+
+def expect_refused(x, what, data):
+    """Expects that no caller gets anything of an answer."""
+    ran = 0
+    for path, request, got in x.ask_all(data):
+        answer = split_answer(got)
+        runs = x.count(request)
+        ran += runs
+        told = answer and answer[0]
+        wanted = (502, 504) if runs else (503,)
+        if path == "/read/":
+            wanted = (502, 503, 504)
+        expect(answer and told in wanted and SEAL not in answer[1] and
+               answer[2] == b"" and (runs < 2 or path == "/read/"),
+               "%s: %s ran %d times, its caller gets %r" % (
+                   what, path, runs, got[:200]))
+    expect(ran, what + ": some ran")
+
+
+def expect_passed(x, what, status, data):
+    for path, request, got in x.ask_all(data):
+        answer = split_answer(got)
+        expect(answer and answer[0] == status and SEAL in answer[1] and
+               answer[2] == x.written.get(request, ""),
+               "%s: the caller of %s gets %r" % (what, path, got[:200]))
+
+
+def shape(status=b"HTTP/1.1 200 OK", first=(), last=(), behind=(),
+          framing="length"):
+    """Returns a writer of answers with lines before the usual ones, and before
+    and behind the one that frames the body."""
+    def write(request, body):
+        if framing == "length":
+            framed_by, sent = b"Content-Length: %d" % len(body), body
+        elif framing == "chunked":
+            framed_by = b"Transfer-Encoding: chunked"
+            sent = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        elif framing == "raw":
+            framed_by = None
+            sent = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        else:
+            framed_by, sent = None, body
+        lines = [status, *first, b"X-Attempt-Id: " + request,
+                 b"X-Server-Seal: s", *last,
+                 *([framed_by] if framed_by else []), *behind]
+        return b"\r\n".join(lines) + b"\r\n\r\n" + sent
+    return write
+
+
+def interim(before, behind):
+    def write(request, body):
+        return before(request, b"") + behind(request, body)
+    return write
+
+
+BROKEN_STATUS = (b"000", b"001", b"099", b"600", b"999", b"20", b"2000",
+                 b"-20", b"2 0", b"0x2")
+
+
+# Guards against a status that is none and passes for an answer's.
+def check_status(f):
+    x = Answers(start(f, extra=NO_EJECTION))
+    for status in BROKEN_STATUS:
+        line = b"HTTP/1.1 %s Any" % status
+        for framing in ("length", "chunked", "closed"):
+            expect_refused(x, "status %s, %s" % (status.decode(), framing),
+                           shape(line, framing=framing))
+    for line in (b"HTTP/1.1 000 ", b"HTTP/2.0 200 OK", b"HTTP/0.9 200 OK",
+                 b"HTTP/1.1\t200 OK", b"XXXX/1.1 200 OK"):
+        expect_refused(x, "status line %r" % line, shape(line))
+    expect_refused(x, "status 000 after an interim answer", interim(
+        shape(b"HTTP/1.1 103 Early Hints", framing="none"),
+        shape(b"HTTP/1.1 000 Any")))
+    expect_refused(x, "status 099 before an answer", interim(
+        shape(b"HTTP/1.1 099 Early", framing="none"), shape()))
+    expect(all_run(x.h) and any(EVENT in log_of(x.h, n) for n in x.h.nodes),
+           "the nodes run and log it")
+
+
+# Guards against sound answers at the edges of the grammar that are refused.
+def check_sound(f):
+    x = Answers(start(f, extra=NO_EJECTION))
+    for framing in ("length", "chunked", "closed"):
+        expect_passed(x, "framed by " + framing, 200, shape(framing=framing))
+    for code in (200, 299, 400, 499, 500, 599):
+        expect_passed(x, "status %d" % code, code,
+                      shape(b"HTTP/1.1 %d Any" % code))
+    for line in (b"HTTP/1.1 200 ", b"HTTP/1.1 200 \xe9 x\ty"):
+        expect_passed(x, "status line %r" % line, 200, shape(line))
+    for framing in ("length", "closed"):
+        expect_passed(x, "1.0, " + framing, 200,
+                      shape(b"HTTP/1.0 200 OK", framing=framing))
+    for line in (b"X-Odd:", b"X-Odd:1", b"X-Odd: \xe9 \t1 ", b"X-Odd: a:b, \"c\"",
+                 b"!#$%&'*+-.^_`|~09AZaz: 1", b"x: " + b"y" * 9000):
+        expect_passed(x, "%r" % line[:40], 200, shape(last=[line]))
+        expect_passed(x, "%r first" % line[:40], 200, shape(first=[line]))
+    expect_passed(x, "chunked in capitals", 200, lambda request, body: (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\n"
+        b"TRANSFER-ENCODING: Chunked\r\n\r\n%x;a=b;c=\"d\"\r\n%s\r\n0\r\n"
+        b"X-Trailer: 1\r\n\r\n" % (request, len(body), body)))
+    expect_passed(x, "after interim answers", 200, interim(
+        shape(b"HTTP/1.1 103 Early Hints", framing="none"), shape()))
+
+
+CHECKS = {"status": check_status, "sound": check_sound}
+
+
+if __name__ == "__main__":
+    sys.exit(hosted.run_checks("answers", CHECKS, sys.argv[1:]))
--- /dev/null
+++ b/test/test_message_head.cpp
@@ -0,0 +1,188 @@
+// Tests of what is taken for the head of an answer, at any split of its bytes.
+#include "http/arriving_body.hpp"
+#include "http/http_client.hpp"
+#include "http/message_head.hpp"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace jasminetray {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr message_limits limits{1024, 1024};
+const std::string body = "body";
+
+struct reading
+{
+    beast::error_code ec;
+    std::string rest;      ///< bytes behind the head
+    std::size_t taken = 0; ///< bytes that were read
+};
+
+/// @param part bytes that arrive together
+reading read_head_of(const std::string& bytes, std::size_t part)
+{
+    beast::flat_buffer buf;
+    http::response_parser<arriving_body> parser;
+    apply_limits(parser, buf, limits);
+    reading r;
+    auto& at = r.taken;
+    const auto read_some = [&](const auto& to, beast::error_code& ec) {
+        const auto n = std::min({to.size(), part, bytes.size() - at});
+        std::copy_n(bytes.data() + at, n, static_cast<char*>(to.data()));
+        at += n;
+        if (n == 0)
+            ec = asio::error::eof;
+        return n;
+    };
+    read_answer_head(parser, buf, r.ec, read_some);
+    const auto held = buf.cdata();
+    r.rest.assign(static_cast<const char*>(held.data()), held.size());
+    r.rest += bytes.substr(at);
+    return r;
+}
+
+std::string answer_of(const std::string& status_line,
+                      const std::vector<std::string>& lines)
+{
+    auto text = status_line + "\r\n";
+    for (const auto& x : lines)
+        text += x + "\r\n";
+    return text + "\r\n" + body;
+}
+
+const std::string ok = "HTTP/1.1 200 OK";
+const std::string length = "Content-Length: 4";
+
+/// Returns heads that are no answer's.
+std::vector<std::string> broken_answers()
+{
+    std::vector<std::string> all;
+    for (const auto* status : {"000", "001", "099", "600", "999", "20", "2000"})
+        all.push_back(
+            answer_of(std::string("HTTP/1.1 ") + status + " Any", {length}));
+    for (const auto* line : {"HTTP/2.0 200 OK", "HTTP/0.9 200 OK",
+                             "HTTP/1.1\t200 OK", "", "HTTP/1.1 200"})
+        all.push_back(answer_of(line, {length}));
+    return all;
+}
+
+// Guards against a head that is no answer's and is passed on.
+TEST(message_head, broken_heads_are_errors_at_any_split)
+{
+    for (const auto& bytes : broken_answers()) {
+        for (const std::size_t part : {1UL, 2UL, 7UL, bytes.size()})
+            EXPECT_TRUE(is_malformed(read_head_of(bytes, part).ec))
+                << bytes << " in parts of " << part;
+    }
+}
+
+TEST(message_head, sound_heads_pass_at_any_split)
+{
+    std::vector<std::string> all = {
+        answer_of("HTTP/1.1 200 ", {length}),
+        answer_of("HTTP/1.1 200 \xe9\t x", {length}),
+        answer_of("HTTP/1.0 200 OK", {length}),
+        answer_of("HTTP/1.1 100 Continue", {}),
+        answer_of("HTTP/1.1 599 Any", {length}),
+        answer_of(ok, {"X-Odd:", "!#$%&'*+-.^_`|~09AZaz:\xe9 \t1 ", length}),
+        answer_of(ok, {"TRANSFER-ENCODING: Chunked"}),
+        answer_of(ok, {}),
+    };
+    for (const auto& bytes : all) {
+        for (const std::size_t part : {1UL, 2UL, 7UL, bytes.size()}) {
+            const auto r = read_head_of(bytes, part);
+            EXPECT_FALSE(r.ec)
+                << bytes << " in parts of " << part << ": " << r.ec.message();
+            EXPECT_EQ(r.rest, body) << bytes;
+        }
+    }
+}
+
+TEST(message_head, ends_of_the_connection_are_no_answer)
+{
+    const auto whole = answer_of(ok, {length});
+    const auto head = whole.size() - body.size();
+    EXPECT_EQ(read_head_of("", 1).ec, http::error::end_of_stream);
+    for (std::size_t n = 1; n < head; ++n)
+        EXPECT_EQ(read_head_of(whole.substr(0, n), 5).ec,
+                  http::error::partial_message)
+            << n;
+}
+
+/// Answers one request with the given bytes.
+class one_answer
+{
+public:
+    explicit one_answer(std::string bytes)
+        : acceptor_(ctx_, {asio::ip::address_v4::loopback(), 0}),
+          thread_([this, bytes = std::move(bytes)] { serve(bytes); })
+    {
+    }
+
+    ~one_answer()
+    {
+        thread_.join();
+    }
+
+    one_answer(const one_answer&) = delete;
+    one_answer& operator=(const one_answer&) = delete;
+
+    host_port address() const
+    {
+        return {"127.0.0.1", acceptor_.local_endpoint().port()};
+    }
+
+private:
+    void serve(const std::string& bytes)
+    {
+        beast::error_code ec;
+        tcp::socket s(ctx_);
+        acceptor_.accept(s, ec);
+        std::string request;
+        asio::read_until(s, asio::dynamic_buffer(request), "\r\n\r\n", ec);
+        asio::write(s, asio::buffer(bytes), ec);
+    }
+
+    asio::io_context ctx_;
+    tcp::acceptor acceptor_;
+    std::thread thread_;
+};
+
+std::optional<http_response> call(const std::string& bytes, http_error& error)
+{
+    const one_answer server(bytes);
+    http_request q;
+    q.address = server.address();
+    q.method = "GET";
+    q.target = "/";
+    q.timeout = 5 * us_per_s;
+    return send_http_request(q, error);
+}
+
+// Guards against a broken answer of the store that is taken for its word.
+TEST(message_head, client_refuses_broken_answers)
+{
+    for (const auto& bytes : broken_answers()) {
+        http_error error{};
+        EXPECT_FALSE(call(bytes, error)) << bytes;
+        EXPECT_EQ(error, http_error::no_answer) << bytes;
+    }
+    http_error error{};
+    const auto r = call(answer_of(ok, {length}), error);
+    ASSERT_TRUE(r);
+    EXPECT_EQ(r->body, body);
+}
+
+} // namespace
+} // namespace jasminetray
