Refuse answers with field lines that begin with a blank

What callers saw: an answer with such a line reached them with the line joined to the field before it, the seal for example. With " Transfer-Encoding: chunked" the body was the raw framing, not the backend server's; with " Content-Length: 2" it had another length.

Cause: the parser joins a line that begins with a blank to the one before.

Why this works: the bytes are looked at as they arrive, before the parser, in the one function that reads the heads of answers; what follows the head isn't looked at. Unit tests split each head at any byte.

--- a/src/http/message_head.hpp
+++ b/src/http/message_head.hpp
@@ -1,10 +1,12 @@
 // Reads the heads of messages, and decides whether one is an answer's. The
-// parser takes any status of three digits.
+// parser takes any status of three digits, and joins a line that begins with a
+// blank to the line before.
 #pragma once
 
 #include "http/message_limits.hpp"
 
 #include <boost/asio/error.hpp>
+#include <string_view>
 
 namespace jasminetray {
 
@@ -12,17 +14,28 @@
 /// @param buf bounded by the limit of the head, see apply_limits
 /// @param read_some reads into given buffers and returns the number of bytes:
 ///        std::size_t(flat_buffer::mutable_buffers_type, error_code&)
+/// @param accept returns whether the bytes that have arrived last may be part
+///        of a head: bool(std::string_view)
 /// @return bytes of the head
-template <typename Parser, typename ReadSome>
+template <typename Parser, typename ReadSome, typename Accept>
 std::size_t read_message_head(Parser& parser, boost::beast::flat_buffer& buf,
-                              boost::beast::error_code& ec, ReadSome read_some)
+                              boost::beast::error_code& ec, ReadSome read_some,
+                              Accept accept)
 {
     namespace http = boost::beast::http;
     constexpr std::size_t max_read = 65536; // bytes
     std::size_t parsed = 0;
+    auto arrived = buf.size();
     while (!ec) {
-        if (buf.size() > 0) {
-            const auto taken = parser.put(buf.cdata(), ec);
+        const auto held = buf.cdata();
+        const std::string_view all(static_cast<const char*>(held.data()),
+                                   held.size());
+        if (!accept(all.substr(all.size() - arrived))) {
+            ec = http::error::bad_field;
+            break;
+        }
+        if (!all.empty()) {
+            const auto taken = parser.put(held, ec);
             buf.consume(taken);
             parsed += taken;
         }
@@ -35,7 +48,8 @@
             ec = http::error::header_limit;
             break;
         }
-        buf.commit(read_some(buf.prepare(size), ec));
+        arrived = read_some(buf.prepare(size), ec);
+        buf.commit(arrived);
         if (ec == boost::asio::error::eof)
             ec = parsed + buf.size() > 0 ? http::error::partial_message
                                          : http::error::end_of_stream;
@@ -43,6 +57,32 @@
     return parsed;
 }
 
+/// Finds lines of a head that begin with a blank. Such a line may be a field
+/// with a damaged name, also one of those that frame the body.
+class line_starts
+{
+public:
+    /// @param arrived bytes that follow those of the call before
+    /// @return false when a line of the head begins with a blank
+    bool check(std::string_view arrived)
+    {
+        while (!complete_ && !arrived.empty()) {
+            const char c = arrived.front();
+            if (at_start_ && (c == ' ' || c == '\t'))
+                return false;
+            complete_ = at_start_ && (c == '\r' || c == '\n');
+            const auto end = arrived.find('\n');
+            at_start_ = end != std::string_view::npos;
+            arrived.remove_prefix(at_start_ ? end + 1 : arrived.size());
+        }
+        return true;
+    }
+
+private:
+    bool at_start_ = true;  ///< the next byte is a line's first
+    bool complete_ = false; ///< the empty line has begun
+};
+
 /// Returns the error of a parsed head that is no answer's.
 template <typename Fields>
 boost::beast::error_code
@@ -61,7 +101,10 @@
 void read_answer_head(Parser& parser, boost::beast::flat_buffer& buf,
                       boost::beast::error_code& ec, ReadSome read_some)
 {
-    read_message_head(parser, buf, ec, read_some);
+    line_starts lines;
+    read_message_head(
+        parser, buf, ec, read_some,
+        [&lines](std::string_view arrived) { return lines.check(arrived); });
     if (!ec)
         ec = check_answer_head(parser.get());
 }
--- a/test/platform_answers.py
+++ b/test/platform_answers.py
@@ -1,5 +1,6 @@
 """Tests that callers never get an answer of a backend server that isn't one in
-the protocol. Exits non-zero if a check fails.
+the protocol: status and field names, in final, interim and refusing answers.
+Exits non-zero if a check fails.
 
 Arguments: names of checks; all of them without one.
 """
@@ -186,6 +187,39 @@
            "the nodes run and log it")
 
 
+BROKEN_LINES = (b"X Odd: 1", b"X\tOdd: 1", b"X\x01Odd: 1", b"X\x00Odd: 1",
+                b"X\x7fOdd: 1", b"X\xe9Odd: 1", b"X(Odd: 1", b"X-Odd : 1",
+                b" X-Odd: 1", b"\tX-Odd: 1", b": 1", b"X-Odd", b" ",
+                b"X\x0bOdd: 1", b"X\rOdd: 1")
+
+
+# Guards against a field whose name is none and that passes, or spoils the end
+# of the body.
+def check_names(f):
+    x = Answers(start(f, extra=NO_EJECTION))
+    for line in BROKEN_LINES:
+        expect_refused(x, "%r first" % line, shape(first=[line]))
+        expect_refused(x, "%r" % line, shape(last=[line]))
+        expect_refused(x, "%r last" % line, shape(behind=[line]))
+        expect_refused(x, "%r in a 500" % line, shape(
+            b"HTTP/1.1 500 Error", last=[line]))
+        expect_refused(x, "%r in an interim answer" % line, interim(
+            shape(b"HTTP/1.1 103 Early", last=[line], framing="none"),
+            shape()))
+        expect_refused(x, "%r in a refusal" % line, shape(
+            b"HTTP/1.1 503 Busy", first=[b"X-Not-Executed: 1"], last=[line]))
+    for line in (b"Transfer Encoding: chunked", b" Transfer-Encoding: chunked",
+                 b"Transfer\x01-Encoding: chunked",
+                 b"\tTransfer-Encoding: chunked",
+                 b"Transfer-Encoding : chunked"):
+        expect_refused(x, "%r" % line, shape(last=[line], framing="raw"))
+        expect_refused(x, "%r first" % line, shape(first=[line],
+                                                   framing="raw"))
+    for line in (b" Content-Length: 2", b"Content Length: 2"):
+        expect_refused(x, "%r" % line, shape(last=[line], framing="closed"))
+    expect(all_run(x.h), "the nodes run")
+
+
 # Guards against sound answers at the edges of the grammar that are refused.
 def check_sound(f):
     x = Answers(start(f, extra=NO_EJECTION))
@@ -211,7 +245,7 @@
         shape(b"HTTP/1.1 103 Early Hints", framing="none"), shape()))
 
 
-CHECKS = {"status": check_status, "sound": check_sound}
+CHECKS = {"status": check_status, "names": check_names, "sound": check_sound}
 
 
 if __name__ == "__main__":
--- a/test/test_message_head.cpp
+++ b/test/test_message_head.cpp
@@ -74,10 +74,18 @@
     for (const auto* line : {"HTTP/2.0 200 OK", "HTTP/0.9 200 OK",
                              "HTTP/1.1\t200 OK", "", "HTTP/1.1 200"})
         all.push_back(answer_of(line, {length}));
+    for (const std::string line :
+         {" X-Odd: 1", "\tX-Odd: 1", " ", "X Odd: 1", "X\x01Odd: 1",
+          "X-Odd : 1", ": 1", "X-Odd", "X-Odd: \x01", "X\xe9: 1"}) {
+        all.push_back(answer_of(ok, {line, length}));
+        all.push_back(answer_of(ok, {length, line}));
+        all.push_back(answer_of("HTTP/1.1 103 Early", {length, line}));
+    }
     return all;
 }
 
-// Guards against a head that is no answer's and is passed on.
+// Guards against a head that is no answer's and is passed on, or that frames a
+// body other than the sender's.
 TEST(message_head, broken_heads_are_errors_at_any_split)
 {
     for (const auto& bytes : broken_answers()) {
@@ -109,6 +117,14 @@
     }
 }
 
+// A body that follows the head in the same segment may begin its lines with
+// blanks.
+TEST(message_head, lines_of_the_body_are_not_checked)
+{
+    const auto bytes = answer_of(ok, {length}) + "\r\n x\n\ty";
+    EXPECT_FALSE(read_head_of(bytes, bytes.size()).ec);
+}
+
 TEST(message_head, ends_of_the_connection_are_no_answer)
 {
     const auto whole = answer_of(ok, {length});
