Refuse answers with transfer codings other than one chunked

What callers saw: with "Transfer-Encoding: xchunked" (or identity, "chunked, gzip", nothing) a 200 with the seal and the raw framing as the body, which isn't the backend server's.

Cause: the parser reads an answer with a coding that it doesn't know up to the end of the connection. Requests were checked for this, answers were not.

Why this works: the check of requests moved to where the heads of answers are checked, and serves both. An answer without a valid coding ends its read with an error before a byte of its body is passed on.

--- a/src/http/message_head.hpp
+++ b/src/http/message_head.hpp
@@ -1,11 +1,12 @@
 // Reads the heads of messages, and decides whether one is an answer's. The
-// parser takes any status of three digits, and joins a line that begins with a
-// blank to the line before.
+// parser lets some pass that are not: any status of three digits, any transfer
+// coding, and lines that begin with a blank, which it joins to the line before.
 #pragma once
 
 #include "http/message_limits.hpp"
 
 #include <boost/asio/error.hpp>
+#include <iterator>
 #include <string_view>
 
 namespace jasminetray {
@@ -83,6 +84,21 @@
     bool complete_ = false; ///< the empty line has begun
 };
 
+/// Returns whether a body's end is unambiguous. Transfer codings other than
+/// chunked are rejected: their framing would pass for a part of the body.
+template <bool is_request, typename Fields>
+bool has_valid_coding(const boost::beast::http::header<is_request, Fields>& m)
+{
+    constexpr unsigned http_1_1 = 11; // as the library writes versions
+    const auto range =
+        m.equal_range(boost::beast::http::field::transfer_encoding);
+    if (range.first == range.second)
+        return true;
+    return std::next(range.first) == range.second &&
+           boost::beast::iequals(range.first->value(), "chunked") &&
+           m.version() == http_1_1;
+}
+
 /// Returns the error of a parsed head that is no answer's.
 template <typename Fields>
 boost::beast::error_code
@@ -93,6 +109,8 @@
     constexpr unsigned max_status = 599;
     if (m.result_int() < min_status || m.result_int() > max_status)
         return http::error::bad_status;
+    if (!has_valid_coding(m))
+        return http::error::bad_transfer_encoding;
     return {};
 }
 
--- a/src/node/caller_read.cpp
+++ b/src/node/caller_read.cpp
@@ -62,18 +62,6 @@
     return std::nullopt;
 }
 
-/// Returns whether the end of the body is unambiguous. Transfer codings other
-/// than chunked are rejected to prevent request smuggling.
-bool has_valid_framing(const http::request_header<>& head)
-{
-    const auto range = head.equal_range(http::field::transfer_encoding);
-    if (range.first == range.second)
-        return true;
-    return std::next(range.first) == range.second &&
-           beast::iequals(range.first->value(), "chunked") &&
-           head.version() == 11;
-}
-
 /// Converts an absolute-form target (http://host/path) to origin form.
 void to_origin_form(string_request& m)
 {
@@ -128,7 +116,7 @@
         return no_room_refusal(n);
     if (timer.expired())
         return bad_request(http::status::request_timeout, "slow-head");
-    if (!ec && !has_valid_framing(parser.get()))
+    if (!ec && !has_valid_coding(parser.get()))
         return bad_request(http::status::bad_request, "unknown-coding");
     if (!ec && lacks_memory_for(find_memory_reserve(), n.in_flight))
         return no_memory_refusal();
--- a/test/platform_answers.py
+++ b/test/platform_answers.py
@@ -1,6 +1,6 @@
 """Tests that callers never get an answer of a backend server that isn't one in
-the protocol: status and field names, in final, interim and refusing answers.
-Exits non-zero if a check fails.
+the protocol: status, field names and transfer codings, in final, interim and
+refusing answers. Exits non-zero if a check fails.
 
 Arguments: names of checks; all of them without one.
 """
@@ -220,6 +220,23 @@
     expect(all_run(x.h), "the nodes run")
 
 
+BROKEN_CODINGS = (b"xchunked", b"identity", b"chunked, gzip", b"gzip, chunked",
+                  b"chunked, chunked", b"chunked x", b"", b"chunked;q=1")
+
+
+# Guards against a transfer coding whose framing passes for a part of the body.
+def check_codings(f):
+    x = Answers(start(f, extra=NO_EJECTION))
+    for coding in BROKEN_CODINGS:
+        expect_refused(x, "coding %r" % coding, shape(
+            last=[b"Transfer-Encoding: " + coding], framing="raw"))
+    expect_refused(x, "two codings", shape(
+        last=[b"Transfer-Encoding: chunked"], framing="chunked"))
+    expect_refused(x, "a coding of 1.0", shape(
+        b"HTTP/1.0 200 OK", framing="chunked"))
+    expect(all_run(x.h), "the nodes run")
+
+
 # Guards against sound answers at the edges of the grammar that are refused.
 def check_sound(f):
     x = Answers(start(f, extra=NO_EJECTION))
@@ -245,7 +262,42 @@
         shape(b"HTTP/1.1 103 Early Hints", framing="none"), shape()))
 
 
-CHECKS = {"status": check_status, "names": check_names, "sound": check_sound}
+HEALTH_SHAPES = (b"HTTP/1.1 200 OK\r\n X-Odd: 1\r\n",
+                 b"HTTP/1.1 200 OK\r\nX-Odd: 1\r\n\tX-Odd: 1\r\n",
+                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n",
+                 b"HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
+                 b"HTTP/1.1 000 OK\r\n")
+
+
+# Guards against a health answer that is none and admits a backend server.
+def check_health(f):
+    h = start(f)
+    worker = h.workers["w0"]
+    worker.muted = True
+    for shape_of_health in HEALTH_SHAPES:
+        worker.health_answer = (shape_of_health + b"X-Instance-Id: w0\r\n"
+                                b"X-Server-Load: 0,0,4\r\n"
+                                b"Connection: close\r\n\r\n")
+        h.f.nodes["n0"].send(hosted.signal.SIGKILL)
+        h.f.nodes["n0"].popen.wait()
+        probes = worker.probes
+        h.start_node("n0", "billing")
+        expect(wait_for(lambda n=probes: worker.probes > n + 1),
+               "the node probes")
+        h.workers["w1"].mode = "shed"
+        got = {ask_or_closed(h, "n0", "/read/") for _ in range(4)}
+        h.workers["w1"].mode = "healthy"
+        expect(200 not in got, "%r admits nothing: %s" % (
+            shape_of_health, got))
+        worker.health_answer = None
+        h.workers["w1"].mode = "shed"
+        expect(wait_for(lambda: ask_or_closed(h, "n0", "/read/") == 200),
+               "a sound one does")
+        h.workers["w1"].mode = "healthy"
+
+
+CHECKS = {"health": check_health, "status": check_status, "names": check_names,
+          "codings": check_codings, "sound": check_sound}
 
 
 if __name__ == "__main__":
--- a/test/platform_hosted.py
+++ b/test/platform_hosted.py
@@ -102,6 +102,7 @@
         self.notices_in_health = True
         self.flood_health, self.health_floods = False, 0
         self.flood_begin = b"1;"  # of the line of a chunk
+        self.health_answer, self.probes = None, 0  # its bytes, else usual ones
         self.health_trailer = ""  # fields after the body of a health answer
         self.said = []  # (time, notices) whenever answers named other ones
         self.connections = set()
@@ -154,6 +155,11 @@
                     return None
                 load = {"X-Server-Load": "%d,0,%d" % (worker.running,
                                                       worker.slots)}
+                worker.probes += self.path == "/up"
+                if self.path == "/up" and worker.health_answer:
+                    self.wfile.write(worker.health_answer)
+                    self.close_connection = True
+                    return None
                 if self.path == "/up" and worker.flood_health:
                     return worker.flood(self)
                 if self.path == "/up" and worker.health_trailer:
--- a/test/test_message_head.cpp
+++ b/test/test_message_head.cpp
@@ -63,6 +63,7 @@
 
 const std::string ok = "HTTP/1.1 200 OK";
 const std::string length = "Content-Length: 4";
+const std::string chunked = "Transfer-Encoding: chunked";
 
 /// Returns heads that are no answer's.
 std::vector<std::string> broken_answers()
@@ -81,6 +82,14 @@
         all.push_back(answer_of(ok, {length, line}));
         all.push_back(answer_of("HTTP/1.1 103 Early", {length, line}));
     }
+    for (const std::string coding :
+         {"xchunked", "identity", "chunked, gzip", "gzip, chunked",
+          "chunked, chunked", "chunked x", ""})
+        all.push_back(answer_of(ok, {"Transfer-Encoding: " + coding}));
+    all.push_back(answer_of(ok, {chunked, chunked}));
+    all.push_back(answer_of(ok, {chunked, length}));
+    all.push_back(answer_of(ok, {length, "Content-Length: 5"}));
+    all.push_back(answer_of("HTTP/1.0 200 OK", {chunked}));
     return all;
 }
 
