Bound heads whose lines arrive one by one

What callers saw: a backend server that sent fields without an end took the memory of the node that had called it: 326 MB in 3 s, where a VM has 260 MB or less, so that the process ends with the requests of all its callers. A caller's head of 30 KB passed a limit of 4 KB, made the exit node close the connection and other requests get 503.

Cause: the parser compares the limit of heads with what it holds back, not with what it has taken. Reads that end near the bounds of lines are taken whole.

--- a/src/http/message_head.hpp
+++ b/src/http/message_head.hpp
@@ -42,6 +42,11 @@
         }
         if (ec == http::error::need_more)
             ec = {};
+        // The parser compares with the limit only what it holds back, so that
+        // lines that arrive one by one could go on without an end.
+        const auto rest = parser.is_header_done() ? 0 : buf.size();
+        if (!ec && parsed + rest > buf.max_size())
+            ec = http::error::header_limit;
         if (ec || parser.is_header_done())
             break;
         const auto size = boost::beast::read_size(buf, max_read);
@@ -58,6 +63,15 @@
     return parsed;
 }
 
+/// Reads the head of a request.
+template <typename Parser, typename ReadSome>
+std::size_t read_request_head(Parser& parser, boost::beast::flat_buffer& buf,
+                              boost::beast::error_code& ec, ReadSome read_some)
+{
+    return read_message_head(parser, buf, ec, read_some,
+                             [](std::string_view) { return true; });
+}
+
 /// Finds lines of a head that begin with a blank. Such a line may be a field
 /// with a damaged name, also one of those that frame the body.
 class line_starts
--- a/src/node/held_body.cpp
+++ b/src/node/held_body.cpp
@@ -1,6 +1,8 @@
 // Implementation of heads and bodies that are held; see held_body.hpp.
 #include "node/held_body.hpp"
 
+#include "node/http_func.hpp"
+
 namespace jasminetray {
 
 namespace {
@@ -19,8 +21,6 @@
 {
     if (bytes <= long_head_bytes)
         return true;
-    if (room.has_value())
-        return room.resize(head_copies * bytes);
     room = body_room(n, body_kind::small, head_copies * bytes);
     return room.has_value();
 }
@@ -59,18 +59,7 @@
                     beast::flat_buffer& buf, request_parser& parser,
                     body_room& room, beast::error_code& ec, const yield& y)
 {
-    std::size_t bytes = 0;
-    while (!ec && !parser.is_header_done()) {
-        if (!take_head_room(n, buf.size(), room))
-            return false;
-        const auto before = buf.size();
-        room.wait([&stream] { stream.cancel(); });
-        const auto parsed = http::async_read_some(stream, buf, parser, y[ec]);
-        bytes += parsed;
-        room.arrived(buf.size() + parsed - before);
-        if (room.withdrawn())
-            return false;
-    }
+    const auto bytes = read_head(stream, parser, buf, ec, y);
     return ec || take_head_room(n, bytes, room);
 }
 
--- a/src/node/http_func.cpp
+++ b/src/node/http_func.cpp
@@ -109,6 +109,16 @@
     f.erase(hop_header);
 }
 
+std::size_t read_head(beast::tcp_stream& stream, request_parser& parser,
+                      beast::flat_buffer& buf, beast::error_code& ec,
+                      const yield& y)
+{
+    return read_request_head(parser, buf, ec,
+                             [&](const auto& to, beast::error_code& failed) {
+                                 return stream.async_read_some(to, y[failed]);
+                             });
+}
+
 void read_head(http_connection& connection, response_parser& parser,
                beast::error_code& ec, const yield& y)
 {
--- a/src/node/http_func.hpp
+++ b/src/node/http_func.hpp
@@ -33,6 +33,12 @@
     return q;
 }
 
+/// Reads the head of a request.
+/// @return its bytes
+std::size_t read_head(beast::tcp_stream& stream, request_parser& parser,
+                      beast::flat_buffer& buf, beast::error_code& ec,
+                      const yield& y);
+
 /// Serves small requests on a connection until it closes.
 /// @param answer returns the response to a request
 template <typename Answer>
@@ -48,7 +54,9 @@
         apply_limits(parser, buf, limits);
         stream.expires_after(idle_timeout);
         beast::error_code ec;
-        http::async_read(stream, buf, parser, y[ec]);
+        read_head(stream, parser, buf, ec, y);
+        if (!ec && !parser.is_done())
+            http::async_read(stream, buf, parser, y[ec]);
         log_too_long(n, side, ec, limits, buf);
         if (ec)
             break;
--- a/test/platform_answers.py
+++ b/test/platform_answers.py
@@ -10,7 +10,9 @@
 import sys
 
 import platform_hosted as hosted
-from platform_bytes import all_run, ask_or_closed, log_of, start
+from platform_bytes import (all_run, ask_or_closed, in_threads, log_of,
+                            start)
+from platform_framing import peak_mb
 from platform_hosted import expect, wait_for
 
 CALLER_WAITS_S = 6  # longer than any request here may take
@@ -262,6 +264,63 @@
         shape(b"HTTP/1.1 103 Early Hints", framing="none"), shape()))
 
 
+ENDLESS = (  # what begins an answer, and what follows without an end
+    ("no answer", b"", b"x" * 65536),
+    ("no answer in lines", b"", b"x: y\r\n" * 8192),
+    ("a status line", b"HTTP/1.1 200 ", b"x" * 65536),
+    ("a field", b"HTTP/1.1 200 OK\r\nX-Odd: ", b"y" * 65536),
+    ("a field's name", b"HTTP/1.1 200 OK\r\n", b"y" * 65536),
+    ("fields", b"HTTP/1.1 200 OK\r\n", b"X-Odd: y\r\n" * 8192),
+    # Lines that end shortly before each read of 512 bytes does.
+    ("aligned fields", b"HTTP/1.1 200 OK" + b"z" * 45 + b"\r\n",
+     (b"X-Odd: " + b"y" * 55 + b"\r\n") * 1024),
+    ("interim answers", b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2048),
+    ("a chunk that is none",
+     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+     b"z" * 65536))
+SENT = 200 << 20  # bytes of each, unless the node closes before
+MOST_MB = 64  # of a node, at its peak
+
+
+# Guards against bytes that are no answer and never end, which take the memory of
+# their node and with it the requests of other callers.
+def check_endless(f):
+    h = start(f)
+
+    def flood(begin, part):
+        def spoil(handler, _):
+            if handler.path != "/charge/":
+                return False
+            handler.close_connection = True
+            try:
+                handler.wfile.write(begin + part)
+                for _ in range(SENT // len(part)):
+                    handler.wfile.write(part)
+            except OSError:
+                pass  # closed by the node
+            return True
+        return spoil
+
+    for what, begin, part in ENDLESS:
+        for w in h.workers.values():
+            w.spoil = flood(begin, part)
+        got, reads = [], []
+        threads = in_threads([lambda n=n: got.append(split_answer(exchange(
+            h, n, "POST", "/charge/")[1])) for n in h.nodes] * 4)
+        while any(t.is_alive() for t in threads):
+            reads += [ask_or_closed(h, n, "/read/") for n in h.nodes]
+        expect(all(x and x[0] in (502, 503, 504) for x in got),
+               "%s without an end: charges get %s" % (what, got))
+        expect("closed" not in reads, "%s: reads are answered: %s" % (
+            what, {x: reads.count(x) for x in set(reads)}))
+        for w in h.workers.values():
+            w.spoil = None
+        expect(all_run(h) and all(wait_for(lambda n=n: ask_or_closed(
+            h, n, "/read/") == 200) for n in h.nodes), what + ": they serve on")
+    peaks = [peak_mb(h, n) for n in h.nodes]
+    expect(max(peaks) < MOST_MB, "peak memory %s MB" % peaks)
+
+
 HEALTH_SHAPES = (b"HTTP/1.1 200 OK\r\n X-Odd: 1\r\n",
                  b"HTTP/1.1 200 OK\r\nX-Odd: 1\r\n\tX-Odd: 1\r\n",
                  b"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n",
@@ -296,7 +355,7 @@
         h.workers["w1"].mode = "healthy"
 
 
-CHECKS = {"health": check_health, "status": check_status, "names": check_names,
+CHECKS = {"endless": check_endless, "health": check_health, "status": check_status, "names": check_names,
           "codings": check_codings, "sound": check_sound}
 
 
--- a/test/platform_framing.py
+++ b/test/platform_framing.py
@@ -296,6 +296,62 @@
     expect_bounded(h, "answers without an end")
 
 
+LINE = b"X-Odd: 1\r\n"
+SEGMENT = 500  # bytes; each ends shortly behind the begin of a line
+
+
+def send_in_segments(connection, data):
+    """Sends so that each segment arrives by itself; returns whether all were
+    taken."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    try:
+        for at in range(0, len(data), SEGMENT):
+            connection.sendall(data[at:at + SEGMENT])
+            time.sleep(0.001)
+    except OSError:
+        return False  # closed by the node
+    return True
+
+
+# Guards against a head that is longer than its limit and passes because its
+# lines arrive one by one, so that one without an end takes all memory.
+def check_heads(f):
+    h = start(f)
+    begin = b"GET /read/123456 HTTP/1.1\r\n"
+    expect(len(begin) % len(LINE) == len(b"HTTP/1.1 200 OK\r\n") % len(LINE),
+           "segments are aligned")
+    with socket.create_connection(
+            ("127.0.0.1", h.nodes["n0"]["entry"]), 20) as s:
+        send_in_segments(s, begin + LINE * 3000 + (
+            "Host: %s\r\nX-Attempt-Id: long\r\n\r\n" % hosted.HOST).encode())
+        try:
+            got = s.recv(4096)
+        except OSError:
+            got = b""  # reset, as bytes were unread
+    expect(got == b"" or got.startswith(b"HTTP/1.1 431"),
+           "a caller's head of 30 KB gets %r" % got[:40])
+    expect(not any(x[0] == "long" for w in h.workers.values() for x in w.seen),
+           "and doesn't run")
+    taken = []
+
+    def answer(handler, request_id):
+        taken.append(send_in_segments(
+            handler.connection, b"HTTP/1.1 200 OK\r\n" + LINE * 12000 +
+            head(request_id, "Content-Length: 2").partition(b"\r\n")[2] +
+            b"ok"))
+        handler.close_connection = True
+        return True
+
+    for w in h.workers.values():
+        w.spoil = answer
+    got = [ask_or_closed(h, n, "/charge/", "POST") for n in h.nodes]
+    expect(got == [502] * 2 and not any(taken),
+           "an answer's head of 120 KB gets %s, all taken: %s" % (got, taken))
+    for w in h.workers.values():
+        w.spoil = None
+    expect_bounded(h, "long heads")
+
+
 # Guards against trailer fields that pass for fields of the head.
 def check_trailers(f):
     h = start(f)
@@ -406,6 +462,7 @@
 CHECKS = {"callers": check_callers, "streamed": check_streamed,
           "kept": check_kept, "ports": check_ports, "calls": check_calls,
           "datagrams": check_datagrams, "answers": check_answers,
+          "heads": check_heads,
           "trailers": check_trailers, "endless": check_endless,
           "probe_trailer": check_probe_trailer,
           "health": check_health, "store": check_store,
--- a/test/test_message_head.cpp
+++ b/test/test_message_head.cpp
@@ -30,10 +30,11 @@
 };
 
 /// @param part bytes that arrive together
+template <bool is_request>
 reading read_head_of(const std::string& bytes, std::size_t part)
 {
     beast::flat_buffer buf;
-    http::response_parser<arriving_body> parser;
+    http::parser<is_request, arriving_body> parser;
     apply_limits(parser, buf, limits);
     reading r;
     auto& at = r.taken;
@@ -45,7 +46,10 @@
             ec = asio::error::eof;
         return n;
     };
-    read_answer_head(parser, buf, r.ec, read_some);
+    if constexpr (is_request)
+        read_request_head(parser, buf, r.ec, read_some);
+    else
+        read_answer_head(parser, buf, r.ec, read_some);
     const auto held = buf.cdata();
     r.rest.assign(static_cast<const char*>(held.data()), held.size());
     r.rest += bytes.substr(at);
@@ -99,7 +103,7 @@
 {
     for (const auto& bytes : broken_answers()) {
         for (const std::size_t part : {1UL, 2UL, 7UL, bytes.size()})
-            EXPECT_TRUE(is_malformed(read_head_of(bytes, part).ec))
+            EXPECT_TRUE(is_malformed(read_head_of<false>(bytes, part).ec))
                 << bytes << " in parts of " << part;
     }
 }
@@ -118,7 +122,7 @@
     };
     for (const auto& bytes : all) {
         for (const std::size_t part : {1UL, 2UL, 7UL, bytes.size()}) {
-            const auto r = read_head_of(bytes, part);
+            const auto r = read_head_of<false>(bytes, part);
             EXPECT_FALSE(r.ec)
                 << bytes << " in parts of " << part << ": " << r.ec.message();
             EXPECT_EQ(r.rest, body) << bytes;
@@ -131,20 +135,74 @@
 TEST(message_head, lines_of_the_body_are_not_checked)
 {
     const auto bytes = answer_of(ok, {length}) + "\r\n x\n\ty";
-    EXPECT_FALSE(read_head_of(bytes, bytes.size()).ec);
+    EXPECT_FALSE(read_head_of<false>(bytes, bytes.size()).ec);
 }
 
 TEST(message_head, ends_of_the_connection_are_no_answer)
 {
     const auto whole = answer_of(ok, {length});
     const auto head = whole.size() - body.size();
-    EXPECT_EQ(read_head_of("", 1).ec, http::error::end_of_stream);
+    EXPECT_EQ(read_head_of<false>("", 1).ec, http::error::end_of_stream);
     for (std::size_t n = 1; n < head; ++n)
-        EXPECT_EQ(read_head_of(whole.substr(0, n), 5).ec,
+        EXPECT_EQ(read_head_of<false>(whole.substr(0, n), 5).ec,
                   http::error::partial_message)
             << n;
 }
 
+std::string repeat(const std::string& text, std::size_t size)
+{
+    std::string all;
+    while (all.size() < size)
+        all += text;
+    return all;
+}
+
+/// @param first the message's first line
+template <bool is_request>
+void expect_bounded(const std::string& first)
+{
+    constexpr std::size_t size = 8192; // bytes
+    const std::string endless(size, 'x');
+    for (const auto& bytes :
+         {first + "\r\n" + repeat("X-Odd: 1\r\n", size),
+          first + "\r\n" + repeat("X-Odd: y\r\nX: z\r\n", size),
+          first + "\r\nX-Odd: " + endless, first + "\r\n" + endless,
+          first.substr(0, 14) + endless, endless}) {
+        for (std::size_t part = 1; part <= limits.head_bytes; ++part) {
+            const auto r = read_head_of<is_request>(bytes, part);
+            ASSERT_TRUE(exceeds_limit(r.ec) || is_malformed(r.ec))
+                << bytes.substr(0, 60) << " in parts of " << part << ": "
+                << r.ec.message();
+            ASSERT_LE(r.taken, 2 * limits.head_bytes);
+        }
+    }
+}
+
+// Guards against a head without an end that takes memory until its sender is
+// closed, also where each part ends such that the parser takes all its lines.
+TEST(message_head, heads_without_an_end_are_bounded)
+{
+    for (std::size_t k = 0; k < 10; ++k) {
+        expect_bounded<false>(ok + std::string(k, 'k'));
+        expect_bounded<true>("GET /" + std::string(k + 20, 'k') + " HTTP/1.1");
+    }
+}
+
+TEST(message_head, heads_up_to_the_limit_pass)
+{
+    for (const std::size_t size : {limits.head_bytes, limits.head_bytes + 1}) {
+        const auto lines = ok + "\r\n" + repeat("X: 1\r\n", 600) + "X:";
+        const auto bytes =
+            lines + std::string(size - lines.size() - 4, 'y') + "\r\n\r\n";
+        for (std::size_t part = 1; part <= size; ++part)
+            EXPECT_EQ(read_head_of<false>(bytes, part).ec,
+                      size > limits.head_bytes
+                          ? beast::error_code(http::error::header_limit)
+                          : beast::error_code())
+                << size << " in parts of " << part;
+    }
+}
+
 /// Answers one request with the given bytes.
 class one_answer
 {
