Refuse requests once a short grace period leaves no time for them

What callers saw: a node that has 3 s to stop was killed at their end, and what came in the last half second before got 504 though it never ran.

Cause: the listeners stay open for drain_ms, here 3 s, whatever the grace period is, and the node ends only once they are closed.

Evidence: platform_stop_late.py short on the build before: 8 checks failed ("the node ends within its grace period"; "/read/ sent at 2.53 s ran at [], 504 at 2.53 s"). The checks usual (6 s), long (10 s) and uploads passed before: what comes late in a usual grace period is refused and doesn't run.

Why this works: listeners close and requests are refused at the deadline of all answers at the latest, so that the node ends before the kill.

--- a/src/node/node_run.cpp
+++ b/src/node/node_run.cpp
@@ -543,10 +543,12 @@
     p.events.write(event_id::process_stopping, p.settings.name, "");
     deliver_gate_decisions(p.state, gate_stop(p.state.local_gate, now));
     p.state.stopping = true;
-    p.close_listeners_at = now + p.settings.drain_time;
     p.stop_at = now + stop_timeout_for(p.settings);
-    p.state.refuse_at = p.close_listeners_at;
     p.state.last_answer_at = p.stop_at - answer_margin;
+    // A request that arrives later could not be answered.
+    p.close_listeners_at =
+        std::min(now + p.settings.drain_time, p.state.last_answer_at);
+    p.state.refuse_at = p.close_listeners_at;
     shorten_deadlines(p.state);
     refuse_late_grants(p.state);
     publish_self(p.state);
