--- a/test/test_platform_store.cpp
+++ b/test/test_platform_store.cpp
@@ -114,6 +114,31 @@
     EXPECT_EQ(odd->value, "e/ &=%");
 }
 
+// Guards against a row whose value can't be decoded and that hides the others,
+// also where such rows fill a page.
+TEST(platform_store, rows_that_cannot_be_decoded_are_skipped)
+{
+    running_store s;
+    const auto c = s.client();
+    store_error error{};
+    const std::vector<std::string> sound = {"a", "k", "z"};
+    for (const auto& key : sound)
+        ASSERT_TRUE(c.write_rows({make_write(key, "value")}, error));
+    s.change([](store_state& x) {
+        x.max_page_rows = 2;
+        for (const auto* key : {"b", "c", "d", "e", "l", "zz"})
+            x.rows[{table, key}] = {++x.version, "%%%"};
+    });
+    const auto list = c.list_rows(table, error);
+    ASSERT_TRUE(list) << name_of(store_error_names, error);
+    std::vector<std::string> keys;
+    for (const auto& r : list->rows)
+        keys.push_back(r.key);
+    EXPECT_EQ(keys, sound);
+    EXPECT_FALSE(c.read_row({table, "b"}, error));
+    EXPECT_EQ(error, store_error::missing);
+}
+
 TEST(platform_store, feed_waits_for_changes_in_order)
 {
     running_store s;
