--- a/test/platform_odd_entries.py
+++ b/test/platform_odd_entries.py
@@ -5,10 +5,12 @@
 Arguments: names of checks; all of them without one.
 """
 
+import json
+import socket
 import sys
 
 import platform_hosted as hosted
-from platform_bytes import all_run, ask_or_closed, start
+from platform_bytes import all_run, ask_or_closed, log_of, start
 from platform_hosted import expect, wait_for
 
 import fleet
@@ -115,7 +117,59 @@
     expect_follows(h, "with a node that starts then", 11)
 
 
-CHECKS = {"rows": check_rows, "values": check_values}
+def send_check_in(h, node, name, text):
+    """Returns the status of the answer; 0 without one."""
+    body = text.encode("utf-8", "surrogateescape")
+    with socket.create_connection(
+            ("127.0.0.1", h.nodes[node]["control"]), 3) as s:
+        try:
+            s.sendall((
+                "PUT /api/instances/%s HTTP/1.1\r\nHost: x\r\n"
+                "Content-Type: application/json\r\nContent-Length: %d\r\n"
+                "Connection: close\r\n\r\n" % (name, len(body))).encode() +
+                body)
+            answer = s.recv(65536)
+        except OSError:
+            return 0  # closed: the body is too long
+    return int(answer.split(b" ")[1]) if answer.startswith(b"HTTP/1.1") else 0
+
+
+# Guards against an odd check-in that ends its node, or takes the place of the
+# backend server whose name it bears.
+def check_check_ins(f):
+    h = start(f)
+    worker = h.workers["w0"]
+    for name in ("x", "w0"):
+        taken = [text for text in odd_texts()
+                 if send_check_in(h, "n0", name, text.replace(
+                     '"born":1', '"born":%d' % worker.born)) == 200]
+        # A start time or a number may be odd and still be one.
+        wrong = [text for text in taken if not any(
+            text == entry(**{field: n}) for n in NUMBERS
+            for field in ("seq", "cold", "born"))]
+        expect(not wrong, "odd check-ins of %s are refused: %s" % (
+            name, [t[:120] for t in wrong]))
+        expect_follows(h, "odd check-ins of " + name, 10 + len(name))
+    expect("check_in_refused" in log_of(h, "n0"), "and logged")
+
+
+# Guards against an odd address that replaces that of a backend server which is
+# at work.
+def check_address(f):
+    h = start(f)
+    worker = h.workers["w0"]
+    worker.muted = True
+    h.workers["w1"].mode = "shed"
+    for p in PORTS:
+        text = entry("127.0.0.1:" + p, seq=str(worker.seq + 1000),
+                     born=str(worker.born))
+        send_check_in(h, "n0", "w0", text)
+        expect(ask_or_closed(h, "n0", "/charge/", "POST") == 200,
+               "port %r is not used" % p)
+
+
+CHECKS = {"rows": check_rows, "values": check_values, "check_ins": check_check_ins,
+          "address": check_address}
 
 
 if __name__ == "__main__":
