--- a/test/platform_answers.py
+++ b/test/platform_answers.py
@@ -321,6 +321,53 @@
     expect(max(peaks) < MOST_MB, "peak memory %s MB" % peaks)
 
 
+# Guards against the same where the answer comes before the body of its request
+# has been read.
+def check_early(f):
+    h = start(f, limits={"MaxBodyBytes": 1 << 24}, extra=NO_EJECTION)
+    size = 3 << 20
+
+    def flood(handler, _):
+        handler.close_connection = True
+        try:
+            handler.wfile.write(begin + part)
+            for _ in range(SENT // len(part)):
+                handler.wfile.write(part)
+        except OSError:
+            pass  # closed by the node
+        return True
+
+    def upload(node, got):
+        h.requests += 1
+        with socket.create_connection(
+                ("127.0.0.1", h.nodes[node]["entry"]), CALLER_WAITS_S) as s:
+            try:
+                s.sendall(("POST /charge/ HTTP/1.1\r\nHost: %s\r\n"
+                           "X-Attempt-Id: r%d\r\nX-Deadline-Ms: 4000\r\n"
+                           "Content-Length: %d\r\n\r\n" % (
+                               hosted.HOST, h.requests, size)).encode() +
+                          b"u" * size)
+                got.append(s.recv(12)[9:])
+            except OSError:
+                got.append(b"closed")
+
+    for what, begin, part in ENDLESS:
+        for w in h.workers.values():
+            w.spoil, w.read_body = flood, lambda handler: b""
+        got = []
+        for t in in_threads([lambda n=n: upload(n, got)
+                             for n in h.nodes] * 4):
+            t.join()
+        expect(b"200" not in got, "%s: uploads get %s" % (what, got))
+        for w in h.workers.values():
+            w.spoil = None
+            del w.read_body
+        expect(all_run(h) and all(wait_for(lambda n=n: ask_or_closed(
+            h, n, "/read/") == 200) for n in h.nodes), what + ": they serve on")
+    peaks = [peak_mb(h, n) for n in h.nodes]
+    expect(max(peaks) < MOST_MB, "peak memory %s MB" % peaks)
+
+
 HEALTH_SHAPES = (b"HTTP/1.1 200 OK\r\n X-Odd: 1\r\n",
                  b"HTTP/1.1 200 OK\r\nX-Odd: 1\r\n\tX-Odd: 1\r\n",
                  b"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n",
@@ -355,7 +402,8 @@
         h.workers["w1"].mode = "healthy"
 
 
-CHECKS = {"endless": check_endless, "health": check_health, "status": check_status, "names": check_names,
+CHECKS = {"endless": check_endless, "early": check_early,
+          "health": check_health, "status": check_status, "names": check_names,
           "codings": check_codings, "sound": check_sound}
 
 
