--- a/test/platform_answers.py
+++ b/test/platform_answers.py
@@ -282,25 +282,26 @@
 MOST_MB = 64  # of a node, at its peak
 
 
+def flood(begin, part):
+    """Returns a writer of an answer to a charge that doesn't end."""
+    def spoil(handler, _):
+        if handler.path != "/charge/":
+            return False
+        handler.close_connection = True
+        try:
+            handler.wfile.write(begin + part)
+            for _ in range(SENT // len(part)):
+                handler.wfile.write(part)
+        except OSError:
+            pass  # closed by the node
+        return True
+    return spoil
+
+
 # Guards against bytes that are no answer and never end, which take the memory of
 # their node and with it the requests of other callers.
 def check_endless(f):
     h = start(f)
-
-    def flood(begin, part):
-        def spoil(handler, _):
-            if handler.path != "/charge/":
-                return False
-            handler.close_connection = True
-            try:
-                handler.wfile.write(begin + part)
-                for _ in range(SENT // len(part)):
-                    handler.wfile.write(part)
-            except OSError:
-                pass  # closed by the node
-            return True
-        return spoil
-
     for what, begin, part in ENDLESS:
         for w in h.workers.values():
             w.spoil = flood(begin, part)
@@ -327,16 +328,6 @@
     h = start(f, limits={"MaxBodyBytes": 1 << 24}, extra=NO_EJECTION)
     size = 3 << 20
 
-    def flood(handler, _):
-        handler.close_connection = True
-        try:
-            handler.wfile.write(begin + part)
-            for _ in range(SENT // len(part)):
-                handler.wfile.write(part)
-        except OSError:
-            pass  # closed by the node
-        return True
-
     def upload(node, got):
         h.requests += 1
         with socket.create_connection(
@@ -353,7 +344,7 @@
 
     for what, begin, part in ENDLESS:
         for w in h.workers.values():
-            w.spoil, w.read_body = flood, lambda handler: b""
+            w.spoil, w.read_body = flood(begin, part), lambda handler: b""
         got = []
         for t in in_threads([lambda n=n: upload(n, got)
                              for n in h.nodes] * 4):
