--- a/src/node/held_body.hpp
+++ b/src/node/held_body.hpp
@@ -6,8 +6,8 @@
 namespace jasminetray {
 
 /// Reads a request's head. A long one takes room once it is complete; until
-/// then the connection's buffer bounds it.
-/// @return false when there is none, or it was taken back from an idle sender
+/// then its limit bounds it.
+/// @return false when there is none
 bool read_held_head(node_state& n, beast::tcp_stream& stream,
                     beast::flat_buffer& buf, request_parser& parser,
                     body_room& room, beast::error_code& ec, const yield& y);
--- a/test/platform_odd_entries.py
+++ b/test/platform_odd_entries.py
@@ -5,7 +5,6 @@
 Arguments: names of checks; all of them without one.
 """
 
-import json
 import socket
 import sys
 
