Keep room for bodies that come from other nodes

What callers saw: with callers that send bodies of 1 MB through nodes that are exit nodes too, nearly all were refused with 503 (not run): 9 to 20 of 240 were served. While eight callers at each of two exit nodes sent such bodies slowly, every body from another node was refused.

Cause: callers' bodies and bodies from nodes shared one kind, its half of the budget, and one line of turns. A caller's body keeps its room until its exit node has taken it, so that nodes whose callers fill their halves wait for room at each other, for 1 s, and then refuse.

Why this works: bodies from nodes are kinds of their own whose shares are larger (3/4 and 7/8 against 1/2 and 3/4), with turns of their own, so that callers can't use all the room that the bodies before them wait for. The budget is the same.

--- a/src/memory/body_budget_type.hpp
+++ b/src/memory/body_budget_type.hpp
@@ -22,17 +22,27 @@
 /// budget, so that the kinds that need little find room beside the others.
 enum class body_kind : std::uint8_t
 {
-    answer, ///< part of an answer that is held; without room it is streamed
-    held,   ///< request body that is held whole, of a medium size
-    window, ///< window of a streamed request body
-    small,  ///< small request body, or long head
+    answer,    ///< part of an answer that is held; without room it is streamed
+    held,      ///< caller's body that is held whole, of a medium size
+    window,    ///< window of a caller's body that is streamed
+    peer_held, ///< body from a node that is held whole
+    peer_window, ///< window of a body that is streamed from a node
+    small,       ///< small request body, or long head
 };
 
-inline constexpr std::array<std::string_view, 4> body_kind_names = {
-    "answer", "held", "window", "small"};
+inline constexpr std::array<std::string_view, 6> body_kind_names = {
+    "answer", "held", "window", "peer_held", "peer_window", "small"};
 
-/// Share of the budget that may be in use with a reservation, by kind.
-inline constexpr std::array<double, 4> body_shares = {0.5, 0.5, 0.875, 1};
+/// Share of the budget that may be in use with a reservation, by kind. Callers'
+/// bodies keep their room until another node has taken them, so that bodies
+/// from nodes need room that callers can't use: else nodes wait for each other.
+inline constexpr std::array<double, 6> body_shares = {0.5,  0.5,   0.75,
+                                                      0.75, 0.875, 1};
+
+constexpr bool is_from_peer(body_kind kind)
+{
+    return kind == body_kind::peer_held || kind == body_kind::peer_window;
+}
 
 struct body_hold
 {
@@ -48,9 +58,10 @@
     std::uint64_t limit = 0; ///< bytes; 0: bodies are held without a bound
     std::uint64_t held = 0;  ///< invariant: sum of the holds, <= limit
     std::uint64_t peak = 0;  ///< most bytes held at once
-    std::array<std::uint64_t, 4> held_by_kind{};
-    std::array<std::uint64_t, 4> refused{}; ///< found no room, by kind
-    std::uint64_t withdrawn = 0;            ///< taken back from idle senders
+    std::array<std::uint64_t, body_kind_names.size()> held_by_kind{};
+    /// Found no room, by kind.
+    std::array<std::uint64_t, body_kind_names.size()> refused{};
+    std::uint64_t withdrawn = 0; ///< taken back from idle senders
     std::uint64_t last_id = 0;
     bool full = false; ///< a request was refused; until there is room again
     std::unordered_map<body_hold_id, body_hold> holds;
--- a/src/node/body_room.cpp
+++ b/src/node/body_room.cpp
@@ -20,11 +20,19 @@
     return text;
 }
 
-/// Ends the wait of the body whose turn it is.
+/// Returns the bodies that a body of the kind waits behind.
+std::list<asio::steady_timer*>& find_turns(node_state& n, body_kind kind)
+{
+    return is_from_peer(kind) ? n.peer_body_turns : n.body_turns;
+}
+
+/// Ends the waits of the bodies whose turn it is.
 void wake_next(node_state& n)
 {
-    if (!n.body_turns.empty())
-        n.body_turns.front()->cancel();
+    for (const auto* turns : {&n.peer_body_turns, &n.body_turns}) {
+        if (!turns->empty())
+            turns->front()->cancel();
+    }
 }
 
 /// Takes back the room of a body whose sender is idle.
@@ -120,20 +128,21 @@
 {
     constexpr span_us retry_interval = 100 * us_per_ms; // senders turn idle
     // Small bodies pass those that wait for much.
-    if (kind == body_kind::small || n.body_turns.empty()) {
+    auto& turns = find_turns(n, kind);
+    if (kind == body_kind::small || turns.empty()) {
         body_room room(n, kind, bytes);
         if (room.has_value())
             return room;
     }
     asio::steady_timer turn(n.ctx);
-    const auto at = n.body_turns.insert(n.body_turns.end(), &turn);
-    const on_exit leave([&n, at] {
-        n.body_turns.erase(at);
+    const auto at = turns.insert(turns.end(), &turn);
+    const on_exit leave([&n, &turns, at] {
+        turns.erase(at);
         wake_next(n);
     });
     const auto until = mono_now() + body_retry_after;
     while (true) {
-        const bool first = n.body_turns.front() == &turn;
+        const bool first = turns.front() == &turn;
         const auto left = until - mono_now();
         if (first && (body_has_room(n.bodies, kind, bytes) || left <= 0 ||
                       find_idle_body(n.bodies, mono_now())))
--- a/src/node/caller_read.cpp
+++ b/src/node/caller_read.cpp
@@ -189,7 +189,8 @@
 {
     auto& parser = *owner;
     const bool empty = parser.is_done();
-    const auto need = empty ? std::nullopt : held_body_need(n, parser);
+    const auto need =
+        empty ? std::nullopt : held_body_need(n, body_kind::held, parser);
     if (need) {
         // A caller that isn't read waits: refused, it would come back later.
         r.room = wait_for_room(n, need->kind, need->bytes, y);
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -456,7 +456,8 @@
         return false; // not sent by an entry node
     w->upload = upload;
     if (upload != nullptr) {
-        upload->room = body_room(n, body_kind::window, stream_window_bytes);
+        upload->room =
+            body_room(n, body_kind::peer_window, stream_window_bytes);
         if (!upload->room.has_value())
             return refuse_body(n, *w, stream, y);
     }
@@ -554,8 +555,11 @@
         if (!ec && !parser.is_done()) {
             stream.expires_never();
             // A node that doesn't stream sends large bodies whole, too.
-            const auto need = held_body_need(n, parser).value_or(body_need{
-                body_kind::held, parser.content_length().value_or(0)});
+            constexpr auto kind = body_kind::peer_held;
+            const auto need =
+                held_body_need(n, kind, parser)
+                    .value_or(
+                        body_need{kind, parser.content_length().value_or(0)});
             room = wait_for_room(n, need.kind, need.bytes, y);
             stream.expires_after(
                 std::chrono::microseconds(connection_idle_timeout));
--- a/src/node/held_body.cpp
+++ b/src/node/held_body.cpp
@@ -63,7 +63,7 @@
     return ec || take_head_room(n, bytes, room);
 }
 
-std::optional<body_need> held_body_need(const node_state& n,
+std::optional<body_need> held_body_need(const node_state& n, body_kind kind,
                                         const request_parser& parser)
 {
     const auto length = parser.content_length();
@@ -71,7 +71,7 @@
     if (n.bodies.limit > 0 && bytes >= large_upload_bytes)
         return std::nullopt;
     const bool small = length && bytes <= small_body_bytes;
-    return body_need{small ? body_kind::small : body_kind::held, bytes};
+    return body_need{small ? body_kind::small : kind, bytes};
 }
 
 void read_held_body(beast::tcp_stream& stream, beast::flat_buffer& buf,
--- a/src/node/held_body.hpp
+++ b/src/node/held_body.hpp
@@ -20,8 +20,9 @@
 };
 
 /// Returns what a body needs; nothing when it is to be streamed.
+/// @param kind of a body that isn't small
 /// @param parser its header is complete, and its body isn't
-std::optional<body_need> held_body_need(const node_state& n,
+std::optional<body_need> held_body_need(const node_state& n, body_kind kind,
                                         const request_parser& parser);
 
 /// Reads a body into its room, as far as it fits: one without a length may
--- a/src/node/node_state.hpp
+++ b/src/node/node_state.hpp
@@ -246,11 +246,12 @@
     body_budget bodies;
     /// Ends the wait for an idle sender's bytes, by its reservation.
     std::unordered_map<body_hold_id, std::function<void()>> body_waits;
-    /// Turns of bodies that wait for room; the first is cancelled when there
-    /// may be some.
+    /// Turns of callers' bodies that wait for room; the first is cancelled when
+    /// there may be some.
     std::list<asio::steady_timer*> body_turns;
-    std::set<grant_wait*> grant_waits; ///< of requests in flight
-    allowance_table local_allowances;  ///< of teams without keys
+    std::list<asio::steady_timer*> peer_body_turns; ///< of bodies from nodes
+    std::set<grant_wait*> grant_waits;              ///< of requests in flight
+    allowance_table local_allowances;               ///< of teams without keys
     /// Position of each route's next request within its traffic split.
     std::unordered_map<std::string, double> split_positions;
     /// Position of each service's next idempotent request in the sequence that
--- a/test/platform_bodies.py
+++ b/test/platform_bodies.py
@@ -117,9 +117,9 @@
     """Callers that go on sending their bodies, slowly, until they are told to
     stop."""
 
-    def __init__(self, h, node, count):
+    def __init__(self, h, node, count, total=len(UPLOAD)):
         self.stopped = threading.Event()
-        self.sockets = [begin(h, node, 64 << 10) for _ in range(count)]
+        self.sockets = [begin(h, node, 64 << 10, total) for _ in range(count)]
         in_threads([lambda s=s: self.send(s) for s in self.sockets])
 
     def send(self, s):
@@ -456,6 +456,24 @@
     expect_room_again(h, "medium bodies")
 
 
+# Guards against callers' bodies that take all the room of the exit nodes, so
+# that nodes wait for room at each other.
+def check_crossing(f):
+    h = start_default(f)
+    senders = [Senders(h, n, 8, len(MEDIUM)) for n in ("n2", "n3")]
+    expect(wait_for(lambda: all(metric(h, n, "body_bytes") == 8 * len(MEDIUM)
+                                for n in ("n2", "n3"))),
+           "callers have all the room for their bodies")
+    got = []
+    for t in in_threads([lambda: got.append(upload(
+            h, "n0", body=MEDIUM)[0])] * 8):
+        t.join()
+    expect(got == [200] * 8, "bodies from another node: %s" % got)
+    for s in senders:
+        s.close()
+    expect_room_again(h, "crossing bodies")
+
+
 # Guards against callers that stop in the midst of their bodies and keep the room
 # of those that send on.
 def check_idle(f):
@@ -473,7 +491,8 @@
     expect(" body_memory_free " in log_of(h, "n0"), "and that it is over")
 
 
-CHECKS = {"unset": check_unset, "medium": check_medium, "idle": check_idle,
+CHECKS = {"unset": check_unset, "medium": check_medium,
+          "crossing": check_crossing, "idle": check_idle,
           "memory": check_memory, "full": check_full,
           "elsewhere": check_elsewhere, "ends": check_ends,
           "slow": check_slow, "stop": check_stop, "mixed": check_mixed}
--- a/test/test_body_budget.cpp
+++ b/test/test_body_budget.cpp
@@ -89,6 +89,25 @@
     EXPECT_FALSE(body_reserve(b, body_kind::answer, 1));
 }
 
+// Guards against nodes whose callers' bodies take all the room, so that each
+// waits for room at the other.
+TEST(body_budget, keeps_room_for_bodies_from_nodes)
+{
+    body_budget b;
+    b.limit = 16 << 20;
+    while (body_reserve(b, body_kind::held, 1000000)) {
+    }
+    for (int k = 0; k < 4; ++k)
+        EXPECT_TRUE(body_reserve(b, body_kind::peer_held, 1000000));
+    while (body_reserve(b, body_kind::window, stream_window_bytes)) {
+    }
+    for (int k = 0; k < 8; ++k)
+        EXPECT_TRUE(
+            body_reserve(b, body_kind::peer_window, stream_window_bytes));
+    EXPECT_FALSE(body_reserve(b, body_kind::peer_window, stream_window_bytes));
+    EXPECT_TRUE(body_reserve(b, body_kind::small, small_body_bytes));
+}
+
 // Guards against a body that keeps its room while its sender is idle or sends
 // next to nothing, and against one that loses it while it is on its way.
 TEST(body_budget, finds_the_longest_idle_sender)
