--- a/test/platform_answers.py
+++ b/test/platform_answers.py
@@ -8,6 +8,7 @@
 import re
 import socket
 import sys
+import time
 
 import platform_hosted as hosted
 from platform_bytes import (all_run, ask_or_closed, in_threads, log_of,
@@ -366,6 +367,44 @@
                  b"HTTP/1.1 000 OK\r\n")
 
 
+# Guards against an answer without an end that goes on, and keeps its connection
+# and its slot, after another backend server has answered the request.
+def check_hedged(f):
+    h = start(f, nodes=3, timeout=20)  # all attempts end then
+    trickled, closed = set(), set()
+
+    def trickle(handler, request):
+        if not request.startswith("hedged-") or request in trickled:
+            return False
+        trickled.add(request)
+        handler.close_connection = True
+        try:
+            handler.wfile.write(b"HTTP/1.1 200 OK\r\n")
+            while True:  # far below the limit of a head
+                handler.wfile.write(b"X-Odd: y\r\n")
+                time.sleep(0.02)
+        except OSError:
+            closed.add(request)
+        return True
+
+    for w in h.workers.values():
+        w.spoil = trickle
+    got = {}
+
+    def read(node, request):
+        got[request] = h.ask(node, "/read/", headers={
+            "X-Attempt-Id": request, "X-Deadline-Ms": "18000"}, timeout=20)[0]
+
+    for k in range(4):
+        for t in in_threads([lambda n=n: read(n, "hedged-%d-%s" % (k, n))
+                             for n in h.nodes]):
+            t.join()
+    expect(set(got) == trickled and set(got.values()) == {200},
+           "reads are hedged and answered: %s" % got)
+    expect(wait_for(lambda: closed == trickled, 5),
+           "the other attempts end: %d" % len(closed))
+
+
 # Guards against a health answer that is none and admits a backend server.
 def check_health(f):
     h = start(f)
@@ -394,7 +433,8 @@
 
 
 CHECKS = {"endless": check_endless, "early": check_early,
-          "health": check_health, "status": check_status, "names": check_names,
+          "hedged": check_hedged, "health": check_health,
+          "status": check_status, "names": check_names,
           "codings": check_codings, "sound": check_sound}
 
 
