Keep room for small bodies from other nodes, too

What callers saw: where the callers of an exit node fill its budget with bodies of up to 16 KiB, because their work elsewhere takes long, all bodies of other nodes are refused there with 503 (not run).

Cause: the same as for larger bodies. Small bodies of callers and of nodes were one kind, which may use the whole budget, so that nodes wait for room at each other; long heads likewise.

Evidence: platform_bodies_crossing_small, budgets of 1 MiB: four of four refused, in three runs before; all served in three runs now.

Why this works: small bodies of callers may use 15/16 of the budget and those of nodes all of it, with the turns of their sender's side. The kinds of one sender are in one struct, body_kinds, that the readers of both sides are given. platform_bodies as a whole passes.

--- a/src/memory/body_budget_type.hpp
+++ b/src/memory/body_budget_type.hpp
@@ -22,26 +22,47 @@
 /// budget, so that the kinds that need little find room beside the others.
 enum class body_kind : std::uint8_t
 {
-    answer,    ///< part of an answer that is held; without room it is streamed
-    held,      ///< caller's body that is held whole, of a medium size
-    window,    ///< window of a caller's body that is streamed
-    peer_held, ///< body from a node that is held whole
+    answer,      ///< held part of an answer; without room it is streamed
+    held,        ///< caller's body that is held whole, of a medium size
+    window,      ///< window of a caller's body that is streamed
+    peer_held,   ///< body from a node that is held whole
     peer_window, ///< window of a body that is streamed from a node
-    small,       ///< small request body, or long head
+    small,       ///< caller's body that is small, or long head
+    peer_small,  ///< the same of a node
 };
 
-inline constexpr std::array<std::string_view, 6> body_kind_names = {
-    "answer", "held", "window", "peer_held", "peer_window", "small"};
+inline constexpr std::array<std::string_view, 7> body_kind_names = {
+    "answer",      "held",  "window",    "peer_held",
+    "peer_window", "small", "peer_small"};
 
 /// Share of the budget that may be in use with a reservation, by kind. Callers'
 /// bodies keep their room until another node has taken them, so that bodies
 /// from nodes need room that callers can't use: else nodes wait for each other.
-inline constexpr std::array<double, 6> body_shares = {0.5,  0.5,   0.75,
-                                                      0.75, 0.875, 1};
+inline constexpr std::array<double, 7> body_shares = {0.5,   0.5,    0.75, 0.75,
+                                                      0.875, 0.9375, 1};
+
+/// Kinds of the bodies of one sender, by their size.
+struct body_kinds
+{
+    body_kind small;
+    body_kind held;
+    body_kind window;
+};
+
+inline constexpr body_kinds caller_kinds{body_kind::small, body_kind::held,
+                                         body_kind::window};
+inline constexpr body_kinds peer_kinds{
+    body_kind::peer_small, body_kind::peer_held, body_kind::peer_window};
+
+constexpr bool is_small(body_kind kind)
+{
+    return kind == body_kind::small || kind == body_kind::peer_small;
+}
 
 constexpr bool is_from_peer(body_kind kind)
 {
-    return kind == body_kind::peer_held || kind == body_kind::peer_window;
+    return kind == peer_kinds.small || kind == peer_kinds.held ||
+           kind == peer_kinds.window;
 }
 
 struct body_hold
--- a/src/node/body_room.cpp
+++ b/src/node/body_room.cpp
@@ -129,7 +129,7 @@
     constexpr span_us retry_interval = 100 * us_per_ms; // senders turn idle
     // Small bodies pass those that wait for much.
     auto& turns = find_turns(n, kind);
-    if (kind == body_kind::small || turns.empty()) {
+    if (is_small(kind) || turns.empty()) {
         body_room room(n, kind, bytes);
         if (room.has_value())
             return room;
--- a/src/node/caller_read.cpp
+++ b/src/node/caller_read.cpp
@@ -112,7 +112,7 @@
                                  const yield& y)
 {
     const step_timeout timer(stream, timeout);
-    if (!read_held_head(n, stream, buf, parser, room, ec, y))
+    if (!read_held_head(n, caller_kinds, stream, buf, parser, room, ec, y))
         return no_room_refusal(n);
     if (timer.expired())
         return bad_request(http::status::request_timeout, "slow-head");
@@ -171,7 +171,7 @@
     const auto& parser = *r.upload->parser;
     r.room = body_room();
     r.upload->room = wait_for_room(
-        n, body_kind::window,
+        n, caller_kinds.window,
         stream_window_bytes + growth * parser.get().body().size(), y);
     if (!r.upload->room.has_value())
         return no_room_refusal(n);
@@ -190,7 +190,7 @@
     auto& parser = *owner;
     const bool empty = parser.is_done();
     const auto need =
-        empty ? std::nullopt : held_body_need(n, body_kind::held, parser);
+        empty ? std::nullopt : held_body_need(n, caller_kinds, parser);
     if (need) {
         // A caller that isn't read waits: refused, it would come back later.
         r.room = wait_for_room(n, need->kind, need->bytes, y);
--- a/src/node/exit_server.cpp
+++ b/src/node/exit_server.cpp
@@ -456,8 +456,7 @@
         return false; // not sent by an entry node
     w->upload = upload;
     if (upload != nullptr) {
-        upload->room =
-            body_room(n, body_kind::peer_window, stream_window_bytes);
+        upload->room = body_room(n, peer_kinds.window, stream_window_bytes);
         if (!upload->room.has_value())
             return refuse_body(n, *w, stream, y);
     }
@@ -542,7 +541,8 @@
             std::chrono::microseconds(connection_idle_timeout));
         beast::error_code ec;
         body_room head_room;
-        if (!read_held_head(n, stream, buf, parser, head_room, ec, y)) {
+        if (!read_held_head(n, peer_kinds, stream, buf, parser, head_room, ec,
+                            y)) {
             note_bodies_full(n, "exit");
             break;
         }
@@ -555,11 +555,10 @@
         if (!ec && !parser.is_done()) {
             stream.expires_never();
             // A node that doesn't stream sends large bodies whole, too.
-            constexpr auto kind = body_kind::peer_held;
             const auto need =
-                held_body_need(n, kind, parser)
-                    .value_or(
-                        body_need{kind, parser.content_length().value_or(0)});
+                held_body_need(n, peer_kinds, parser)
+                    .value_or(body_need{peer_kinds.held,
+                                        parser.content_length().value_or(0)});
             room = wait_for_room(n, need.kind, need.bytes, y);
             stream.expires_after(
                 std::chrono::microseconds(connection_idle_timeout));
--- a/src/node/held_body.cpp
+++ b/src/node/held_body.cpp
@@ -17,11 +17,12 @@
 
 /// Takes room for the bytes of a head.
 /// @return false when there is none
-bool take_head_room(node_state& n, std::size_t bytes, body_room& room)
+bool take_head_room(node_state& n, body_kind kind, std::size_t bytes,
+                    body_room& room)
 {
     if (bytes <= long_head_bytes)
         return true;
-    room = body_room(n, body_kind::small, head_copies * bytes);
+    room = body_room(n, kind, head_copies * bytes);
     return room.has_value();
 }
 
@@ -55,15 +56,17 @@
 
 } // namespace
 
-bool read_held_head(node_state& n, beast::tcp_stream& stream,
-                    beast::flat_buffer& buf, request_parser& parser,
-                    body_room& room, beast::error_code& ec, const yield& y)
+bool read_held_head(node_state& n, const body_kinds& kinds,
+                    beast::tcp_stream& stream, beast::flat_buffer& buf,
+                    request_parser& parser, body_room& room,
+                    beast::error_code& ec, const yield& y)
 {
     const auto bytes = read_head(stream, parser, buf, ec, y);
-    return ec || take_head_room(n, bytes, room);
+    return ec || take_head_room(n, kinds.small, bytes, room);
 }
 
-std::optional<body_need> held_body_need(const node_state& n, body_kind kind,
+std::optional<body_need> held_body_need(const node_state& n,
+                                        const body_kinds& kinds,
                                         const request_parser& parser)
 {
     const auto length = parser.content_length();
@@ -71,7 +74,7 @@
     if (n.bodies.limit > 0 && bytes >= large_upload_bytes)
         return std::nullopt;
     const bool small = length && bytes <= small_body_bytes;
-    return body_need{small ? body_kind::small : kind, bytes};
+    return body_need{small ? kinds.small : kinds.held, bytes};
 }
 
 void read_held_body(beast::tcp_stream& stream, beast::flat_buffer& buf,
--- a/src/node/held_body.hpp
+++ b/src/node/held_body.hpp
@@ -8,9 +8,10 @@
 /// Reads a request's head. A long one takes room once it is complete; until
 /// then its limit bounds it.
 /// @return false when there is none
-bool read_held_head(node_state& n, beast::tcp_stream& stream,
-                    beast::flat_buffer& buf, request_parser& parser,
-                    body_room& room, beast::error_code& ec, const yield& y);
+bool read_held_head(node_state& n, const body_kinds& kinds,
+                    beast::tcp_stream& stream, beast::flat_buffer& buf,
+                    request_parser& parser, body_room& room,
+                    beast::error_code& ec, const yield& y);
 
 /// Room that a body needs to be held whole.
 struct body_need
@@ -20,9 +21,9 @@
 };
 
 /// Returns what a body needs; nothing when it is to be streamed.
-/// @param kind of a body that isn't small
 /// @param parser its header is complete, and its body isn't
-std::optional<body_need> held_body_need(const node_state& n, body_kind kind,
+std::optional<body_need> held_body_need(const node_state& n,
+                                        const body_kinds& kinds,
                                         const request_parser& parser);
 
 /// Reads a body into its room, as far as it fits: one without a length may
