--- a/src/http/message_head.hpp
+++ b/src/http/message_head.hpp
@@ -151,4 +151,11 @@
            ec != http::error::partial_message;
 }
 
+/// Returns whether a read ended because the bytes are no HTTP message, and not
+/// because a part of it is too long.
+inline bool is_unreadable(const boost::beast::error_code& ec)
+{
+    return is_malformed(ec) && !exceeds_limit(ec);
+}
+
 } // namespace jasminetray
--- a/src/node/message_side.cpp
+++ b/src/node/message_side.cpp
@@ -38,7 +38,7 @@
                     const beast::flat_buffer& buf, const std::string& subject)
 {
     log_too_long(n, side, ec, limits, buf);
-    if (!exceeds_limit(ec) && is_malformed(ec))
+    if (is_unreadable(ec))
         n.events.write(
             event_id::answer_malformed, subject,
             "side=" + std::string(name_of(message_side_names, side)) +
--- a/src/node/worker_request.cpp
+++ b/src/node/worker_request.cpp
@@ -339,7 +339,7 @@
         !caller_left && ec != beast::error::timeout && !exceeds_limit(ec);
     log_unreadable(n, message_side::backend_server, ec, answer_limits,
                    a.link->buf, expected.echo);
-    if (!exceeds_limit(ec) && is_malformed(ec))
+    if (is_unreadable(ec))
         a.reason = malformed_answer_reason;
     if (ec == http::error::header_limit) {
         // The backend server works, but its answer can't be passed on.
